--- /dev/null
+++ b/outcome/reason.go
@@ -0,0 +1,64 @@
+package outcome
+
+// Reason says why a call was refused, sent again or given up. Each reason has a counter of its own.
+type Reason string
+
+// Reasons for refusals by an entry. A call refused with one of them was not run.
+const (
+	// Share: the caller is beyond its share and its queue is full.
+	Share Reason = "share"
+	// Deadline: the call cannot be answered in the time that it has left.
+	Deadline Reason = "deadline"
+	// Queue: the queue of the service is full.
+	Queue Reason = "queue"
+	// Cold: every target that is left is in its cold start and has all the work it can bear.
+	Cold Reason = "cold"
+	// Drained: no target of the service is in operation.
+	Drained Reason = "drained"
+	// Isolated: the entry has lost contact with the platform and with its peers.
+	Isolated Reason = "isolated"
+	// Table: the platform's table is down, so an at-most-once call cannot be claimed.
+	Table Reason = "table"
+	// Key: a non-idempotent call has no idempotency key.
+	Key Reason = "key"
+	// Conflict: the idempotency key was used with another request.
+	Conflict Reason = "conflict"
+	// Claimed: another call with the same idempotency key is being run or ended in an unknown outcome.
+	Claimed Reason = "claimed"
+	// Service: no service has this path.
+	Service Reason = "service"
+	// Caller: the caller is not in the settings.
+	Caller Reason = "caller"
+	// Leaving: the entry or the target is shutting down.
+	Leaving Reason = "leaving"
+)
+
+// Reasons for which a dispatch did not end in a whole answer, and for which a call may be sent again.
+const (
+	// Shed: the target refused without running the call.
+	Shed Reason = "shed"
+	// Dial: no connection to the target could be opened or checked.
+	Dial Reason = "dial"
+	// Broken: the connection broke before the head of the answer.
+	Broken Reason = "broken"
+	// Truncated: the answer ended early.
+	Truncated Reason = "truncated"
+	// Crossed: the answer belongs to another request.
+	Crossed Reason = "crossed"
+	// Silent: nothing came back on the connection in time.
+	Silent Reason = "silent"
+	// Canceled: the caller went away or a faster attempt won.
+	Canceled Reason = "canceled"
+	// Instance: the target is no longer the instance that was expected, so it is cold.
+	Instance Reason = "instance"
+	// Budget: the probe budget of the target allows no further connection check now.
+	Budget Reason = "budget"
+	// Hedge: an additional attempt because the first one is slower than usual.
+	Hedge Reason = "hedge"
+)
+
+// Refusals lists the refusal reasons in a fixed order, for counters and documentation.
+var Refusals = []Reason{Share, Deadline, Queue, Cold, Drained, Isolated, Table, Key, Conflict, Claimed, Service, Caller, Leaving}
+
+// Retries lists the retry reasons in a fixed order, for counters and documentation.
+var Retries = []Reason{Shed, Dial, Broken, Truncated, Crossed, Silent, Canceled, Instance, Budget, Hedge}
--- /dev/null
+++ b/outcome/report.go
@@ -0,0 +1,23 @@
+package outcome
+
+// Phase is what a target says of its own readiness. It can lag or mislead.
+type Phase string
+
+// The phases that a target reports.
+const (
+	PhaseUnknown  Phase = ""
+	PhaseCold     Phase = "cold"
+	PhaseWarm     Phase = "warm"
+	PhaseDraining Phase = "draining"
+)
+
+// Report is what an answer or a load read carried about the target.
+type Report struct {
+	// Instance identifies one process start of the target.
+	Instance string
+	Phase    Phase
+	// Active is the number of calls being run, Slots how many the target runs at once, Queued the calls that wait.
+	Active int
+	Slots  int
+	Queued int
+}
