--- /dev/null
+++ b/entry/counters.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"skylarkbeam/outcome"
+)
+
+// Counters are the metrics of one entry. They live in a set of their own, so that several entries in one process do not
+// share them.
+type Counters struct {
+	set      *metrics.Set
+	refusals map[outcome.Reason]*metrics.Counter
+	retries  map[outcome.Reason]*metrics.Counter
+	outcomes map[string]*metrics.Counter
+
+	calls     *metrics.Counter
+	dispatch  *metrics.Counter
+	relays    *metrics.Counter
+	replays   *metrics.Counter
+	breaks    *metrics.Counter
+	hedgeWins *metrics.Counter
+	duration  *metrics.Histogram
+}
+
+// NewCounters creates the metrics with every reason at zero, so that a reason that never occurred is visible as such.
+func NewCounters() *Counters {
+	set := metrics.NewSet()
+	c := &Counters{
+		set:       set,
+		refusals:  map[outcome.Reason]*metrics.Counter{},
+		retries:   map[outcome.Reason]*metrics.Counter{},
+		outcomes:  map[string]*metrics.Counter{},
+		calls:     set.NewCounter("skylarkbeam_calls_total"),
+		dispatch:  set.NewCounter("skylarkbeam_dispatches_total"),
+		relays:    set.NewCounter("skylarkbeam_relays_total"),
+		replays:   set.NewCounter("skylarkbeam_replays_total"),
+		breaks:    set.NewCounter("skylarkbeam_broken_answers_total"),
+		hedgeWins: set.NewCounter("skylarkbeam_hedge_wins_total"),
+		duration:  set.NewHistogram("skylarkbeam_call_seconds"),
+	}
+	for _, r := range outcome.Refusals {
+		c.refusals[r] = set.NewCounter(fmt.Sprintf("skylarkbeam_refusals_total{reason=%q}", r))
+	}
+	for _, r := range outcome.Retries {
+		c.retries[r] = set.NewCounter(fmt.Sprintf("skylarkbeam_retries_total{reason=%q}", r))
+	}
+	for _, o := range []string{outcomeAnswered, outcomeNotRun, outcomeUnknown, outcomeFailed} {
+		c.outcomes[o] = set.NewCounter(fmt.Sprintf("skylarkbeam_outcomes_total{outcome=%q}", o))
+	}
+	return c
+}
+
+// Refused counts a refusal.
+func (c *Counters) Refused(r outcome.Reason) {
+	if counter, ok := c.refusals[r]; ok {
+		counter.Inc()
+		return
+	}
+	c.set.GetOrCreateCounter(fmt.Sprintf("skylarkbeam_refusals_total{reason=%q}", r)).Inc()
+}
+
+// Retried counts an attempt that follows an earlier one of the same call, by the reason for it.
+func (c *Counters) Retried(r outcome.Reason) {
+	if counter, ok := c.retries[r]; ok {
+		counter.Inc()
+		return
+	}
+	c.set.GetOrCreateCounter(fmt.Sprintf("skylarkbeam_retries_total{reason=%q}", r)).Inc()
+}
+
+// Gauge registers a value that is computed when the metrics are read.
+func (c *Counters) Gauge(name string, value func() float64) {
+	c.set.NewGauge(name, value)
+}
+
+// Write writes all metrics, those of the Go runtime and the process included, in the Prometheus text format.
+func (c *Counters) Write(w io.Writer) {
+	c.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
