Add the pool of connections to a target and the target's stand-in

Package target writes requests over http.Request.Write and reads answers over http.ReadResponse; package standin speaks the messages between entries and targets and has switches for their faults. The reason "invalid" is added to outcome for requests that cannot be written as HTTP/1.1.

--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -31,6 +31,8 @@
 	Caller Reason = "caller"
 	// Leaving: the entry or the target is shutting down.
 	Leaving Reason = "leaving"
+	// Invalid: the request cannot be written as an HTTP/1.1 request to a target.
+	Invalid Reason = "invalid"
 )
 
 // Reasons for which a dispatch did not end in a whole answer, and for which a call may be sent again.
@@ -58,7 +60,7 @@
 )
 
 // Refusals lists the refusal reasons in a fixed order, for counters and documentation.
-var Refusals = []Reason{Share, Deadline, Queue, Cold, Drained, Isolated, Table, Key, Conflict, Claimed, Service, Caller, Leaving}
+var Refusals = []Reason{Share, Deadline, Queue, Cold, Drained, Isolated, Table, Key, Conflict, Claimed, Service, Caller, Leaving, Invalid}
 
 // Retries lists the retry reasons in a fixed order, for counters and documentation.
 var Retries = []Reason{Shed, Dial, Broken, Truncated, Crossed, Silent, Canceled, Instance, Budget, Hedge}
--- /dev/null
+++ b/standin/call.go
@@ -0,0 +1,182 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// maxBody bounds the body of a call, which is kept in memory.
+const maxBody = 64 << 20
+
+func (t *Target) serveCall(w http.ResponseWriter, r *http.Request) {
+	fault := t.takeFault()
+	t.mu.Lock()
+	t.counts.Calls++
+	t.mu.Unlock()
+	switch fault {
+	case FaultError:
+		t.refuse(w, r, http.StatusInternalServerError, false)
+		return
+	case FaultClose:
+		panic(http.ErrAbortHandler)
+	case FaultShed:
+		t.mu.Lock()
+		t.counts.Shed++
+		t.mu.Unlock()
+		t.refuse(w, r, http.StatusServiceUnavailable, true)
+		return
+	case FaultFreeze:
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	ctx := r.Context()
+	if left, err := time.ParseDuration(r.Header.Get("Skylarkbeam-Timeout")); err == nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, left)
+		defer cancel()
+	}
+	if !t.thaw(ctx) {
+		panic(http.ErrAbortHandler)
+	}
+	life, ok := t.enter(ctx)
+	if !ok {
+		t.refuse(w, r, http.StatusServiceUnavailable, true)
+		return
+	}
+	finished := t.run(ctx, r)
+	t.leave(life)
+	if !finished {
+		t.mu.Lock()
+		t.counts.Canceled++
+		t.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+	t.respond(w, r, newAnswer(r, body), fault)
+}
+
+// enter waits for a slot. The call has certainly not run if it returns false.
+func (t *Target) enter(ctx context.Context) (*life, bool) {
+	t.mu.Lock()
+	if t.switches.Drain {
+		t.counts.Drained++
+		t.mu.Unlock()
+		return nil, false
+	}
+	life := t.life
+	life.calls++
+	if t.cold() {
+		t.counts.Peak = max(t.counts.Peak, life.calls)
+		if life.calls > t.switches.Bear {
+			t.counts.Violations++
+		}
+	}
+	if t.active < t.switches.Slots {
+		t.active++
+		t.note()
+		t.mu.Unlock()
+		return life, true
+	}
+	if len(t.waiting) >= t.switches.Queue {
+		life.calls--
+		t.counts.Shed++
+		t.mu.Unlock()
+		return nil, false
+	}
+	slot := make(chan struct{})
+	t.waiting = append(t.waiting, slot)
+	t.note()
+	t.mu.Unlock()
+	select {
+	case <-slot:
+		return life, true
+	case <-ctx.Done():
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.Canceled++
+	if i := slices.Index(t.waiting, slot); i >= 0 {
+		t.waiting = slices.Delete(t.waiting, i, i+1)
+	} else {
+		t.active--
+		t.admit()
+	}
+	life.calls--
+	t.note()
+	return nil, false
+}
+
+func (t *Target) leave(life *life) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.active--
+	life.calls--
+	t.admit()
+	t.note()
+}
+
+// admit gives free slots to queued calls. The caller holds the lock.
+func (t *Target) admit() {
+	for t.active < t.switches.Slots && len(t.waiting) > 0 {
+		t.active++
+		close(t.waiting[0])
+		t.waiting = slices.Delete(t.waiting, 0, 1)
+	}
+}
+
+// run does the work of a call. It returns false if the call was given up before its end.
+func (t *Target) run(ctx context.Context, r *http.Request) bool {
+	t.mu.Lock()
+	t.countRun(r.Header.Get("Skylarkbeam-Request"), r.Header.Get("Skylarkbeam-Key"))
+	work := float64(t.switches.Work) * t.switches.Slow
+	if t.cold() {
+		work *= t.switches.Warmup
+	}
+	t.mu.Unlock()
+	if work <= 0 {
+		return true
+	}
+	timer := time.NewTimer(time.Duration(work))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// refuse answers without running the call; with notRun it says so.
+func (t *Target) refuse(w http.ResponseWriter, r *http.Request, status int, notRun bool) {
+	for name, values := range t.fields(r.Header.Get("Skylarkbeam-Request")) {
+		w.Header()[name] = values
+	}
+	if notRun {
+		w.Header().Set("Skylarkbeam-Outcome", "not-run")
+		w.Header().Set("Retry-After", "1")
+	}
+	w.WriteHeader(status)
+}
+
+// thaw waits while the target is frozen. It returns false if the request ended before that.
+func (t *Target) thaw(ctx context.Context) bool {
+	for {
+		t.mu.Lock()
+		frozen, changed := t.switches.Freeze, t.changed
+		t.mu.Unlock()
+		if !frozen {
+			return ctx.Err() == nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/standin/fault.go
@@ -0,0 +1,199 @@
+package standin
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Fault is something that goes wrong with one call.
+type Fault string
+
+// Faults of calls that do not run.
+const (
+	FaultNone Fault = ""
+	// FaultError answers 500 immediately.
+	FaultError Fault = "error"
+	// FaultClose closes the connection immediately.
+	FaultClose Fault = "close"
+	// FaultShed answers 503, not run.
+	FaultShed Fault = "shed"
+	// FaultFreeze never answers; the call ends with its connection.
+	FaultFreeze Fault = "freeze"
+)
+
+// Faults of the answers of calls that ran.
+const (
+	// FaultDrop closes the connection before the answer.
+	FaultDrop Fault = "drop"
+	// FaultReset resets the connection before the answer.
+	FaultReset Fault = "reset"
+	// FaultHead closes the connection within the head of the answer.
+	FaultHead Fault = "head"
+	// FaultEmpty closes the connection after the head.
+	FaultEmpty Fault = "empty"
+	// FaultCut closes the connection in the middle of a body with Content-Length.
+	FaultCut Fault = "cut"
+	// FaultChunk closes the connection in the middle of a chunked body.
+	FaultChunk Fault = "chunk"
+	// FaultPlain sends a whole body with neither Content-Length nor chunking, and closes the connection.
+	FaultPlain Fault = "plain"
+	// FaultLate answers after Delay, whether or not the call was given up.
+	FaultLate Fault = "late"
+	// FaultCross swaps the answers of two calls in flight, id and body. After a second without a partner the answer has
+	// an id and a body that belong to no call.
+	FaultCross Fault = "cross"
+	// FaultGarbage sends what is not HTTP.
+	FaultGarbage Fault = "garbage"
+	// FaultTwice sends the answer twice.
+	FaultTwice Fault = "twice"
+	// FaultInform sends informational responses before the answer, which is correct.
+	FaultInform Fault = "inform"
+	// FaultEndless sends a header that does not end.
+	FaultEndless Fault = "endless"
+)
+
+// Faults lists all faults.
+var Faults = []Fault{
+	FaultError, FaultClose, FaultShed, FaultFreeze, FaultDrop, FaultReset, FaultHead, FaultEmpty, FaultCut, FaultChunk,
+	FaultPlain, FaultLate, FaultCross, FaultGarbage, FaultTwice, FaultInform, FaultEndless,
+}
+
+// crossing is an answer that waits for another one to be swapped with.
+type crossing struct {
+	own   *answer
+	other chan *answer
+}
+
+// Next sets the faults of the next calls, one each.
+func (t *Target) Next(faults ...Fault) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.next = append(t.next, faults...)
+}
+
+func (t *Target) takeFault() Fault {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.next) == 0 {
+		return t.switches.Fault
+	}
+	f := t.next[0]
+	t.next = t.next[1:]
+	return f
+}
+
+// respond sends the answer of a call that ran.
+func (t *Target) respond(w http.ResponseWriter, r *http.Request, a *answer, fault Fault) {
+	switch fault {
+	case FaultNone:
+		t.write(w, a)
+	case FaultLate:
+		time.Sleep(time.Duration(t.Switches().Delay))
+		t.write(w, a)
+	case FaultCross:
+		t.write(w, t.swap(a))
+	case FaultInform:
+		w.Header().Set("Link", "</style.css>; rel=preload")
+		w.WriteHeader(http.StatusEarlyHints)
+		w.WriteHeader(http.StatusProcessing)
+		t.write(w, a)
+	default:
+		t.respondRaw(w, a, fault)
+	}
+}
+
+// respondRaw writes to the connection itself.
+func (t *Target) respondRaw(w http.ResponseWriter, a *answer, fault Fault) {
+	nc, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = nc.Close() }()
+	length := "Content-Length: " + strconv.FormatInt(a.content.size, 10)
+	half := io.LimitReader(a.content, a.content.size/2)
+	switch fault {
+	case FaultReset:
+		if c, ok := nc.(*conn); ok {
+			nc = c.Conn
+		}
+		if tcp, ok := nc.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	case FaultHead:
+		head := t.head(a, length)
+		_, _ = nc.Write(head[:len(head)/2])
+	case FaultEmpty:
+		_, _ = nc.Write(t.head(a, length))
+	case FaultCut:
+		_, _ = nc.Write(t.head(a, length))
+		_, _ = io.Copy(nc, half)
+	case FaultChunk:
+		_, _ = nc.Write(t.head(a, "Transfer-Encoding: chunked"))
+		data, _ := io.ReadAll(half)
+		fmt.Fprintf(nc, "%x\r\n%s\r\n", len(data), data)
+	case FaultPlain:
+		_, _ = nc.Write(t.head(a, "Connection: close"))
+		_, _ = io.Copy(nc, a.content)
+	case FaultGarbage:
+		_, _ = io.WriteString(nc, "\x16\x03\x01 this is not HTTP\r\n\r\n")
+	case FaultTwice:
+		var b bytes.Buffer
+		b.Write(t.head(a, length))
+		_, _ = io.Copy(&b, a.content)
+		_, _ = nc.Write(append(b.Bytes(), b.Bytes()...))
+		// The connection stays open until the other side closes it.
+		_, _ = io.Copy(io.Discard, nc)
+	case FaultEndless:
+		field := "X-Filler: " + fmt.Sprintf("%0100d", 0) + "\r\n"
+		_, err := io.WriteString(nc, "HTTP/1.1 200 OK\r\n")
+		for err == nil {
+			_, err = io.WriteString(nc, field)
+		}
+	}
+}
+
+func (t *Target) head(a *answer, framing string) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", a.status, http.StatusText(a.status))
+	_ = t.fields(a.id).Write(&b)
+	b.WriteString(framing + "\r\n\r\n")
+	return b.Bytes()
+}
+
+// swap returns the answer of another call with FaultCross, which gets this one.
+func (t *Target) swap(a *answer) *answer {
+	t.mu.Lock()
+	if other := t.cross; other != nil {
+		t.cross = nil
+		t.mu.Unlock()
+		other.other <- a
+		return other.own
+	}
+	c := &crossing{
+		own:   a,
+		other: make(chan *answer, 1),
+	}
+	t.cross = c
+	t.mu.Unlock()
+	select {
+	case other := <-c.other:
+		return other
+	case <-time.After(time.Second):
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.cross != c {
+		return <-c.other
+	}
+	t.cross = nil
+	return &answer{
+		id:      "none",
+		status:  http.StatusOK,
+		content: newContent(http.MethodGet, "/none", "", nil),
+	}
+}
--- /dev/null
+++ b/standin/server.go
@@ -0,0 +1,145 @@
+package standin
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+)
+
+// Server accepts connections for a target.
+type Server struct {
+	Target *Target
+	// Address is where the server listens.
+	Address netip.AddrPort
+
+	http *http.Server
+	done chan struct{}
+}
+
+// Start listens at the address, whose port may be 0, and serves the target until Close.
+func Start(t *Target, address netip.AddrPort) (*Server, error) {
+	ln, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, fmt.Errorf("start target %s: %w", t.name, err)
+	}
+	s := &Server{
+		Target:  t,
+		Address: ln.Addr().(*net.TCPAddr).AddrPort(),
+		http: &http.Server{
+			Handler: t,
+		},
+		done: make(chan struct{}),
+	}
+	go func() {
+		defer close(s.done)
+		_ = s.http.Serve(&listener{
+			Listener: ln,
+			target:   t,
+		})
+	}()
+	return s, nil
+}
+
+// Close stops listening and closes all connections, as a kill of the process does.
+func (s *Server) Close() error {
+	err := s.http.Close()
+	<-s.done
+	s.Target.mu.Lock()
+	conns := make([]*conn, 0, len(s.Target.conns))
+	for c := range s.Target.conns {
+		conns = append(conns, c)
+	}
+	s.Target.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close()
+	}
+	return err
+}
+
+type listener struct {
+	net.Listener
+	target *Target
+}
+
+// Accept wraps connections so that they can be made silent.
+func (l *listener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{
+		Conn:   nc,
+		target: l.target,
+	}
+	l.target.mu.Lock()
+	l.target.conns[c] = struct{}{}
+	l.target.mu.Unlock()
+	return c, nil
+}
+
+const (
+	silentNone int32 = iota
+	silentAnswers
+	silentAll
+)
+
+// conn is a connection that can be made silent.
+type conn struct {
+	net.Conn
+	target *Target
+	silent atomic.Int32
+	close  sync.Once
+}
+
+// Silence makes all connections that are open now silent for ever, while new ones work. Calls on them run without their
+// answers being sent if run is set; otherwise nothing on them reaches the target.
+func (t *Target) Silence(run bool) {
+	mode := silentAll
+	if run {
+		mode = silentAnswers
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.conns {
+		c.silent.Store(mode)
+	}
+}
+
+// Conns returns the number of open connections.
+func (t *Target) Conns() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.conns)
+}
+
+// Read drops what arrives while all is silent. It returns when the other side closes the connection, so that the
+// stand-in does not keep it for ever.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || c.silent.Load() != silentAll {
+			return n, err
+		}
+	}
+}
+
+// Write drops answers while the connection is silent.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.silent.Load() != silentNone {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.close.Do(func() {
+		c.target.mu.Lock()
+		delete(c.target.conns, c)
+		c.target.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/target/budget.go
@@ -0,0 +1,115 @@
+package target
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// window is the length of the sliding window of a probe budget. The value is part of the design (2.7).
+	window = time.Second
+	// abandonedHold is how long a probe that was given up counts after that. Its request may still lie in the
+	// socket of a target that is paused; it then reaches the target's handler when the target wakes.
+	abandonedHold = 10 * time.Second
+)
+
+// Budget limits the probes of one entry at one target: load reads and connection checks together. At most quota probes
+// count at any moment, where a probe counts from its start until one second after its end. So a target sees at most
+// quota probes of this entry in any second, however long each takes. It is safe for concurrent use.
+type Budget struct {
+	mu     sync.Mutex
+	quota  int
+	next   int       // quota from the time of raise on
+	raise  time.Time // zero if no change is due
+	from   time.Time // no probe before
+	flying int
+	until  []time.Time // when ended probes stop counting, in no order
+}
+
+// NewBudget returns a budget of quota probes per second that allows none in the first second after start, the start of
+// the process: probes of a process that was killed and replaced by this one may still count.
+func NewBudget(quota int, start time.Time) *Budget {
+	return &Budget{
+		quota: quota,
+		from:  start.Add(window),
+	}
+}
+
+// Set changes the quota. A lower one applies immediately, a higher one from the given time on, by which all other
+// entries must have lowered theirs.
+func (b *Budget) Set(quota int, from time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.raise = time.Time{}
+	if quota <= b.quota {
+		b.quota = quota
+		return
+	}
+	b.next = quota
+	b.raise = from
+}
+
+// Hold allows no probe before the given time.
+func (b *Budget) Hold(until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if until.After(b.from) {
+		b.from = until
+	}
+}
+
+// Take starts a probe if the budget allows one now. Each probe taken must be ended by Done or Cancel. If none is
+// allowed, wait is the time after which asking again makes sense, which is no promise.
+func (b *Budget) Take(now time.Time) (wait time.Duration, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now.Before(b.from) {
+		return b.from.Sub(now), false
+	}
+	if !b.raise.IsZero() && !now.Before(b.raise) {
+		b.quota = b.next
+		b.raise = time.Time{}
+	}
+	wait = window
+	kept := b.until[:0]
+	for _, t := range b.until {
+		if !t.Before(now) {
+			kept = append(kept, t)
+			// One nanosecond more, because a probe counts up to and including the end of its window.
+			wait = min(wait, t.Sub(now)+1)
+		}
+	}
+	b.until = kept
+	if b.flying+len(b.until) >= b.quota {
+		return wait, false
+	}
+	b.flying++
+	return 0, true
+}
+
+// Done ends a probe. Abandoned says that it was given up while the target may still have to run it; such a probe counts
+// for ten seconds.
+func (b *Budget) Done(now time.Time, abandoned bool) {
+	hold := window
+	if abandoned {
+		hold = abandonedHold
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.end()
+	b.until = append(b.until, now.Add(hold))
+}
+
+// Cancel ends a probe of which nothing was sent.
+func (b *Budget) Cancel() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.end()
+}
+
+func (b *Budget) end() {
+	b.flying--
+	if b.flying < 0 {
+		panic("target: a probe ended twice")
+	}
+}
--- /dev/null
+++ b/target/conn.go
@@ -0,0 +1,202 @@
+package target
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"syscall"
+	"time"
+)
+
+var errHeadTooLarge = errors.New("head of the answer is too large")
+
+// conn is a connection to the target. It belongs to one call at a time, or to the idle list.
+type conn struct {
+	nc       net.Conn
+	raw      syscall.RawConn // nil if nc is not a socket
+	br       *bufio.Reader
+	bw       *bufio.Writer
+	abort    func()
+	peek     func(fd uintptr) bool
+	quiet    bool // result of the last peek
+	instance string
+	answered time.Time // when the last answer ended
+
+	// State of the current request. The request and its parts are reused from call to call.
+	written int64 // bytes of the request that the kernel took
+	sent    time.Time
+	head    int64 // bytes that may still be read for the head; negative if there is no limit
+	req     http.Request
+	url     url.URL
+	header  http.Header
+	id      [1]string
+	timeout [1]string
+	key     [1]string
+	body    replay
+}
+
+// replay is a request body in memory.
+type replay struct{ bytes.Reader }
+
+func (*replay) Close() error { return nil }
+
+// streamed is a request body that is read from the caller.
+type streamed struct {
+	io.Reader
+	err error
+}
+
+func (s *streamed) Close() error { return nil }
+
+// Read keeps an error, so that a caller who went away can be told from a target that did.
+func (s *streamed) Read(p []byte) (int, error) {
+	n, err := s.Reader.Read(p)
+	if err != nil && err != io.EOF {
+		s.err = err
+	}
+	return n, err
+}
+
+func newConn(nc net.Conn) *conn {
+	c := &conn{
+		nc:     nc,
+		header: http.Header{},
+		head:   -1,
+	}
+	c.br = bufio.NewReaderSize((*connReader)(c), bufferSize)
+	c.bw = bufio.NewWriterSize((*connWriter)(c), bufferSize)
+	c.abort = func() { _ = nc.Close() }
+	if sc, ok := nc.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			c.raw = raw
+			c.peek = c.peekSocket
+		}
+	}
+	return c
+}
+
+// alive tells whether an idle connection is still open and has nothing to read. Bytes that arrive without a request
+// are a late or crossed answer.
+func (c *conn) alive() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	if c.raw == nil {
+		return true
+	}
+	if err := c.nc.SetReadDeadline(time.Time{}); err != nil {
+		return false
+	}
+	c.quiet = false
+	return c.raw.Read(c.peek) == nil && c.quiet
+}
+
+func (c *conn) peekSocket(fd uintptr) bool {
+	var b [1]byte
+	_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	c.quiet = err == syscall.EAGAIN
+	return true
+}
+
+// prepare fills in the request. All fields that a former request left are replaced.
+func (c *conn) prepare(call *Call, host, id string, left time.Duration) (*streamed, error) {
+	if strings.HasPrefix(call.Path, "//") {
+		// url.URL.RequestURI would put a scheme before an opaque part of this form.
+		u, err := url.ParseRequestURI(call.Path)
+		if err != nil {
+			return nil, err
+		}
+		c.url = *u
+	} else {
+		c.url = url.URL{
+			Opaque: call.Path,
+		}
+	}
+	copyRequestHeader(c.header, call.Header)
+	c.id[0] = id
+	c.header[HeaderRequest] = c.id[:]
+	c.timeout[0] = left.String()
+	c.header[HeaderTimeout] = c.timeout[:]
+	if key := call.Header.Get(headerIdempotency); key != "" {
+		c.key[0] = key
+		c.header[HeaderKey] = c.key[:]
+	}
+	c.req = http.Request{
+		Method: call.Method,
+		URL:    &c.url,
+		Host:   host,
+		Header: c.header,
+	}
+	if call.Stream != nil && call.Length != 0 {
+		s := &streamed{
+			Reader: call.Stream,
+		}
+		c.req.Body = s
+		c.req.ContentLength = call.Length
+		return s, nil
+	}
+	if call.Stream == nil && len(call.Body) > 0 {
+		c.body.Reset(call.Body)
+		c.req.Body = &c.body
+		c.req.ContentLength = int64(len(call.Body))
+	}
+	return nil, nil
+}
+
+// write writes the prepared request.
+func (c *conn) write() error {
+	c.written = 0
+	c.bw.Reset((*connWriter)(c))
+	if err := c.req.Write(c.bw); err != nil {
+		return err
+	}
+	return c.bw.Flush()
+}
+
+// read reads the head of the answer to the prepared request. Informational answers are skipped.
+func (c *conn) read() (*http.Response, error) {
+	c.head = maxHead
+	defer func() { c.head = -1 }()
+	for {
+		resp, err := http.ReadResponse(c.br, &c.req)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.New("target switched protocols")
+		}
+		if resp.StatusCode >= 200 {
+			return resp, nil
+		}
+	}
+}
+
+type connReader conn
+
+func (r *connReader) Read(p []byte) (int, error) {
+	if r.head < 0 {
+		return r.nc.Read(p)
+	}
+	if r.head == 0 {
+		return 0, errHeadTooLarge
+	}
+	if int64(len(p)) > r.head {
+		p = p[:r.head]
+	}
+	n, err := r.nc.Read(p)
+	r.head -= int64(n)
+	return n, err
+}
+
+type connWriter conn
+
+func (w *connWriter) Write(p []byte) (int, error) {
+	n, err := w.nc.Write(p)
+	w.written += int64(n)
+	return n, err
+}
--- /dev/null
+++ b/target/options.go
@@ -0,0 +1,88 @@
+package target
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"skylarkbeam/outcome"
+	"skylarkbeam/timer"
+)
+
+const (
+	// recent is the age of its last answer up to which a connection may carry a non-idempotent call, and the age up to
+	// which a report counts as current. The value is part of the design (2.7).
+	recent = time.Second
+	// idleLimit is below the idle timeouts of a minute and more that servers commonly have, so that a target rarely
+	// closes a connection at the moment at which it is reused.
+	idleLimit = 30 * time.Second
+	// maxHead bounds the head of an answer, informational answers included. net/http servers accept 1 MiB by default.
+	maxHead = 1 << 20
+	// maxLoad bounds the body of a load read, and the body of a refusal that is read in order to keep the connection.
+	maxLoad = 16 << 10
+	// bufferSize holds a usual head with a small body; larger bodies bypass the buffers.
+	bufferSize = 4 << 10
+)
+
+// Options describe a pool. Zero fields get their defaults.
+type Options struct {
+	Name    string
+	Address netip.AddrPort
+	// Connections is the largest number of open connections; 200 by default.
+	Connections int
+	// Probes is the budget for load reads and connection checks. Without one, neither is done: Probe fails, and a call
+	// with an expected instance goes only on connections that are already known to lead to it.
+	Probes *Budget
+	Timers *timer.Service
+	// Connect is the longest time for opening a connection; 250ms by default.
+	Connect time.Duration
+	// Check is the longest time for a load read; 250ms by default.
+	Check time.Duration
+	// Silence is how long an idempotent call waits for the first byte on a reused connection before it is sent again on
+	// a new one; 250ms by default. It should be several times the usual time of the service's work.
+	Silence time.Duration
+	// OnReport is called for each report learned, from answers, refusals, load reads and connection checks. It must
+	// return fast and must not call the pool.
+	OnReport func(outcome.Report)
+	// OnRetry is called when Send sends a call again by itself.
+	OnRetry func(outcome.Reason)
+	// Dial opens a connection; TCP by default.
+	Dial func(context.Context, netip.AddrPort) (net.Conn, error)
+
+	host string
+}
+
+// Defaults fills zero fields.
+func (o *Options) Defaults() {
+	if o.Connections == 0 {
+		o.Connections = 200
+	}
+	if o.Timers == nil {
+		o.Timers = timer.New()
+	}
+	if o.Connect == 0 {
+		o.Connect = 250 * time.Millisecond
+	}
+	if o.Check == 0 {
+		o.Check = 250 * time.Millisecond
+	}
+	if o.Silence == 0 {
+		o.Silence = 250 * time.Millisecond
+	}
+	if o.OnReport == nil {
+		o.OnReport = func(outcome.Report) {}
+	}
+	if o.OnRetry == nil {
+		o.OnRetry = func(outcome.Reason) {}
+	}
+	o.host = o.Address.String()
+	if o.Dial == nil {
+		o.Dial = dialTCP
+	}
+}
+
+func dialTCP(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address.String())
+}
--- /dev/null
+++ b/target/send.go
@@ -0,0 +1,276 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"skylarkbeam/outcome"
+)
+
+// Send sends a call and returns when the head of its answer has arrived or the call is given up. It never returns nil.
+//
+// Send writes a call a second time by itself in two cases, in both only if the first attempt was on a reused connection
+// and the call has no stream: when nothing of the first attempt was written, and when an idempotent call got no answer
+// on it. If the first attempt may have run, the outcome is never NotRun.
+//
+// NotRun has the reason queue if all connections are in use, budget if a connection check is needed and not allowed,
+// instance if the target is another instance than the expected one, and dial if no connection could be opened or
+// checked.
+func (p *Pool) Send(ctx context.Context, call *Call) outcome.Outcome {
+	now := p.opts.Timers.Now()
+	deadline := now.Add(call.Timeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	if !call.valid() {
+		return notRun(outcome.Invalid)
+	}
+	if !now.Before(deadline) {
+		return notRun(outcome.Deadline)
+	}
+	if report, ok := p.replaced(call.Instance, now); ok {
+		return &outcome.NotRun{
+			Reason: outcome.Instance,
+			Report: report,
+		}
+	}
+	c := p.reuse(call, now)
+	if c == nil {
+		return p.sendFresh(ctx, call, deadline)
+	}
+	first := p.sendOn(ctx, c, call, deadline, true)
+	if call.Stream != nil || ctx.Err() != nil || !p.opts.Timers.Now().Before(deadline) {
+		return first
+	}
+	switch o := first.(type) {
+	case *outcome.NotRun:
+		if o.Reason != outcome.Broken {
+			return first
+		}
+		p.opts.OnRetry(o.Reason)
+		return p.sendFresh(ctx, call, deadline)
+	case *outcome.Unknown:
+		if !call.Idempotent || (o.Reason != outcome.Silent && o.Reason != outcome.Broken) {
+			return first
+		}
+		p.opts.OnRetry(o.Reason)
+		p.suspect(now)
+		second := p.sendFresh(ctx, call, deadline)
+		if _, ok := second.(*outcome.NotRun); ok && !p.off.unknown {
+			return first
+		}
+		return second
+	}
+	return first
+}
+
+// sendFresh sends a call on a new connection.
+func (p *Pool) sendFresh(ctx context.Context, call *Call, deadline time.Time) outcome.Outcome {
+	check := call.Instance != "" && !p.off.check
+	if check {
+		if p.opts.Probes == nil {
+			return notRun(outcome.Budget)
+		}
+		if wait, ok := p.opts.Probes.Take(p.opts.Timers.Now()); !ok {
+			return &outcome.NotRun{
+				Reason:     outcome.Budget,
+				RetryAfter: wait,
+			}
+		}
+	}
+	c, reason := p.connect(ctx, deadline)
+	if reason != "" {
+		if check {
+			p.opts.Probes.Cancel()
+		}
+		return notRun(reason)
+	}
+	if check {
+		report, err := p.load(ctx, c, deadline)
+		if err != nil {
+			return notRun(givenUp(ctx, outcome.Dial))
+		}
+		if report.Instance != call.Instance {
+			// The connection stays: it leads to the new instance.
+			p.release(c)
+			return &outcome.NotRun{
+				Reason: outcome.Instance,
+				Report: report,
+			}
+		}
+	}
+	return p.sendOn(ctx, c, call, deadline, false)
+}
+
+// connect opens a connection. The reason is empty if that succeeded.
+func (p *Pool) connect(ctx context.Context, deadline time.Time) (*conn, outcome.Reason) {
+	if reason := p.reserve(); reason != "" {
+		return nil, reason
+	}
+	c, err := p.dial(ctx, deadline)
+	if err != nil {
+		return nil, givenUp(ctx, outcome.Dial)
+	}
+	return c, ""
+}
+
+// sendOn sends a call on a connection and passes the connection on to the answer's body, or releases or closes it.
+func (p *Pool) sendOn(ctx context.Context, c *conn, call *Call, deadline time.Time, reused bool) outcome.Outcome {
+	firstByte := deadline
+	if reused && call.Idempotent && !p.off.silence {
+		if t := p.opts.Timers.Now().Add(p.opts.Silence); t.Before(deadline) {
+			firstByte = t
+		}
+	}
+	resp, stop, failed := p.exchange(ctx, c, call, deadline, firstByte)
+	if failed != nil {
+		return failed
+	}
+	report := parseReport(resp.Header)
+	c.instance = report.Instance
+	p.learn(report, c.sent)
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderOutcome) == "not-run" {
+		p.finish(c, stop, !resp.Close && discard(resp))
+		return &outcome.NotRun{
+			Reason:     outcome.Shed,
+			RetryAfter: retryAfter(resp.Header),
+			Report:     report,
+		}
+	}
+	if resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !p.off.extent {
+		p.finish(c, stop, false)
+		return &outcome.Unknown{
+			Reason: outcome.Truncated,
+		}
+	}
+	cleanResponseHeader(resp.Header)
+	answered := &outcome.Answered{
+		Status: resp.StatusCode,
+		Header: resp.Header,
+		Length: resp.ContentLength,
+		Report: report,
+	}
+	if resp.Body == http.NoBody {
+		p.finish(c, stop, !resp.Close)
+		answered.Body = http.NoBody
+		answered.Length = 0
+		return answered
+	}
+	answered.Body = &body{
+		pool:  p,
+		conn:  c,
+		src:   resp.Body,
+		stop:  stop,
+		cause: ctx.Err,
+		close: resp.Close,
+	}
+	return answered
+}
+
+// exchange writes one request and reads the head of its own answer. On failure the connection is closed and the outcome
+// is returned. On success the watch on the context continues until stop is called.
+func (p *Pool) exchange(ctx context.Context, c *conn, call *Call, deadline, firstByte time.Time) (*http.Response, func() bool, outcome.Outcome) {
+	c.sent = p.opts.Timers.Now()
+	host := call.Host
+	if host == "" {
+		host = p.opts.host
+	}
+	id := attemptID()
+	c.written = 0
+	stream, err := c.prepare(call, host, id, deadline.Sub(c.sent))
+	if err != nil {
+		p.drop(c)
+		return nil, nil, notRun(outcome.Invalid)
+	}
+	if err := c.nc.SetDeadline(deadline); err != nil {
+		p.drop(c)
+		return nil, nil, notRun(outcome.Broken)
+	}
+	stop := context.AfterFunc(ctx, c.abort)
+	fail := func(reason outcome.Reason) (*http.Response, func() bool, outcome.Outcome) {
+		stop()
+		p.drop(c)
+		reason = givenUp(ctx, reason)
+		if c.written == 0 {
+			return nil, nil, notRun(reason)
+		}
+		return nil, nil, &outcome.Unknown{
+			Reason: reason,
+		}
+	}
+	writeErr := c.write()
+	switch {
+	case writeErr == nil:
+	case stream != nil && stream.err != nil:
+		return fail(outcome.Canceled)
+	case c.written == 0 || errors.Is(writeErr, os.ErrDeadlineExceeded):
+		return fail(failure(writeErr))
+	}
+	// A target may refuse a call before it has read the whole body, so an answer is looked for after a failed write too.
+	if writeErr == nil && firstByte.Before(deadline) {
+		if err := c.nc.SetReadDeadline(firstByte); err != nil {
+			return fail(failure(err))
+		}
+		if _, err := c.br.Peek(1); err != nil {
+			return fail(failure(err))
+		}
+		if err := c.nc.SetReadDeadline(deadline); err != nil {
+			return fail(failure(err))
+		}
+	}
+	resp, err := c.read()
+	if err != nil {
+		return fail(failure(err))
+	}
+	if resp.Header.Get(HeaderRequest) != id && !p.off.match {
+		return fail(outcome.Crossed)
+	}
+	if writeErr != nil {
+		resp.Close = true
+	}
+	return resp, stop, nil
+}
+
+// finish ends the use of a connection for one request.
+func (p *Pool) finish(c *conn, stop func() bool, reusable bool) {
+	// If the context has ended, its watch closes the connection now or soon.
+	if !stop() || !reusable || c.br.Buffered() > 0 {
+		p.drop(c)
+		return
+	}
+	p.release(c)
+}
+
+// discard reads a short body to its end, so that the connection can be reused.
+func discard(resp *http.Response) bool {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return resp.Body == http.NoBody
+	}
+	_, err := io.CopyN(io.Discard, resp.Body, maxLoad)
+	return err == io.EOF
+}
+
+func failure(err error) outcome.Reason {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return outcome.Silent
+	}
+	return outcome.Broken
+}
+
+// givenUp returns reason, or canceled if the context was canceled, which then is the cause of any failure.
+func givenUp(ctx context.Context, reason outcome.Reason) outcome.Reason {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return outcome.Canceled
+	}
+	return reason
+}
+
+func notRun(reason outcome.Reason) *outcome.NotRun {
+	return &outcome.NotRun{
+		Reason: reason,
+	}
+}
