Add target selection and caller scheduling

The entry needs the decisions behind a call: which target, how many calls, whose call next. Package route holds the state of targets with a lock for each service: phase and instance, cold start under ownership leases, latency, failures, the estimate of other entries' load from reports, and the budget of repeats and hedges. Package share orders waiting calls by their callers' use for their share and refuses calls that cannot be answered in time.

--- /dev/null
+++ b/route/permit.go
@@ -0,0 +1,65 @@
+package route
+
+import (
+	"net/netip"
+	"time"
+
+	"skylarkbeam/outcome"
+)
+
+// Permit allows one attempt at one target. Done must be called exactly once.
+type Permit struct {
+	Target  string
+	Address netip.AddrPort
+	// Instance is the instance that the attempt must reach; empty if any may run it.
+	Instance string
+	// Cold means that the target is in its cold start and this entry owns it.
+	Cold bool
+	// Until is the end of the ownership lease of a cold target. The attempt must have ended by then. It is zero for a
+	// warm target.
+	Until time.Time
+
+	target *target
+	start  time.Time
+	done   bool
+}
+
+// Kind is how an attempt ended.
+type Kind int
+
+// The ends of an attempt.
+const (
+	// Succeeded: the target answered, whatever it thinks of the request.
+	Succeeded Kind = iota
+	// Failed: the target answered with a server error, or may have run the call without an answer.
+	Failed
+	// Shed: the target refused without running the call.
+	Shed
+	// Unsent: nothing reached the target, or it was another instance than expected.
+	Unsent
+	// Canceled: the attempt was given up for a reason that is not the target's, such as a faster hedge.
+	Canceled
+)
+
+// Result is the end of an attempt.
+type Result struct {
+	Kind Kind
+	// Latency is the time from the permit to the end of the attempt.
+	Latency time.Duration
+	// Report is what the target said, the zero Report if nothing.
+	Report outcome.Report
+	// Silent means that the attempt ended for lack of any byte from the target.
+	Silent bool
+}
+
+// Done ends the attempt. It panics if the attempt has already ended.
+func (p *Permit) Done(now time.Time, r Result) Event {
+	s := p.target.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.done {
+		panic("route: permit ended twice")
+	}
+	p.done = true
+	return p.target.finish(now, p, r)
+}
--- /dev/null
+++ b/route/service.go
@@ -0,0 +1,269 @@
+package route
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"skylarkbeam/outcome"
+)
+
+const (
+	// scanLimit is the number of targets up to which all are compared; of more, this many are drawn at random.
+	scanLimit = 12
+	// slowFactor is how much slower than usual a target may be before it counts as slow. The average of a few samples
+	// varies by about a quarter without any cause.
+	slowFactor = 1.4
+	// coldChance is the chance that a cold target that this entry owns is considered for a call.
+	coldChance = 0.5
+	// rampFloor is the least chance that a target is considered while it is joined.
+	rampFloor = 0.05
+	// latencyMean is the weight of a new sample in the average latency of a service.
+	latencyMean = 0.02
+)
+
+// service is the state shared by the targets of one service, and their lock.
+type service struct {
+	table *Table
+	name  string
+	epoch time.Time
+
+	mu        sync.Mutex
+	rand      *rand.Rand
+	targets   []*target
+	slots     int
+	inflight  int
+	latency   float64 // average of successes, nanoseconds; 0 if unknown
+	latencies latencies
+	budget    budget
+
+	window   float64
+	windowed time.Time
+	queued   float64
+}
+
+func newService(t *Table, name string, now time.Time, seed uint64) *service {
+	return &service{
+		table: t,
+		name:  name,
+		epoch: now,
+		rand:  rand.New(rand.NewPCG(seed, 1)),
+	}
+}
+
+func (s *service) setTargets(list []*target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.targets = list
+}
+
+func (s *service) sample(d time.Duration) {
+	s.latencies.add(d)
+	if s.latency == 0 {
+		s.latency = float64(d)
+	}
+	s.latency += (float64(d) - s.latency) * latencyMean
+}
+
+// choice is the best candidate so far, and why others were not candidates.
+type choice struct {
+	target *target
+	score  float64
+	until  time.Time
+
+	operating bool // a target is neither drained nor leaving
+	warm      bool // a target is warm
+}
+
+// pick selects a target and starts an attempt. With spare, only a target with free capacity is selected.
+func (s *service) pick(now time.Time, q Query, spare bool) (*Permit, outcome.Reason) {
+	var c choice
+	s.choose(now, &c, q.Tried, spare, true)
+	if c.target == nil {
+		// Nothing passed the random gates and the ejections, or all targets were tried.
+		tried := q.Tried
+		if !spare {
+			tried = nil
+		}
+		s.choose(now, &c, tried, spare, false)
+	}
+	if c.target != nil {
+		return s.start(now, c), ""
+	}
+	switch {
+	case !c.operating:
+		return nil, outcome.Drained
+	case !c.warm:
+		return nil, outcome.Cold
+	}
+	return nil, outcome.Queue
+}
+
+// choose compares the targets. With gated, targets that are ejected or being joined are left out or considered by
+// chance.
+func (s *service) choose(now time.Time, c *choice, tried []string, spare, gated bool) {
+	n := len(s.targets)
+	if n == 0 {
+		return
+	}
+	ejecting := gated && s.mayEject(now)
+	count, at := min(n, scanLimit), 0
+	if n > 1 {
+		at = s.rand.IntN(n)
+	}
+	// From a random start, a stride without a common divisor with n visits distinct targets.
+	stride := 1
+	if n > scanLimit {
+		stride = s.stride(n)
+	}
+	for i := 0; i < n; i++ {
+		t := s.targets[at]
+		at = (at + stride) % n
+		if t.Drained || t.leaving {
+			continue
+		}
+		c.operating = true
+		warm := t.isWarm()
+		c.warm = c.warm || warm
+		if slices.Contains(tried, t.Name) || ejecting && now.Before(t.ejected) {
+			continue
+		}
+		if !s.consider(now, c, t, warm, spare, gated) {
+			continue
+		}
+		if count--; count == 0 {
+			return
+		}
+	}
+}
+
+func (s *service) stride(n int) int {
+	for {
+		stride := 1 + s.rand.IntN(n-1)
+		a, b := n, stride
+		for b != 0 {
+			a, b = b, a%b
+		}
+		if a == 1 {
+			return stride
+		}
+	}
+}
+
+// mayEject tells whether ejected targets are left out: never more than half of the service's targets.
+func (s *service) mayEject(now time.Time) bool {
+	ejected := 0
+	for _, t := range s.targets {
+		if now.Before(t.ejected) {
+			ejected++
+		}
+	}
+	return 2*ejected <= len(s.targets)
+}
+
+// consider makes the target the choice if it may take a call and has the best score. It returns false if it may not.
+func (s *service) consider(now time.Time, c *choice, t *target, warm, spare, gated bool) bool {
+	var until time.Time
+	if warm {
+		if t.inflight >= max(int(t.limit), 1) {
+			return false
+		}
+		if gated && !t.ramped(now, s.rand) {
+			return false
+		}
+	} else {
+		if t.inflight >= t.Bear || gated && s.rand.Float64() > coldChance {
+			return false
+		}
+		var owned bool
+		until, owned = t.own(now)
+		if !owned {
+			return false
+		}
+	}
+	load := t.load(now)
+	if spare && load >= float64(t.Slots) {
+		return false
+	}
+	score := t.score(now, load)
+	if c.target == nil || score < c.score {
+		c.target, c.score, c.until = t, score, until
+	}
+	return true
+}
+
+func (s *service) start(now time.Time, c choice) *Permit {
+	t := c.target
+	t.inflight++
+	s.inflight++
+	t.started += now.Sub(s.epoch)
+	return &Permit{
+		Target:   t.Name,
+		Address:  t.Address,
+		Instance: t.instance,
+		Cold:     !t.isWarm(),
+		Until:    c.until,
+		target:   t,
+		start:    now,
+	}
+}
+
+// ramped tells whether a target that is being joined is considered this time.
+func (t *target) ramped(now time.Time, r *rand.Rand) bool {
+	if t.ramp.IsZero() {
+		return true
+	}
+	part := float64(now.Sub(t.ramp)) / float64(rampTime)
+	if part >= 1 {
+		t.ramp = time.Time{}
+		return true
+	}
+	return r.Float64() < max(part, rampFloor)
+}
+
+// own asks for ownership of a cold target. After a gap between leases the cold start is timed anew, because another
+// owner may have seen the target fall in between.
+func (t *target) own(now time.Time) (time.Time, bool) {
+	until, owned := (*t.service.table.owner.Load())(now, t.Name)
+	if !owned || !now.Before(until) {
+		return time.Time{}, false
+	}
+	if now.After(t.leased) {
+		t.warming = time.Time{}
+	}
+	if until.After(t.leased) {
+		t.leased = until
+	}
+	return until, true
+}
+
+// load estimates the calls at the target: this entry's own, and those of other entries as last reported. A report loses
+// its value within the time of a call, and is replaced by the average of the reports.
+func (t *target) load(now time.Time) float64 {
+	load := float64(t.inflight)
+	if t.reported.IsZero() {
+		return load
+	}
+	x := 0.0
+	if t.service.latency > 0 {
+		x = float64(now.Sub(t.reported)) / t.service.latency
+	}
+	return load + t.usual + (t.others-t.usual)/(1+x+x*x)
+}
+
+// score is the time that a call is expected to take; the lowest is best.
+func (t *target) score(now time.Time, load float64) float64 {
+	s := t.service
+	slow := 1.0
+	if s.latency > 0 {
+		d := t.currentLatency(now)
+		if t.inflight > 0 {
+			// Calls that hang show a slow target before they end.
+			age := float64(now.Sub(s.epoch)) - float64(t.started)/float64(t.inflight)
+			d = max(d, age)
+		}
+		slow = max(d/(s.latency*slowFactor), 1)
+	}
+	return slow * (1 + load/float64(t.Slots)) / (1 - min(t.failures, 0.9))
+}
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,263 @@
+// Package route selects the target for a call.
+//
+// A Table holds what one entry knows of all targets: phase, instance, calls in flight, latency, failures and the last
+// load report. It decides where a call may go, how many calls a target gets, and whether a call may be repeated or
+// hedged. It has no goroutine, opens no socket and reads no clock: time is passed in, so a benchmark can drive it with
+// simulated time. All methods are safe for concurrent use; each service has its own lock.
+//
+// # Usage
+//
+//	table := route.New(route.Options{
+//		Entries: 6,
+//		Seed:    1,
+//	})
+//	table.SetTargets(now, targets)
+//	table.SetOwner(fleet.Owns)
+//	permit, reason := table.Pick(now, "stock", route.Query{})
+//	if permit == nil {
+//		return refuse(reason)
+//	}
+//	o := send(permit.Address, permit.Instance, permit.Until)
+//	switch e := permit.Done(now, result(o)).(type) {
+//	case route.Fell:
+//		notifyOwner(e.Target, e.Instance)
+//	case route.Warmed:
+//		announce(e.Target, e.Instance)
+//	}
+//
+// A call that was not run may be sent again with Repeat. A second attempt for a slow idempotent call may be sent with
+// Hedge after the time that HedgeAfter returns. Both draw on one budget of a tenth of the first attempts.
+package route
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"skylarkbeam/outcome"
+)
+
+// Target is what the settings and the accepted state say of a target.
+type Target struct {
+	Name    string
+	Service string
+	Domain  string
+	Address netip.AddrPort
+	// Slots is the number of calls that the target runs at once.
+	Slots int
+	// Bear is the number of calls that the target can handle at once in its cold start, over all entries.
+	Bear int
+	// ColdTime is the shortest duration of a cold start.
+	ColdTime time.Duration
+	// Drained means that the target or its failure domain is drained by operators.
+	Drained bool
+}
+
+// Options configure a Table. Zero values select the defaults.
+type Options struct {
+	// Entries is the number of entries that send to the same targets.
+	Entries int
+	// Seed makes the random choices repeatable.
+	Seed uint64
+}
+
+// Owner tells whether this entry may send to a cold target, and until when.
+type Owner func(now time.Time, target string) (until time.Time, owned bool)
+
+// Table holds the state of all targets as one entry sees it.
+type Table struct {
+	entries atomic.Int64
+	owner   atomic.Pointer[Owner]
+	view    atomic.Pointer[view]
+
+	mu   sync.Mutex // serializes changes of view
+	seed *rand.Rand
+}
+
+// view is immutable; the services and targets in it have locks of their own.
+type view struct {
+	services map[string]*service
+	targets  map[string]*target
+}
+
+// New returns a Table without targets.
+func New(o Options) *Table {
+	t := &Table{
+		seed: rand.New(rand.NewPCG(o.Seed, 0x9e3779b97f4a7c15)),
+	}
+	t.SetEntries(max(o.Entries, 1))
+	t.SetOwner(func(time.Time, string) (time.Time, bool) { return time.Time{}, false })
+	t.view.Store(&view{
+		services: map[string]*service{},
+		targets:  map[string]*target{},
+	})
+	return t
+}
+
+// SetEntries sets the number of entries that send to the same targets.
+func (t *Table) SetEntries(n int) {
+	t.entries.Store(int64(max(n, 1)))
+}
+
+// SetOwner sets the function that grants ownership of cold targets. It is called with a lock held, so it must neither
+// block nor call the Table.
+func (t *Table) SetOwner(owner Owner) {
+	t.owner.Store(&owner)
+}
+
+// SetTargets replaces the targets. A target keeps its state if its name, service and address are unchanged. A target
+// that is no longer drained is joined gradually.
+func (t *Table) SetTargets(now time.Time, targets []Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.view.Load()
+	next := &view{
+		services: map[string]*service{},
+		targets:  make(map[string]*target, len(targets)),
+	}
+	members := map[*service][]*target{}
+	for _, spec := range targets {
+		s := next.services[spec.Service]
+		if s == nil {
+			s = old.services[spec.Service]
+			if s == nil {
+				s = newService(t, spec.Service, now, t.seed.Uint64())
+			}
+			next.services[spec.Service] = s
+		}
+		have := old.targets[spec.Name]
+		if have == nil || have.service != s || have.Address != spec.Address {
+			have = newTarget(s, spec)
+		}
+		s.mu.Lock()
+		have.setSpec(now, spec)
+		s.mu.Unlock()
+		next.targets[spec.Name] = have
+		members[s] = append(members[s], have)
+	}
+	for s, list := range members {
+		s.setTargets(list)
+	}
+	t.view.Store(next)
+}
+
+// SetWarm records the fact that this instance of the target has finished its cold start. Such a fact never becomes
+// false. A target that was cold for this entry is joined gradually.
+func (t *Table) SetWarm(now time.Time, name, instance string) {
+	x := t.view.Load().targets[name]
+	if x == nil || instance == "" {
+		return
+	}
+	x.service.mu.Lock()
+	defer x.service.mu.Unlock()
+	x.setWarm(now, instance)
+}
+
+// Leaving stops new work for the target until its instance changes.
+func (t *Table) Leaving(name string) {
+	x := t.view.Load().targets[name]
+	if x == nil {
+		return
+	}
+	x.service.mu.Lock()
+	defer x.service.mu.Unlock()
+	x.leaving = true
+}
+
+// Observe records a report that a load read or a connection check returned. The load in it can be old; the instance is
+// that of the process that answered.
+func (t *Table) Observe(now time.Time, name string, report outcome.Report) Event {
+	x := t.view.Load().targets[name]
+	if x == nil {
+		return nil
+	}
+	x.service.mu.Lock()
+	defer x.service.mu.Unlock()
+	e := x.identify(now, now, report)
+	if report.Instance == x.instance {
+		x.setLoad(now, report)
+	}
+	return e
+}
+
+// Query describes the call for which a target is wanted.
+type Query struct {
+	// Tried names the targets that already had an attempt of this call.
+	Tried []string
+	// Idempotent calls may be hedged.
+	Idempotent bool
+}
+
+// Pick selects the target for the first attempt of a call. Without a permit, the reason is Service, Drained, Cold or
+// Queue.
+func (t *Table) Pick(now time.Time, service string, q Query) (*Permit, outcome.Reason) {
+	s := t.view.Load().services[service]
+	if s == nil {
+		return nil, outcome.Service
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, reason := s.pick(now, q, false)
+	if p != nil {
+		s.budget.earn()
+	}
+	return p, reason
+}
+
+// Repeat selects another target for a call whose former attempt did not run, or may be run again. It returns nil if the
+// budget or the targets allow no further attempt. A target that was tried is selected only if there is no other.
+func (t *Table) Repeat(now time.Time, service string, q Query) *Permit {
+	return t.again(now, service, q, false)
+}
+
+// Hedge selects another target with free capacity for a second attempt while the first one is still in flight. It
+// returns nil if the call is not idempotent or the budget or the targets do not allow it.
+func (t *Table) Hedge(now time.Time, service string, q Query) *Permit {
+	if !q.Idempotent {
+		return nil
+	}
+	return t.again(now, service, q, true)
+}
+
+func (t *Table) again(now time.Time, service string, q Query, hedge bool) *Permit {
+	s := t.view.Load().services[service]
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.budget.has() {
+		return nil
+	}
+	p, _ := s.pick(now, q, hedge)
+	if p != nil {
+		s.budget.spend()
+	}
+	return p
+}
+
+// HedgeAfter returns the time after which an attempt is slower than usual: the 95th percentile of the latency of the
+// service. It returns false until enough calls have been measured.
+func (t *Table) HedgeAfter(service string) (time.Duration, bool) {
+	s := t.view.Load().services[service]
+	if s == nil {
+		return 0, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.latencies.quantile(0.95)
+}
+
+// Capacity returns how many calls this entry should have in flight at the targets of the service. It adapts to the load
+// that the other entries cause and is at least 1.
+func (t *Table) Capacity(now time.Time, service string) float64 {
+	s := t.view.Load().services[service]
+	if s == nil {
+		return 1
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.capacity(now)
+}
--- /dev/null
+++ b/route/table_test.go
@@ -0,0 +1,75 @@
+package route
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkbeam/outcome"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func specs(n int) []Target {
+	list := make([]Target, n)
+	for i := range list {
+		list[i] = Target{
+			Name:     fmt.Sprintf("t%d", i),
+			Service:  "stock",
+			Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(7000+i)),
+			Slots:    2,
+			Bear:     1,
+			ColdTime: time.Second,
+		}
+	}
+	return list
+}
+
+// Guards against refusals with a reason that sends the caller or the operator the wrong way.
+func TestPickReasons(t *testing.T) {
+	drained := specs(1)
+	drained[0].Drained = true
+	tests := []struct {
+		name    string
+		targets []Target
+		warm    bool
+		leaving bool
+		calls   int
+		want    outcome.Reason
+	}{
+		{"no such service", nil, false, false, 0, outcome.Service},
+		{"drained", drained, true, false, 0, outcome.Drained},
+		{"leaving", specs(1), true, true, 0, outcome.Drained},
+		{"cold and not owned", specs(1), false, false, 0, outcome.Cold},
+		{"all in use", specs(1), true, false, 2, outcome.Queue},
+		{"free", specs(1), true, false, 1, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := epoch
+			table := New(Options{})
+			table.SetTargets(now, test.targets)
+			if test.warm {
+				table.SetWarm(now, "t0", "i0")
+			}
+			if test.leaving {
+				table.Leaving("t0")
+			}
+			for range 40 { // lets the limit of the new target grow to its end
+				now = now.Add(rampTime)
+				if p, _ := table.Pick(now, "stock", Query{}); p != nil {
+					p.Done(now, Result{Latency: time.Millisecond})
+				}
+			}
+			for range 2 * test.calls {
+				p, reason := table.Pick(now, "stock", Query{})
+				assert.Assert(t, p != nil, reason)
+			}
+			_, have := table.Pick(now, "stock", Query{})
+			assert.Equal(t, test.want, have)
+		})
+	}
+}
--- /dev/null
+++ b/route/target.go
@@ -0,0 +1,287 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"skylarkbeam/outcome"
+)
+
+const (
+	// latencyWeight is the weight of a new sample in the latency average of a target: two samples of a target five
+	// times slower bring the average to 1.9 times the usual.
+	latencyWeight = 0.12
+	// latencyFade is the time in which half of a latency above the usual is forgotten without new samples, so that a
+	// target that was slow is tried again.
+	latencyFade = 3 * time.Second
+	// failureWeight is the weight of a new result in the failure rate of a target.
+	failureWeight = 0.2
+	// ejectRate is the failure rate above which a target is ejected: four failures in a row from a clean state.
+	ejectRate = 0.5
+	// ejectTime is the duration of the first ejection; each further one doubles it up to ejectLimit.
+	ejectTime  = 500 * time.Millisecond
+	ejectLimit = 30 * time.Second
+	// rampTime is the time in which an entry takes up its whole use of a target that became warm or returned.
+	rampTime = 2 * time.Second
+	// coldGrace is the time after a target became warm in which its reports may still say cold, because they are stale.
+	coldGrace = 2 * time.Second
+	// failureCost is the latency, in multiples of the usual one, that a failure is charged at least.
+	failureCost = 3.0
+)
+
+// target is the state of one target at this entry. The lock of its service guards it.
+type target struct {
+	Target
+	service *service
+
+	inflight int
+	// started is the sum of the start times of the calls in flight, for their mean age.
+	started time.Duration
+
+	// instance is the last process start seen, alive at the time seen.
+	instance string
+	seen     time.Time
+	// warm holds the last instances known to be warm, past those known to be gone.
+	warm [4]string
+	past [4]string
+	// relapsed means that a warm instance reports to be cold.
+	relapsed bool
+	warmAt   time.Time
+	leaving  bool
+
+	// leased is the end of the last ownership lease. Warming is the time of the first answer under an unbroken
+	// sequence of leases.
+	leased  time.Time
+	warming time.Time
+
+	latency   float64 // nanoseconds; 0 if unknown
+	latencyAt time.Time
+	failures  float64
+	ejections int
+	ejected   time.Time
+	ramp      time.Time
+	limit     float64
+
+	// others is the number of calls that other entries had at the target at the last report, usual its average.
+	others   float64
+	usual    float64
+	reported time.Time
+}
+
+func newTarget(s *service, spec Target) *target {
+	return &target{
+		Target:  spec,
+		service: s,
+		limit:   float64(max(spec.Slots, 1)),
+	}
+}
+
+func (t *target) setSpec(now time.Time, spec Target) {
+	if t.Drained && !spec.Drained {
+		t.ramp = now
+	}
+	t.Target = spec
+	t.Slots = max(spec.Slots, 1)
+}
+
+// isWarm tells whether the current instance is known to be warm.
+func (t *target) isWarm() bool {
+	return t.instance != "" && !t.relapsed && slices.Contains(t.warm[:], t.instance)
+}
+
+func remember(list *[4]string, instance string) {
+	if slices.Contains(list[:], instance) {
+		return
+	}
+	copy(list[1:], list[:3])
+	list[0] = instance
+}
+
+func (t *target) setWarm(now time.Time, instance string) {
+	was := t.isWarm()
+	remember(&t.warm, instance)
+	if instance != t.instance && !slices.Contains(t.past[:], instance) {
+		t.replace(instance)
+	}
+	if instance == t.instance {
+		t.relapsed = false
+	}
+	if !was && t.isWarm() {
+		t.join(now)
+	}
+}
+
+// join starts the gradual use of a target that became warm.
+func (t *target) join(now time.Time) {
+	t.warmAt = now
+	t.ramp = now
+	t.limit = 1
+	t.warming = time.Time{}
+	t.others, t.usual, t.reported = 0, 0, time.Time{}
+}
+
+// replace makes instance the current one, with nothing known about it.
+func (t *target) replace(instance string) {
+	if t.instance != "" {
+		remember(&t.past, t.instance)
+	}
+	t.instance = instance
+	t.leaving = false
+	t.relapsed = false
+	t.warming = time.Time{}
+	t.failures = 0
+	t.ejections = 0
+	t.ejected = time.Time{}
+	t.latency = 0
+	t.reported = time.Time{}
+}
+
+// identify takes instance and phase from a report of a process that was alive at the time sent or later.
+func (t *target) identify(now, sent time.Time, r outcome.Report) Event {
+	if r.Instance == "" || r.Instance != t.instance && sent.Before(t.seen) {
+		return nil
+	}
+	var e Event
+	if r.Instance != t.instance {
+		t.replace(r.Instance)
+		if t.isWarm() {
+			t.join(now)
+		} else {
+			e = Fell{
+				Target:   t.Name,
+				Instance: r.Instance,
+			}
+		}
+	}
+	if sent.After(t.seen) {
+		t.seen = sent
+	}
+	switch r.Phase {
+	case outcome.PhaseDraining:
+		t.leaving = true
+	case outcome.PhaseCold:
+		if t.isWarm() && sent.Sub(t.warmAt) > coldGrace {
+			t.relapsed = true
+			t.warming = time.Time{}
+			e = Fell{
+				Target:   t.Name,
+				Instance: r.Instance,
+			}
+		}
+	case outcome.PhaseWarm:
+		if t.relapsed {
+			t.relapsed = false
+			t.join(now)
+		}
+	}
+	return e
+}
+
+// setLoad takes the load of the whole target from a report and keeps the part that other entries cause.
+func (t *target) setLoad(now time.Time, r outcome.Report) {
+	if r.Slots <= 0 {
+		return
+	}
+	t.others = max(float64(r.Active+r.Queued-t.inflight), 0)
+	if t.reported.IsZero() {
+		t.usual = t.others
+	}
+	t.usual += (t.others - t.usual) * 0.1
+	t.reported = now
+}
+
+// finish ends an attempt.
+func (t *target) finish(now time.Time, p *Permit, r Result) Event {
+	s := t.service
+	t.inflight--
+	s.inflight--
+	t.started -= p.start.Sub(s.epoch)
+	e := t.identify(now, p.start, r.Report)
+	if r.Report.Instance != "" && r.Report.Instance == t.instance && r.Kind != Unsent {
+		t.setLoad(now, r.Report)
+		s.setQueue(now, r.Report)
+	}
+	switch r.Kind {
+	case Succeeded:
+		t.sample(now, float64(r.Latency))
+		s.sample(r.Latency)
+		t.failures -= t.failures * failureWeight
+		if t.failures < 0.05 {
+			t.ejections = 0
+		}
+		t.limit = min(t.limit+1/t.limit, float64(2*t.Slots))
+		if p.Cold && e == nil {
+			e = t.warmed(now, r.Report)
+		}
+	case Failed:
+		t.fail(now, r.Latency)
+	case Shed:
+		t.limit = max(t.limit*0.7, 1)
+		t.sample(now, max(float64(r.Latency), s.latency))
+		s.shed(now)
+	case Unsent:
+		if r.Report.Instance == "" {
+			t.fail(now, r.Latency)
+		}
+	case Canceled:
+		// The attempt would have taken at least this long.
+		if float64(r.Latency) > t.latency {
+			t.sample(now, float64(r.Latency))
+		}
+	}
+	return e
+}
+
+// warmed ends the cold start once it has lasted for its time and the target no longer says that it is cold.
+func (t *target) warmed(now time.Time, r outcome.Report) Event {
+	if r.Instance != t.instance || t.instance == "" || t.isWarm() {
+		return nil
+	}
+	if t.warming.IsZero() {
+		t.warming = now
+	}
+	if r.Phase == outcome.PhaseCold || now.Sub(t.warming) < t.ColdTime {
+		return nil
+	}
+	t.setWarm(now, t.instance)
+	return Warmed{
+		Target:   t.Name,
+		Instance: t.instance,
+	}
+}
+
+func (t *target) sample(now time.Time, d float64) {
+	if t.latency == 0 {
+		t.latency = t.service.latency
+	}
+	if t.latency == 0 {
+		t.latency = d
+	}
+	t.latency = t.currentLatency(now)
+	t.latency += (d - t.latency) * latencyWeight
+	t.latencyAt = now
+}
+
+// currentLatency returns the average latency, faded to the usual one of the service for the time without samples.
+func (t *target) currentLatency(now time.Time) float64 {
+	usual := t.service.latency
+	if t.latency <= usual || usual == 0 {
+		return t.latency
+	}
+	x := float64(now.Sub(t.latencyAt)) / float64(latencyFade)
+	return usual + (t.latency-usual)/(1+x+x*x)
+}
+
+// fail charges a failure as if it had taken longer than usual, so that failing fast attracts no load.
+func (t *target) fail(now time.Time, d time.Duration) {
+	t.sample(now, max(float64(d), failureCost*t.service.latency))
+	t.failures += (1 - t.failures) * failureWeight
+	if t.failures < ejectRate || now.Before(t.ejected) {
+		return
+	}
+	t.ejected = now.Add(min(ejectTime<<min(t.ejections, 10), ejectLimit))
+	t.ejections++
+	t.ramp = t.ejected
+	// The next ejection after the return takes two failures.
+	t.failures = ejectRate - failureWeight
+}
--- /dev/null
+++ b/share/scheduler.go
@@ -0,0 +1,368 @@
+// Package share decides which caller's call goes next when a service has less capacity than its callers want.
+//
+// A Scheduler serves one service at one entry. Each caller has a queue and a share of the capacity. The use of a caller
+// is the average number of slots that its calls held over a short window, so a caller with few long calls counts as
+// much as one with many short calls. The caller with the lowest use for its share goes next: a caller within its share
+// is never behind one beyond, and what some callers leave is given to the others. A call that cannot be answered in
+// time is refused when it arrives.
+//
+// # Usage
+//
+//	s := share.New(share.Options{
+//		Share: func(caller string) float64 { return shares[caller] },
+//	})
+//	s.SetCapacity(time.Now(), 20)
+//	ticket, refusal := s.Admit(ctx, caller, deadline)
+//	if refusal != nil {
+//		return refuse(refusal.Reason, refusal.RetryAfter)
+//	}
+//	defer func() { ticket.Done(time.Now(), latency) }()
+//
+// Enqueue and Expire are the same without blocking, for callers that bring their own clock.
+package share
+
+import (
+	"container/list"
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"skylarkbeam/outcome"
+)
+
+const (
+	// window is the time constant of the average use. It is long against a call and short against what a person
+	// notices.
+	window = 500 * time.Millisecond
+	// queueLimit is the default length of a caller's queue. It bounds memory; the deadline bounds the wait.
+	queueLimit = 1024
+	// shareFloor is the share of a caller to whom none is owed.
+	shareFloor = 0.001
+	// retryFloor and retryCeiling bound the estimate in refusals.
+	retryFloor   = 50 * time.Millisecond
+	retryCeiling = 30 * time.Second
+)
+
+// Options configure a Scheduler.
+type Options struct {
+	// Share returns the fraction of the capacity owed to a caller. It is called with a lock held, so it must not block.
+	Share func(caller string) float64
+	// Work is the usual time of a call until calls have been measured. The default is 10 ms.
+	Work time.Duration
+	// Queue is the most calls of one caller that wait. The default is 1024.
+	Queue int
+	// Now is the clock of Admit. The default is time.Now.
+	Now func() time.Time
+}
+
+// Refusal says why a call was not admitted. The call did not run.
+type Refusal struct {
+	// Reason is Share for a caller beyond its share, Deadline if the call cannot be answered in time, Queue if the queue
+	// of a caller within its share is full, or Canceled if the context ended.
+	Reason outcome.Reason
+	// RetryAfter is the estimated time after which the same call would be admitted.
+	RetryAfter time.Duration
+}
+
+// Scheduler admits the calls of one service. It is safe for concurrent use.
+type Scheduler struct {
+	share func(string) float64
+	queue int
+	now   func() time.Time
+
+	mu       sync.Mutex
+	capacity float64
+	running  int
+	waiting  int
+	tickets  uint64
+	// work is the average time that a call holds its slot, deviation its mean deviation, in seconds.
+	work      float64
+	deviation float64
+	callers   map[string]*caller
+	// queued holds the callers with waiting calls.
+	queued []*caller
+}
+
+// New returns a Scheduler with capacity 1.
+func New(o Options) *Scheduler {
+	if o.Share == nil {
+		o.Share = func(string) float64 { return shareFloor }
+	}
+	if o.Work <= 0 {
+		o.Work = 10 * time.Millisecond
+	}
+	if o.Queue <= 0 {
+		o.Queue = queueLimit
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return &Scheduler{
+		share:    o.Share,
+		queue:    o.Queue,
+		now:      o.Now,
+		capacity: 1,
+		work:     o.Work.Seconds(),
+		callers:  map[string]*caller{},
+	}
+}
+
+// SetCapacity sets the number of calls that may run at once, at least one. It returns the waiting tickets that it
+// started or refused.
+func (s *Scheduler) SetCapacity(now time.Time, slots float64) []*Ticket {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.capacity = max(slots, 1)
+	return s.next(now)
+}
+
+// Enqueue admits the call, lets it wait or refuses it, without blocking. A waiting ticket is started or refused by a
+// later Done, SetCapacity or Expire, each of which returns the tickets it settled.
+func (s *Scheduler) Enqueue(now time.Time, name string, deadline time.Time) (*Ticket, *Refusal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.caller(now, name)
+	c.settle(now)
+	if s.free() {
+		if refusal := s.late(now, c, deadline, 0); refusal != nil {
+			return nil, refusal
+		}
+		t := s.ticket(c, deadline)
+		s.run(now, t)
+		return t, nil
+	}
+	if refusal := s.refuse(now, c, deadline); refusal != nil {
+		return nil, refusal
+	}
+	t := s.ticket(c, deadline)
+	t.element = c.waiting.PushBack(t)
+	if c.waiting.Len() == 1 {
+		s.queued = append(s.queued, c)
+	}
+	s.waiting++
+	return t, nil
+}
+
+// Expire refuses the waiting calls that can no longer be answered in time and returns them.
+func (s *Scheduler) Expire(now time.Time) []*Ticket {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var expired []*Ticket
+	for i := len(s.queued) - 1; i >= 0; i-- {
+		c := s.queued[i]
+		for e := c.waiting.Front(); e != nil; {
+			t := e.Value.(*Ticket)
+			e = e.Next()
+			if s.inTime(now, t.deadline) {
+				continue
+			}
+			s.expire(now, t)
+			expired = append(expired, t)
+		}
+	}
+	return expired
+}
+
+// Admit waits until the call may run. The ticket must be ended with Done.
+func (s *Scheduler) Admit(ctx context.Context, name string, deadline time.Time) (*Ticket, *Refusal) {
+	t, refusal := s.Enqueue(s.now(), name, deadline)
+	if refusal != nil {
+		return nil, refusal
+	}
+	select {
+	case <-t.settled:
+		return t.result()
+	default:
+	}
+	timer := time.NewTimer(deadline.Sub(s.now()))
+	defer timer.Stop()
+	select {
+	case <-t.settled:
+	case <-timer.C:
+		t.giveUp(s.now(), outcome.Deadline)
+	case <-ctx.Done():
+		t.giveUp(s.now(), outcome.Canceled)
+	}
+	return t.result()
+}
+
+func (s *Scheduler) free() bool {
+	return float64(s.running) < max(math.Floor(s.capacity), 1)
+}
+
+// next starts waiting calls in the order of their callers' use for their share, and refuses those that are too late. It
+// returns both. Afterwards either nothing waits or nothing is free.
+func (s *Scheduler) next(now time.Time) []*Ticket {
+	var settled []*Ticket
+	for s.waiting > 0 && s.free() {
+		c := s.first(now)
+		t := c.waiting.Front().Value.(*Ticket)
+		if !s.inTime(now, t.deadline) {
+			s.expire(now, t)
+		} else {
+			s.remove(t)
+			s.run(now, t)
+		}
+		settled = append(settled, t)
+	}
+	return settled
+}
+
+// first returns the caller with waiting calls that has the lowest use for its share, and of equal ones the one whose
+// first call is the oldest.
+func (s *Scheduler) first(now time.Time) *caller {
+	var best *caller
+	var least float64
+	for _, c := range s.queued {
+		c.settle(now)
+		ratio := s.ratio(c)
+		if best == nil || ratio < least || ratio == least && c.oldest() < best.oldest() {
+			best, least = c, ratio
+		}
+	}
+	return best
+}
+
+// ratio is the use of a caller, including what its running calls will still use, for its share of the capacity. Below 1
+// the caller is within its share.
+func (s *Scheduler) ratio(c *caller) float64 {
+	ahead := float64(c.running) * s.work / window.Seconds()
+	return (c.use + ahead) / (c.share * s.capacity)
+}
+
+func (s *Scheduler) inTime(now, deadline time.Time) bool {
+	return !now.Add(seconds(s.work)).After(deadline)
+}
+
+// late refuses a call that would not be answered by its deadline after waiting for the given seconds. The deviation is
+// added because a call that takes longer than usual must be in time as well.
+func (s *Scheduler) late(now time.Time, c *caller, deadline time.Time, wait float64) *Refusal {
+	end := now.Add(seconds(wait + s.work + 2*s.deviation))
+	if !end.After(deadline) {
+		return nil
+	}
+	reason := outcome.Deadline
+	if wait > 0 && s.ratio(c) >= 1 {
+		reason = outcome.Share
+	}
+	return &Refusal{
+		Reason:     reason,
+		RetryAfter: min(max(end.Sub(deadline), retryFloor), retryCeiling),
+	}
+}
+
+// refuse refuses a call that would have to wait too long or finds its caller's queue full.
+func (s *Scheduler) refuse(now time.Time, c *caller, deadline time.Time) *Refusal {
+	wait := s.wait(c)
+	if c.waiting.Len() >= s.queue {
+		reason := outcome.Queue
+		if s.ratio(c) >= 1 {
+			reason = outcome.Share
+		}
+		return &Refusal{
+			Reason:     reason,
+			RetryAfter: min(max(seconds(wait), retryFloor), retryCeiling),
+		}
+	}
+	return s.late(now, c, deadline, wait)
+}
+
+// wait estimates the seconds until a new call of the caller starts. The caller is served at least at the rate of its
+// part of the shares of all callers that wait; a caller within its share at the rate of that share.
+func (s *Scheduler) wait(c *caller) float64 {
+	shares := c.share
+	for _, other := range s.queued {
+		if other != c {
+			shares += other.share
+		}
+	}
+	slots := s.capacity * c.share / shares
+	// The first call of a caller within its share waits for one slot of all; behind it, the caller's own rate counts.
+	first := s.work / s.capacity
+	return first + float64(c.waiting.Len())*s.work/max(slots, 0.01)
+}
+
+func (s *Scheduler) run(now time.Time, t *Ticket) {
+	c := t.caller
+	c.settle(now)
+	c.running++
+	s.running++
+	t.state = running
+	close(t.settled)
+}
+
+func (s *Scheduler) remove(t *Ticket) {
+	c := t.caller
+	c.waiting.Remove(t.element)
+	s.waiting--
+	if c.waiting.Len() > 0 {
+		return
+	}
+	for i, other := range s.queued {
+		if other == c {
+			s.queued = append(s.queued[:i], s.queued[i+1:]...)
+			return
+		}
+	}
+}
+
+func (s *Scheduler) expire(now time.Time, t *Ticket) {
+	reason := outcome.Deadline
+	if s.ratio(t.caller) >= 1 {
+		reason = outcome.Share
+	}
+	s.reject(now, t, reason)
+}
+
+// reject refuses a waiting call.
+func (s *Scheduler) reject(now time.Time, t *Ticket, reason outcome.Reason) {
+	s.remove(t)
+	t.state = refused
+	t.refusal = &Refusal{
+		Reason:     reason,
+		RetryAfter: min(max(seconds(s.wait(t.caller)), retryFloor), retryCeiling),
+	}
+	close(t.settled)
+}
+
+// finish ends a running call and starts the next.
+func (s *Scheduler) finish(now time.Time, t *Ticket, latency time.Duration) []*Ticket {
+	t.caller.settle(now)
+	t.caller.running--
+	s.running--
+	if latency > 0 {
+		d := latency.Seconds() - s.work
+		s.work += d * 0.05
+		s.deviation += (math.Abs(d) - s.deviation) * 0.05
+	}
+	return s.next(now)
+}
+
+func (s *Scheduler) ticket(c *caller, deadline time.Time) *Ticket {
+	s.tickets++
+	return &Ticket{
+		scheduler: s,
+		caller:    c,
+		number:    s.tickets,
+		deadline:  deadline,
+		settled:   make(chan struct{}),
+	}
+}
+
+func (s *Scheduler) caller(now time.Time, name string) *caller {
+	c := s.callers[name]
+	if c == nil {
+		c = &caller{
+			waiting: list.New(),
+			settled: now,
+		}
+		s.callers[name] = c
+	}
+	c.share = max(s.share(name), shareFloor)
+	return c
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
