Add the simulation that measures target selection

Package bench drives six instances of the real Table and Scheduler against fake targets in simulated time and prints a comparison of policies with

go test -run '^$' -bench Policy -benchtime 1x ./bench

--- /dev/null
+++ b/bench/ownership.go
@@ -0,0 +1,145 @@
+package bench
+
+import (
+	"cmp"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+
+	"skylarkbeam/outcome"
+	"skylarkbeam/route"
+)
+
+// The times of the ownership rules in section 2.10 of the design.
+const (
+	leaseTime    = 4 * time.Second
+	takeoverTime = 5 * time.Second
+	goneTime     = 6 * time.Second
+	exchangeTime = time.Second
+)
+
+// membership is the fleet row: the active entries, and when they last changed.
+type membership struct {
+	active  [Entries]bool
+	changed time.Duration
+}
+
+// owner is chosen by rendezvous hashing over the active entries.
+func (m membership) owner(target string) int {
+	best, most := -1, uint32(0)
+	for i, active := range m.active {
+		h := fnv.New32a()
+		h.Write([]byte(target))
+		h.Write([]byte{byte(i), 0x5a, byte(i * 37)})
+		if sum := h.Sum32() * 2654435761; active && (best < 0 || sum > most) {
+			best, most = i, sum
+		}
+	}
+	return best
+}
+
+// owns is the lease that the entry holds by its last read of the row.
+func (e *entry) owns(now time.Time, target string) (time.Time, bool) {
+	s := e.sim
+	if s.config.Ownership != SingleOwner {
+		return now.Add(leaseTime), true
+	}
+	until := start.Add(e.read + leaseTime)
+	if !now.Before(until) || s.now < e.seen.changed+takeoverTime && e.seen.changed > 0 {
+		return time.Time{}, false
+	}
+	return until, e.seen.owner(target) == e.index
+}
+
+// refresh reads the row; the answer comes some milliseconds after the start of the read.
+func (e *entry) refresh() {
+	if e.dead || e.paused {
+		return
+	}
+	read, row := e.sim.now, e.sim.members
+	e.sim.after(20*time.Millisecond, func() {
+		if !e.paused && read > e.read {
+			e.seen, e.read = row, read
+		}
+	})
+}
+
+// learn passes an event on as the peer exchange does: up to a second later.
+func (s *sim) learn(from *entry, event route.Event) {
+	for _, e := range s.entries {
+		if e == from || event == nil {
+			continue
+		}
+		delay := time.Duration(s.rand.Float64() * float64(exchangeTime))
+		s.after(delay, func() {
+			if e.dead || e.paused {
+				return
+			}
+			switch event := event.(type) {
+			case route.Fell:
+				// Only the owner needs it, and the others ignore an instance that they have seen.
+				e.table.Observe(s.time(), event.Target, outcome.Report{
+					Instance: event.Instance,
+					Phase:    outcome.PhaseCold,
+				})
+			case route.Warmed:
+				e.table.SetWarm(s.time(), event.Target, event.Instance)
+			}
+		})
+	}
+	if warmed, ok := event.(route.Warmed); ok {
+		s.warmed(warmed.Target)
+	}
+}
+
+// churn lets one entry after the other die and join, or pause, so that ownership moves.
+func (s *sim) churn() {
+	e := s.entries[s.rand.IntN(Entries)]
+	if !e.dead && !e.paused {
+		if s.rand.IntN(2) == 0 {
+			s.kill(e)
+		} else {
+			e.paused = true
+			s.after(time.Duration(1+s.rand.IntN(8))*time.Second, func() { e.paused = false })
+		}
+	}
+	s.after(time.Duration(2000+s.rand.IntN(4000))*time.Millisecond, s.churn)
+}
+
+// kill ends the entry. Its calls stay at the targets until the targets notice the broken connections.
+func (s *sim) kill(e *entry) {
+	e.dead = true
+	calls := slices.SortedFunc(maps.Keys(s.calls), func(a, b *call) int { return cmp.Compare(a.arrived, b.arrived) })
+	for _, c := range calls {
+		if c.entry != e || c.over {
+			continue
+		}
+		c.over = true
+		delete(s.calls, c)
+		for _, a := range c.attempts {
+			if !a.ended {
+				a.ended = true
+				s.after(takeoverTime-leaseTime, func() { a.target.cancel(a) })
+			}
+		}
+	}
+	s.after(goneTime, func() {
+		s.members.active[e.index] = false
+		s.members.changed = s.now
+		s.after(time.Second, func() { s.join(e.index) })
+	})
+}
+
+// join replaces a dead entry by a new one that knows nothing but the stored facts.
+func (s *sim) join(index int) {
+	e := s.newEntry(index)
+	s.entries[index] = e
+	for _, t := range s.targets {
+		if instance, ok := s.facts[t.index]; ok {
+			e.table.SetWarm(s.time(), targetName(t.index), instance)
+		}
+	}
+	s.members.active[index] = true
+	s.members.changed = s.now
+}
