--- /dev/null
+++ b/fleet/exchange.go
@@ -0,0 +1,260 @@
+package fleet
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+// Peers sends to other entries. NewClient returns the real one; tests use one in memory.
+type Peers interface {
+	// Send delivers a message and returns the answer.
+	Send(ctx context.Context, to netip.AddrPort, message *Message) (*Message, error)
+	// Fetch returns the state and the roster of another entry. The settings are left out if they have the given name.
+	Fetch(ctx context.Context, to netip.AddrPort, object string) (*Snapshot, error)
+}
+
+// peer is what this entry knows of another member's present incarnation.
+type peer struct {
+	incarnation string
+	// since is when the incarnation appeared, heard the start of the last exchange that it answered.
+	since time.Time
+	heard time.Time
+	reply Message
+	// leaving is the peer's own word.
+	leaving bool
+	busy    bool
+	// acked is the number of the last warm fact that the peer confirmed, seen are sightings that it has not confirmed.
+	acked uint64
+	seen  map[string]string
+	// watched is when its beats were first looked at, beaten when one was new, gone when it was first found gone.
+	watched time.Time
+	beaten  time.Time
+	beatRow uint64
+	gone    time.Time
+}
+
+func newPeer(incarnation string, now time.Time) *peer {
+	return &peer{
+		incarnation: incarnation,
+		since:       now,
+		seen:        map[string]string{},
+	}
+}
+
+// address is where to send to; the name is empty while no roster is known.
+type address struct {
+	name    string
+	control netip.AddrPort
+}
+
+// addresses returns where the other members are, or the seeds while no roster is known. Idle ones are those without an
+// exchange in flight; they are marked as busy.
+func (f *Fleet) addresses(idle bool) []address {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []address
+	for name, record := range f.roster.Members {
+		p := f.peers[name]
+		if p == nil || idle && p.busy {
+			continue
+		}
+		p.busy = p.busy || idle
+		list = append(list, address{
+			name:    name,
+			control: record.Control,
+		})
+	}
+	if f.roster.Version == 0 {
+		for _, control := range f.opt.Seeds {
+			if control != f.opt.Control {
+				list = append(list, address{
+					control: control,
+				})
+			}
+		}
+	}
+	return list
+}
+
+// tick starts an exchange with each peer that has answered the last one. It does not wait, so that a silent peer does
+// not delay the others.
+func (f *Fleet) tick() {
+	for _, to := range f.addresses(true) {
+		f.tasks.Add(1)
+		go func() {
+			defer f.tasks.Done()
+			f.exchange(f.ctx, to)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if p := f.peers[to.name]; p != nil {
+				p.busy = false
+			}
+		}()
+	}
+}
+
+// round exchanges with all peers and waits for the answers.
+func (f *Fleet) round(ctx context.Context) {
+	var all sync.WaitGroup
+	for _, to := range f.addresses(false) {
+		all.Go(func() { f.exchange(ctx, to) })
+	}
+	all.Wait()
+}
+
+// exchange sends a message to a peer. The answer counts as heard only when this entry runs at least the versions that
+// it names, and from the time at which the request was started: an answer or a request that waited in a buffer while
+// this process was paused says nothing about the present.
+func (f *Fleet) exchange(ctx context.Context, to address) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	start := f.now()
+	message, last := f.compose(to.name)
+	f.counters.messages.Inc()
+	reply, err := f.opt.Peers.Send(ctx, to.control, message)
+	if err == nil {
+		err = f.catchUp(ctx, to.control, reply)
+	}
+	if err != nil {
+		f.log.Debug("exchange failed", zap.String("peer", to.name), zap.Error(err))
+		return
+	}
+	f.absorb(reply)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if start.After(f.hearings[reply.Incarnation]) {
+		f.hearings[reply.Incarnation] = start
+	}
+	for incarnation, at := range f.hearings {
+		if start.Sub(at) > vanishTime {
+			delete(f.hearings, incarnation)
+		}
+	}
+	p := f.peers[reply.Entry]
+	if p == nil || p.incarnation != reply.Incarnation || !start.After(p.heard) {
+		return
+	}
+	p.heard = start
+	p.reply = *reply
+	p.leaving = p.leaving || reply.Leaving
+	p.acked = max(p.acked, last)
+	for _, sighting := range message.Seen {
+		if p.seen[sighting.Target] == sighting.Instance {
+			delete(p.seen, sighting.Target)
+		}
+	}
+}
+
+// catchUp fetches what the sender of a message has and this entry lacks.
+func (f *Fleet) catchUp(ctx context.Context, control netip.AddrPort, m *Message) error {
+	f.mu.RLock()
+	behind := m.Version > f.State().Version || m.Roster > f.roster.Version
+	f.mu.RUnlock()
+	if !behind {
+		return nil
+	}
+	current := f.State()
+	snap, err := f.opt.Peers.Fetch(ctx, control, current.document.Object)
+	if err != nil {
+		return errors.Wrap(err, "fetch the state")
+	}
+	settings := snap.Settings
+	switch {
+	case snap.Document.Object == current.document.Object:
+		settings = current.Settings
+	case snap.Document.Object != "":
+		if err := f.verify(snap.Document.Object, settings); err != nil {
+			return err
+		}
+	}
+	f.install(snap.Document, settings, snap.Roster)
+	return nil
+}
+
+// compose returns a message for a peer and the number of the last warm fact that the peer knows once it has it.
+func (f *Fleet) compose(name string) (message *Message, last uint64) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	now := f.now()
+	m := &Message{
+		Entry:       f.opt.Name,
+		Incarnation: f.incarnation,
+		Version:     f.State().Version,
+		Roster:      f.roster.Version,
+		Heard:       map[string]int{},
+		Digest:      f.warm.digest(),
+		Leaving:     f.leaving.Load(),
+	}
+	for other, p := range f.peers {
+		if tenths := now.Sub(p.heard) / (100 * time.Millisecond); !p.heard.IsZero() && tenths < 100 {
+			m.Heard[other] = int(tenths)
+		}
+	}
+	p := f.peers[name]
+	if p == nil {
+		return m, 0
+	}
+	// The digest of the last answer tells whether there is anything to send.
+	if !p.heard.IsZero() {
+		m.Warm, last = f.warm.since(p.acked, name, p.reply.Digest)
+	}
+	for target, instance := range p.seen {
+		m.Seen = append(m.Seen, Fact{
+			Target:   target,
+			Instance: instance,
+		})
+	}
+	return m, last
+}
+
+// absorb takes over the facts of a message.
+func (f *Fleet) absorb(m *Message) {
+	for _, fresh := range f.warm.merge(m.Warm, m.Entry) {
+		f.warmed(fresh)
+	}
+	if f.opt.Seen != nil {
+		for _, sighting := range m.Seen {
+			f.opt.Seen(sighting.Target, sighting.Instance)
+		}
+	}
+}
+
+func (f *Fleet) warmed(fresh Fact) {
+	if f.opt.Warmed != nil {
+		f.opt.Warmed(fresh.Target, fresh.Instance)
+	}
+}
+
+// Receive handles a message from a peer and returns the answer. A sender that has something newer is asked for it
+// before the answer, so that the answer already confirms it.
+func (f *Fleet) Receive(ctx context.Context, m *Message) (*Message, error) {
+	f.mu.RLock()
+	ended := f.ended
+	sender, known := f.roster.Members[m.Entry]
+	p := f.peers[m.Entry]
+	f.mu.RUnlock()
+	if ended {
+		return nil, errors.New("the entry has stopped")
+	}
+	f.absorb(m)
+	if known {
+		if err := f.catchUp(ctx, sender.Control, m); err != nil {
+			f.log.Debug("catching up failed", zap.String("peer", m.Entry), zap.Error(err))
+		}
+	}
+	if m.Leaving && p != nil && p.incarnation == m.Incarnation {
+		f.mu.Lock()
+		p.leaving = true
+		f.mu.Unlock()
+	}
+	reply, _ := f.compose("")
+	return reply, nil
+}
+
+// Snapshot returns the state and the roster for a peer, without the settings if they have the given name.
+func (f *Fleet) Snapshot(object string) *Snapshot { return f.snapshot(object) }
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,310 @@
+package fleet
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"skylarkbeam/platform"
+	"skylarkbeam/timer"
+)
+
+//go:generate go tool -modfile=../tools/go.mod go-jsonschema -p fleet --only-models --tags json --capitalization ID -o message.go schema.json
+
+const (
+	// pollInterval and exchangeInterval leave three lost attempts within contactTime.
+	pollInterval     = time.Second
+	exchangeInterval = time.Second
+	// contactTime is the default of Options.Contact. A drained failure domain may receive work for 5 s; the last second
+	// is for calls that were let through just before.
+	contactTime = 4 * time.Second
+	// leaseTime is the lifetime of an ownership lease, from the start of the read that grants it.
+	leaseTime = 4 * time.Second
+	// waitTime is how long a new owner waits. It exceeds leaseTime by 1 s, which allows for clocks whose rates differ by
+	// up to 20%.
+	waitTime = 5 * time.Second
+	// quietTime is how long an entry goes unheard before it or others use the table to show or see that it is alive.
+	quietTime = 2 * time.Second
+	// goneTime is how long an entry goes unheard by everybody before it is marked gone.
+	goneTime = 6 * time.Second
+	// vanishTime is how long a member must have been gone before its absence from the list of VMs counts as its end. The
+	// list lags, so a VM that has just started may not be listed yet.
+	vanishTime = time.Minute
+	// listInterval is how often the list of VMs is read while it can settle something.
+	listInterval = 10 * time.Second
+	// rescanInterval is how often the warm rows are read while a peer is unheard.
+	rescanInterval = 30 * time.Second
+	// tableTimeout and peerTimeout bound one request. A slower answer would be nearly out of date when it came.
+	tableTimeout = 2 * time.Second
+	peerTimeout  = time.Second
+	// retryInterval separates attempts of a change.
+	retryInterval = 50 * time.Millisecond
+	// forceTime bounds how long an accepted change waits for the members to confirm it.
+	forceTime = 5 * time.Second
+)
+
+// limits are the rules that tests switch off to show what they are for.
+type limits struct {
+	contact time.Duration
+	wait    time.Duration
+	gone    time.Duration
+	// reported makes the verdict that a member is gone look at what other entries have heard.
+	reported bool
+	// neutral settles lost writes.
+	neutral bool
+	// quorum demands at least half of the members for a change.
+	quorum bool
+	// revert lets older versions replace newer ones.
+	revert bool
+	// settle drops the prior members at once, instead of when half of them know.
+	hasty bool
+}
+
+// Options are the parts and names that a Fleet is made of.
+type Options struct {
+	Platform platform.Platform
+	Timers   *timer.Service
+	// Name is the entry's name in the settings and Domain its failure domain.
+	Name   string
+	Domain string
+	// Caller and Control are the addresses for callers and for peers.
+	Caller  netip.AddrPort
+	Control netip.AddrPort
+	// Check reports why settings are invalid; nil accepts all.
+	Check func(settings []byte) error
+	// Peers sends messages to other entries.
+	Peers Peers
+	// Seeds are control addresses of entries to ask while no roster is known, so that a process can start while the
+	// table is down.
+	Seeds []netip.AddrPort
+	// Contact is how old a confirmation may be, 4 s if zero.
+	Contact time.Duration
+	// Serve keeps an entry without contact in service; it gives up the promise that drained failure domains receive no
+	// new work.
+	Serve bool
+	// Seen is told of an instance of a target that another entry has seen and that this entry owns; may be nil.
+	Seen func(target, instance string)
+	// Warmed is told of each new warm fact; may be nil.
+	Warmed func(target, instance string)
+	// Metrics receives the counters and Logger the changes of state; both may be nil.
+	Metrics *metrics.Set
+	Logger  *zap.Logger
+}
+
+// Fleet is this entry's part in the fleet. It is safe for concurrent use.
+type Fleet struct {
+	opt         Options
+	limits      limits
+	incarnation string
+	counters    *counters
+	log         *zap.Logger
+	state       atomic.Pointer[State]
+	leaving     atomic.Bool
+
+	mu         sync.RWMutex
+	changed    chan struct{}
+	ready      bool
+	registered bool
+	former     bool
+	joined     time.Time
+	confirmed  time.Time
+	leased     time.Time
+	roster     Roster
+	tenure     tenure
+	peers      map[string]*peer
+	hearings   map[string]time.Time
+	latest     table
+	listed     time.Time
+	scanned    time.Time
+	ended      bool
+	err        error
+
+	warm facts
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	kick   chan struct{}
+	tasks  sync.WaitGroup
+	done   chan struct{}
+}
+
+// Open starts to take part in the fleet. It returns at once; Contact is false until the state is known.
+func Open(opt Options) *Fleet { return open(opt, limits{}) }
+
+func open(opt Options, l limits) *Fleet {
+	if l == (limits{}) {
+		l = usual()
+	}
+	if opt.Contact != 0 {
+		l.contact = opt.Contact
+	}
+	if opt.Logger == nil {
+		opt.Logger = zap.NewNop()
+	}
+	if opt.Metrics == nil {
+		opt.Metrics = metrics.NewSet()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &Fleet{
+		opt:         opt,
+		limits:      l,
+		incarnation: newIncarnation(),
+		counters:    newCounters(opt.Metrics),
+		log:         opt.Logger.With(zap.String("entry", opt.Name)),
+		changed:     make(chan struct{}),
+		peers:       map[string]*peer{},
+		hearings:    map[string]time.Time{},
+		ctx:         ctx,
+		cancel:      cancel,
+		kick:        make(chan struct{}, 1),
+		done:        make(chan struct{}),
+	}
+	f.warm.known = map[string]*fact{}
+	f.state.Store(&State{})
+	f.tasks.Add(3)
+	go f.every("fleet poll", pollInterval, f.poll)
+	go f.every("fleet exchange", exchangeInterval, f.tick)
+	go f.maintain()
+	go func() {
+		f.tasks.Wait()
+		close(f.done)
+	}()
+	return f
+}
+
+func usual() limits {
+	return limits{
+		contact:  contactTime,
+		wait:     waitTime,
+		gone:     goneTime,
+		reported: true,
+		neutral:  true,
+		quorum:   true,
+	}
+}
+
+func newIncarnation() string {
+	b := make([]byte, 6)
+	rand.Read(b)
+	return hex.EncodeToString(b)
+}
+
+func (f *Fleet) now() time.Time { return f.opt.Timers.Now() }
+
+// every runs a task at once and then at each tick.
+func (f *Fleet) every(name string, interval time.Duration, task func()) {
+	defer f.tasks.Done()
+	ticks := f.opt.Timers.Every(name, interval)
+	defer ticks.Stop()
+	for {
+		task()
+		select {
+		case <-ticks.C:
+		case <-f.ctx.Done():
+			return
+		}
+	}
+}
+
+// poll reads the table and hands the result to the maintenance writes, which must not delay the next read.
+func (f *Fleet) poll() {
+	keys := f.beatKeys()
+	t, err := f.read(f.ctx, keys...)
+	if err != nil {
+		f.log.Debug("poll failed", zap.Error(err))
+		return
+	}
+	f.mu.Lock()
+	f.latest = t
+	f.watch(t, keys)
+	f.mu.Unlock()
+	f.wake()
+}
+
+func (f *Fleet) wake() {
+	select {
+	case f.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Done is closed when the Fleet has stopped, after Close or because another process has taken the entry's name.
+func (f *Fleet) Done() <-chan struct{} { return f.done }
+
+// Err tells why the Fleet stopped by itself, nil if it did not.
+func (f *Fleet) Err() error {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.err
+}
+
+// fail stops the Fleet for good. The caller holds mu.
+func (f *Fleet) fail(err error) {
+	if !f.ended {
+		f.ended = true
+		f.err = err
+		f.log.Error("fleet stopped", zap.Error(err))
+		f.cancel()
+	}
+}
+
+// Leave marks the entry as leaving, towards the peers now and in the table when it answers. The entry stays a member
+// until Close.
+func (f *Fleet) Leave() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.leaving.Swap(true) || f.ended {
+		return
+	}
+	f.tasks.Add(1)
+	go func() {
+		defer f.tasks.Done()
+		f.round(f.ctx)
+	}()
+	f.wake()
+}
+
+// Close stops the Fleet: Contact and Owns are false from here on. It then removes the entry from the roster, so that a
+// later process of the same name need not wait; ctx bounds that write. An error says that the write failed or that its
+// result is unknown, and a later process waits.
+func (f *Fleet) Close(ctx context.Context) error {
+	f.stop()
+	f.mu.RLock()
+	registered, err := f.registered, f.err
+	f.mu.RUnlock()
+	if !registered || err != nil {
+		return err
+	}
+	for {
+		t, err := f.read(ctx)
+		if err != nil {
+			return errors.Wrap(err, "leave the fleet")
+		}
+		own, ok := t.roster.Members[f.opt.Name]
+		if !ok || own.Incarnation != f.incarnation {
+			return nil
+		}
+		next := t.roster.edit(func(members map[string]Record) { delete(members, f.opt.Name) }).without(f.incarnation, "")
+		committed, err := f.write(ctx, t, next)
+		if err != nil || committed {
+			return errors.Wrap(err, "leave the fleet")
+		}
+	}
+}
+
+// stop ends all activity without a word to anybody, as a crash would.
+func (f *Fleet) stop() {
+	f.mu.Lock()
+	f.ended = true
+	f.mu.Unlock()
+	f.cancel()
+	<-f.done
+}
--- /dev/null
+++ b/fleet/http.go
@@ -0,0 +1,201 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	restful "github.com/emicklei/go-restful/v3"
+)
+
+// Path is where the control address serves peers.
+const Path = "/skylarkbeam/peer"
+
+const (
+	maxMessageBytes  = 1 << 20
+	maxSnapshotBytes = 64 << 20
+)
+
+// counters are the costs of control.
+type counters struct {
+	messages *metrics.Counter
+	reads    *metrics.Counter
+	writes   *metrics.Counter
+}
+
+func newCounters(set *metrics.Set) *counters {
+	return &counters{
+		messages: set.GetOrCreateCounter(`skylarkbeam_fleet_messages_total`),
+		reads:    set.GetOrCreateCounter(`skylarkbeam_fleet_table_total{kind="read"}`),
+		writes:   set.GetOrCreateCounter(`skylarkbeam_fleet_table_total{kind="write"}`),
+	}
+}
+
+// Service returns the web service for peers: POST takes a Message, GET returns a Snapshot.
+func (f *Fleet) Service() *restful.WebService {
+	service := new(restful.WebService)
+	service.Path(Path).Consumes(restful.MIME_JSON).Produces(restful.MIME_JSON)
+	service.Route(service.POST("").To(f.serveMessage))
+	service.Route(service.GET("").To(f.serveSnapshot))
+	return service
+}
+
+func (f *Fleet) serveMessage(req *restful.Request, resp *restful.Response) {
+	var m Message
+	if err := decodeBody(req.Request.Body, maxMessageBytes, &m); err != nil || m.Entry == "" || m.Incarnation == "" {
+		http.Error(resp, "malformed message", http.StatusBadRequest)
+		return
+	}
+	reply, err := f.Receive(req.Request.Context(), &m)
+	if err != nil {
+		http.Error(resp, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	answer(resp, reply)
+}
+
+func (f *Fleet) serveSnapshot(req *restful.Request, resp *restful.Response) {
+	answer(resp, f.Snapshot(req.QueryParameter("object")))
+}
+
+// answer writes JSON without the headers that peers do not need, which are a third of a message.
+func answer(resp http.ResponseWriter, value any) {
+	header := resp.Header()
+	header["Date"] = nil
+	header["Content-Type"] = []string{restful.MIME_JSON}
+	resp.Write(encode(value))
+}
+
+func decodeBody(body io.Reader, limit int64, into any) error {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return err
+	}
+	if int64(len(data)) > limit {
+		return errors.Newf("the body is longer than %d bytes", limit)
+	}
+	return json.Unmarshal(data, into)
+}
+
+// Client is the HTTP form of Peers.
+type Client struct {
+	http     *http.Client
+	sent     *metrics.Counter
+	received *metrics.Counter
+}
+
+// NewClient returns a client that counts the bytes of its connections in the set, which may be nil.
+func NewClient(set *metrics.Set) *Client {
+	if set == nil {
+		set = metrics.NewSet()
+	}
+	c := &Client{
+		sent:     set.GetOrCreateCounter(`skylarkbeam_fleet_bytes_total{direction="sent"}`),
+		received: set.GetOrCreateCounter(`skylarkbeam_fleet_bytes_total{direction="received"}`),
+	}
+	dialer := &net.Dialer{
+		Timeout: peerTimeout,
+	}
+	c.http = &http.Client{
+		Transport: &http.Transport{
+			DisableCompression:  true,
+			MaxIdleConnsPerHost: 1,
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := dialer.DialContext(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return c.count(conn), nil
+			},
+		},
+	}
+	return c
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Listener wraps the listener of the control address so that its bytes are counted too.
+func (c *Client) Listener(listener net.Listener) net.Listener {
+	return &countedListener{
+		Listener: listener,
+		client:   c,
+	}
+}
+
+func (c *Client) count(conn net.Conn) net.Conn {
+	return &countedConn{
+		Conn:   conn,
+		client: c,
+	}
+}
+
+type countedListener struct {
+	net.Listener
+	client *Client
+}
+
+func (l *countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.client.count(conn), nil
+}
+
+type countedConn struct {
+	net.Conn
+	client *Client
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.client.received.Add(n)
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.client.sent.Add(n)
+	return n, err
+}
+
+// Send implements Peers.
+func (c *Client) Send(ctx context.Context, to netip.AddrPort, message *Message) (*Message, error) {
+	var reply Message
+	err := c.call(ctx, http.MethodPost, to, "", encode(message), maxMessageBytes, &reply)
+	return &reply, err
+}
+
+// Fetch implements Peers.
+func (c *Client) Fetch(ctx context.Context, to netip.AddrPort, object string) (*Snapshot, error) {
+	var snap Snapshot
+	err := c.call(ctx, http.MethodGet, to, "?object="+url.QueryEscape(object), nil, maxSnapshotBytes, &snap)
+	return &snap, err
+}
+
+func (c *Client) call(ctx context.Context, method string, to netip.AddrPort, query string, body []byte, limit int64, into any) error {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+to.String()+Path+query, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "call a peer")
+	}
+	// An empty User-Agent leaves the header out.
+	req.Header["User-Agent"] = []string{""}
+	req.Header["Content-Type"] = []string{restful.MIME_JSON}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "call a peer")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("call a peer: %s answered with status %d", to, resp.StatusCode)
+	}
+	return errors.Wrap(decodeBody(resp.Body, limit, into), "call a peer")
+}
--- /dev/null
+++ b/fleet/state.go
@@ -0,0 +1,257 @@
+package fleet
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"skylarkbeam/platform"
+)
+
+// Keys of the rows that this package writes.
+const (
+	headKey       = "state/head"
+	logPrefix     = "state/log/"
+	changePrefix  = "state/change/"
+	rosterKey     = "fleet"
+	beatPrefix    = "beat/"
+	warmPrefix    = "warm/"
+	objectPrefix  = "settings/"
+	logExpiry     = 30 * 24 * time.Hour
+	receiptExpiry = 24 * time.Hour
+)
+
+// State is the accepted state that this entry runs. It must not be modified.
+type State struct {
+	// Version grows by one with each write, neutral ones included.
+	Version uint64
+	// Base is the version of the last change; a caller passes it on to say which state its own change is based on.
+	Base uint64
+	// Settings are the bytes that Apply was given, nil before the first one.
+	Settings []byte
+	// Domains and Targets are drained, sorted by name.
+	Domains []string
+	Targets []string
+	// Who made the last change, What it was, and When by the clock of the entry that wrote it.
+	Who  string
+	What string
+	When time.Time
+
+	document Document
+}
+
+func newState(doc Document, settings []byte) *State {
+	return &State{
+		Version:  doc.Version,
+		Base:     doc.Origin,
+		Settings: settings,
+		Domains:  doc.Domains,
+		Targets:  doc.Targets,
+		Who:      doc.Who,
+		What:     doc.What,
+		When:     doc.When,
+		document: doc,
+	}
+}
+
+// State returns the accepted state that this entry runs; its version is 0 before anything was accepted or read.
+func (f *Fleet) State() *State { return f.state.Load() }
+
+// Changed returns a channel that is closed at the next change of the state or of the members. Take the channel first
+// and look at State afterwards, then no change is missed.
+func (f *Fleet) Changed() <-chan struct{} {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.changed
+}
+
+func objectName(settings []byte) string {
+	sum := sha256.Sum256(settings)
+	return objectPrefix + hex.EncodeToString(sum[:])
+}
+
+// table is what one read of the table showed, with the row versions that a write based on it must check.
+type table struct {
+	start     time.Time
+	document  Document
+	headRow   uint64
+	roster    Roster
+	rosterRow uint64
+	rows      map[string]platform.Row
+}
+
+// checks makes a write fail if the head or the roster has changed since the read.
+func (t table) checks() []platform.Check {
+	return []platform.Check{
+		{
+			Key:     headKey,
+			Version: t.headRow,
+		},
+		{
+			Key:     rosterKey,
+			Version: t.rosterRow,
+		},
+	}
+}
+
+// read reads the head, the roster and further rows, and puts in force what is new.
+func (f *Fleet) read(ctx context.Context, keys ...string) (table, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	t := table{
+		start: f.now(),
+	}
+	f.counters.reads.Inc()
+	rows, err := f.opt.Platform.Get(ctx, append([]string{headKey, rosterKey}, keys...))
+	if err != nil {
+		return t, errors.Wrap(err, "read the head")
+	}
+	t.rows = rows
+	if t.headRow, err = decode(rows, headKey, &t.document); err != nil {
+		return t, err
+	}
+	if t.rosterRow, err = decode(rows, rosterKey, &t.roster); err != nil {
+		return t, err
+	}
+	settings, err := f.settings(ctx, t.document.Object)
+	if err != nil {
+		return t, err
+	}
+	f.install(t.document, settings, t.roster)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t.start.After(f.confirmed) {
+		f.confirmed = t.start
+	}
+	// A read that overlaps a change can show an older roster, which grants nothing.
+	if t.roster.Version == f.roster.Version && t.start.After(f.leased) {
+		f.leased = t.start
+	}
+	return t, nil
+}
+
+func decode(rows map[string]platform.Row, key string, into any) (uint64, error) {
+	row, ok := rows[key]
+	if !ok {
+		return 0, nil
+	}
+	if err := json.Unmarshal(row.Value, into); err != nil {
+		return 0, errors.Wrapf(err, "row %q is malformed", key)
+	}
+	return row.Version, nil
+}
+
+// settings returns the settings with this name, from memory, from the object store or from a peer.
+func (f *Fleet) settings(ctx context.Context, object string) ([]byte, error) {
+	if current := f.State(); object == "" || object == current.document.Object {
+		return current.Settings, nil
+	}
+	data, err := f.opt.Platform.Objects().Get(ctx, object)
+	if err == nil {
+		return data, f.verify(object, data)
+	}
+	for _, to := range f.addresses(false) {
+		snap, e := f.opt.Peers.Fetch(ctx, to.control, "")
+		if e == nil && snap.Document.Object == object {
+			return snap.Settings, f.verify(object, snap.Settings)
+		}
+	}
+	return nil, errors.Wrapf(err, "fetch the settings %q", object)
+}
+
+// verify accepts settings only if they are the ones that were named and if this version of the program can read them.
+func (f *Fleet) verify(object string, data []byte) error {
+	if objectName(data) != object {
+		return errors.Newf("the content of %q does not match its name", object)
+	}
+	return errors.Wrapf(f.check(data), "the accepted settings %q", object)
+}
+
+func (f *Fleet) check(settings []byte) error {
+	if f.opt.Check == nil {
+		return nil
+	}
+	return f.opt.Check(settings)
+}
+
+// snapshot returns the state and the roster as one. Whoever learns a roster must also learn at least the state that
+// was the head when the roster was written; see the package comment.
+func (f *Fleet) snapshot(object string) *Snapshot {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	state := f.State()
+	snap := &Snapshot{
+		Document: state.document,
+		Roster:   f.roster,
+	}
+	if object != state.document.Object {
+		snap.Settings = state.Settings
+	}
+	return snap
+}
+
+// install puts a state and a roster in force where they are newer than what this entry runs.
+func (f *Fleet) install(doc Document, settings []byte, roster Roster) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	current := f.State()
+	changed := !f.ready
+	f.ready = true
+	if doc.Version > current.Version || f.limits.revert && doc.Version != current.Version {
+		f.state.Store(newState(doc, settings))
+		changed = true
+		f.log.Info("state in force", zap.Uint64("version", doc.Version), zap.String("who", doc.Who), zap.String("what", doc.What))
+	}
+	if roster.Version > f.roster.Version {
+		f.roster = roster
+		f.tenure.learn(now, roster, f.limits.wait)
+		f.recognize(now)
+		changed = true
+	}
+	if changed {
+		close(f.changed)
+		f.changed = make(chan struct{})
+	}
+}
+
+// recognize updates what depends on the roster: the peers, and whether this process is still the member of its name.
+func (f *Fleet) recognize(now time.Time) {
+	own, ok := f.roster.Members[f.opt.Name]
+	switch {
+	case ok && own.Incarnation == f.incarnation && !f.registered:
+		f.registered = true
+		f.joined = now
+	case f.registered && (!ok || own.Incarnation != f.incarnation):
+		f.fail(errors.Newf("another process has registered as entry %q", f.opt.Name))
+	}
+	for name, record := range f.roster.Members {
+		if name == f.opt.Name {
+			continue
+		}
+		p := f.peers[name]
+		if p == nil || p.incarnation != record.Incarnation {
+			f.peers[name] = newPeer(record.Incarnation, now)
+		}
+	}
+	for name := range f.peers {
+		if _, ok := f.roster.Members[name]; !ok {
+			delete(f.peers, name)
+		}
+	}
+}
+
+// edited returns the document of the next version.
+func (d Document) edited(edit func(*Document)) Document {
+	d.Domains = slices.Clone(d.Domains)
+	d.Targets = slices.Clone(d.Targets)
+	d.Version++
+	edit(&d)
+	return d
+}
--- /dev/null
+++ b/fleet/warm.go
@@ -0,0 +1,221 @@
+package fleet
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"skylarkbeam/platform"
+)
+
+// maxFacts bounds the warm facts of one message. Five peers are sent 80 facts of about 80 bytes in a second, which is
+// within the 8 KB/s that a node has for control.
+const maxFacts = 16
+
+// facts are the instances of targets that are known to be warm. A fact never becomes false; a target's latest fact
+// replaces the one before.
+type facts struct {
+	mu    sync.RWMutex
+	known map[string]*fact
+	// number is that of the fact learned last, sum the exclusive or of the hashes of all facts.
+	number uint64
+	sum    uint64
+}
+
+// fact is a warm fact with its number in the order of learning and the peer it was learned from.
+type fact struct {
+	Fact
+	number uint64
+	from   string
+	saved  bool
+}
+
+func (f Fact) hash() uint64 {
+	return xxhash.Sum64String(f.Target + "\x00" + f.Instance + "\x00" + strconv.FormatUint(f.Count, 10))
+}
+
+// after tells whether a fact replaces another one. Equal counts come from two owners that announced at once; which one
+// stays does not matter as long as all entries agree.
+func (f Fact) after(other Fact) bool {
+	return cmp.Or(cmp.Compare(f.Count, other.Count), cmp.Compare(f.Instance, other.Instance)) > 0
+}
+
+// merge adds facts and returns those that were new.
+func (w *facts) merge(list []Fact, from string) []Fact {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var fresh []Fact
+	for _, f := range list {
+		if old := w.known[f.Target]; old == nil || f.after(old.Fact) {
+			w.put(f, from, true)
+			fresh = append(fresh, f)
+		}
+	}
+	return fresh
+}
+
+func (w *facts) put(f Fact, from string, saved bool) {
+	if old := w.known[f.Target]; old != nil {
+		w.sum ^= old.hash()
+	}
+	w.sum ^= f.hash()
+	w.number++
+	w.known[f.Target] = &fact{
+		Fact:   f,
+		number: w.number,
+		from:   from,
+		saved:  saved,
+	}
+}
+
+// announce adds this entry's own fact and returns it; ok is false if it is known already.
+func (w *facts) announce(target, instance string) (f Fact, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f = Fact{
+		Target:   target,
+		Instance: instance,
+		Count:    1,
+	}
+	if old := w.known[target]; old != nil {
+		if old.Instance == instance {
+			return f, false
+		}
+		f.Count = old.Count + 1
+	}
+	w.put(f, "", false)
+	return f, true
+}
+
+func (w *facts) digest() string {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return fmt.Sprintf("%x", w.sum)
+}
+
+// since returns the facts after a number that the peer did not send itself, at most maxFacts, and the number up to
+// which the peer then knows all. There is nothing to send if its digest is the same.
+func (w *facts) since(number uint64, peer, digest string) ([]Fact, uint64) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if digest == fmt.Sprintf("%x", w.sum) {
+		return nil, w.number
+	}
+	var news []*fact
+	for _, f := range w.known {
+		if f.number > number && f.from != peer {
+			news = append(news, f)
+		}
+	}
+	slices.SortFunc(news, func(a, b *fact) int { return cmp.Compare(a.number, b.number) })
+	last := w.number
+	if len(news) > maxFacts {
+		news = news[:maxFacts]
+		last = news[maxFacts-1].number
+	}
+	list := make([]Fact, 0, len(news))
+	for _, f := range news {
+		list = append(list, f.Fact)
+	}
+	return list, last
+}
+
+// Warm returns the instance of the target that is known to be warm, "" if none is.
+func (f *Fleet) Warm(target string) string {
+	f.warm.mu.RLock()
+	defer f.warm.mu.RUnlock()
+	if known := f.warm.known[target]; known != nil {
+		return known.Instance
+	}
+	return ""
+}
+
+// Announce tells all entries that this instance of the target is warm.
+func (f *Fleet) Announce(target, instance string) {
+	if fresh, ok := f.warm.announce(target, instance); ok {
+		f.warmed(fresh)
+	}
+}
+
+// Sighting tells the owner of the target, in the next exchange with it, that the target runs a new instance. It has no
+// effect if this entry is the owner.
+func (f *Fleet) Sighting(target, instance string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p := f.peers[f.roster.owner(target)]; p != nil {
+		p.seen[target] = instance
+	}
+}
+
+// loadWarm reads the warm rows once at the start, and again while a peer is unheard whose facts may be missing.
+func (f *Fleet) loadWarm() {
+	f.mu.RLock()
+	now := f.now()
+	due := f.scanned.IsZero()
+	for name, p := range f.peers {
+		unheard := now.Sub(p.heard) >= quietTime && f.roster.Members[name].State == RecordStateActive
+		due = due || unheard && now.Sub(f.scanned) >= rescanInterval
+	}
+	f.mu.RUnlock()
+	if !due {
+		return
+	}
+	f.counters.reads.Inc()
+	rows, err := f.opt.Platform.Scan(f.ctx, warmPrefix)
+	if err != nil {
+		f.log.Debug("reading the warm rows failed", zap.Error(err))
+		return
+	}
+	f.mu.Lock()
+	f.scanned = now
+	f.mu.Unlock()
+	list := make([]Fact, 0, len(rows))
+	for _, row := range rows {
+		var fresh Fact
+		if err := json.Unmarshal(row.Value, &fresh); err != nil {
+			f.log.Warn("malformed row", zap.String("key", row.Key), zap.Error(err))
+			continue
+		}
+		list = append(list, fresh)
+	}
+	for _, fresh := range f.warm.merge(list, "") {
+		f.warmed(fresh)
+	}
+}
+
+// saveWarm writes this entry's own announcements, up to a full transaction at a time.
+func (f *Fleet) saveWarm() {
+	var tx platform.Transaction
+	var saved []*fact
+	f.warm.mu.RLock()
+	for _, own := range f.warm.known {
+		if !own.saved && len(tx.Puts) < platform.MaxRows {
+			saved = append(saved, own)
+			tx.Puts = append(tx.Puts, platform.Put{
+				Key:    warmPrefix + own.Target,
+				Value:  encode(own.Fact),
+				Expiry: time.Time{},
+			})
+		}
+	}
+	f.warm.mu.RUnlock()
+	if len(saved) == 0 {
+		return
+	}
+	if _, err := f.commit(f.ctx, tx); err != nil {
+		f.log.Debug("writing warm rows failed", zap.Error(err))
+		return
+	}
+	f.warm.mu.Lock()
+	defer f.warm.mu.Unlock()
+	for _, own := range saved {
+		own.saved = true
+	}
+}
