--- a/cmd/skylarkbeam/command.go
+++ b/cmd/skylarkbeam/command.go
@@ -13,8 +13,14 @@
 
 // commands builds each subcommand, in the order of the usage text.
 var commands = []func(streams) *ffcli.Command{
+	newDemo,
+	newServe,
 	newCheck,
 	newShow,
+	newApply,
+	newStatus,
+	newDrain,
+	newRestore,
 	newVersion,
 }
 
--- /dev/null
+++ b/cmd/skylarkbeam/serve.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"go.uber.org/zap"
+
+	"skylarkbeam/entry"
+	"skylarkbeam/platform"
+)
+
+const serveUsage = `serve runs an entry process.
+
+Usage:
+  skylarkbeam serve [flags]
+
+Flags:
+  -name NAME          name of this entry in the settings
+  -domain NAME        failure domain of this entry
+  -caller IP:PORT     address for callers
+  -control IP:PORT    address for peers, operators and metrics
+  -platform IP:PORT   address of the platform's table, object store and VM list
+  -seeds LIST         control addresses of other entries, separated by commas, to
+                      start from while the platform is down
+  -contact DURATION   how old a confirmation of the accepted state may be (4s)
+  -isolation MODE     what an entry without contact does: "stop" refuses new calls,
+                      "serve" goes on and may use drained failure domains (stop)
+  -config FILE        JSON file with any of these flags as fields
+
+Each flag can also be set in the environment, as in SKYLARKBEAM_NAME=entry-1.
+
+SIGTERM shuts down without cutting a call: the entry goes on for as long as callers
+keep its address, then until its last call has ended. A second SIGTERM stops at once.
+
+Examples:
+  skylarkbeam serve -config entry-1.json
+  skylarkbeam serve -name entry-1 -domain cairns -caller 127.0.0.1:7101 \
+      -control 127.0.0.1:7201 -platform 127.0.0.1:7000
+`
+
+// serveFlags are the flags of serve as they are written.
+type serveFlags struct {
+	name, domain, caller, control, platform, seeds, isolation string
+	contact                                                   time.Duration
+}
+
+func newServe(s streams) *ffcli.Command {
+	var f serveFlags
+	command := newCommand(s, "serve", "run an entry process", serveUsage,
+		func(ctx context.Context, args []string) error {
+			if len(args) > 0 {
+				return &usageError{
+					reason: "serve takes no arguments",
+					usage:  serveUsage,
+				}
+			}
+			return serve(ctx, f)
+		})
+	f.register(command.FlagSet)
+	command.Options = []ff.Option{
+		ff.WithEnvVarPrefix("SKYLARKBEAM"),
+		ff.WithConfigFileFlag("config"),
+		ff.WithConfigFileParser(ff.JSONParser),
+	}
+	return command
+}
+
+func (f *serveFlags) register(flags *flag.FlagSet) {
+	flags.StringVar(&f.name, "name", "", "")
+	flags.StringVar(&f.domain, "domain", "", "")
+	flags.StringVar(&f.caller, "caller", "", "")
+	flags.StringVar(&f.control, "control", "", "")
+	flags.StringVar(&f.platform, "platform", "", "")
+	flags.StringVar(&f.seeds, "seeds", "", "")
+	flags.StringVar(&f.isolation, "isolation", "stop", "")
+	flags.DurationVar(&f.contact, "contact", 4*time.Second, "")
+	flags.String("config", "", "")
+}
+
+// Validate returns the options that the flags stand for, or all faults in them.
+func (f *serveFlags) Validate() (entry.Options, netip.AddrPort, error) {
+	var faults []string
+	address := func(name, text string) netip.AddrPort {
+		a, err := netip.ParseAddrPort(text)
+		if err != nil {
+			faults = append(faults, "-"+name+" must be IP:PORT, not \""+text+"\"")
+		}
+		return a
+	}
+	opts := entry.Options{
+		Name:    f.name,
+		Domain:  f.domain,
+		Caller:  address("caller", f.caller),
+		Control: address("control", f.control),
+		Contact: f.contact,
+		Serve:   f.isolation == "serve",
+	}
+	table := address("platform", f.platform)
+	for _, text := range strings.FieldsFunc(f.seeds, func(r rune) bool { return r == ',' }) {
+		opts.Seeds = append(opts.Seeds, address("seeds", text))
+	}
+	if f.name == "" {
+		faults = append(faults, "-name is missing")
+	}
+	if f.domain == "" {
+		faults = append(faults, "-domain is missing")
+	}
+	if f.isolation != "serve" && f.isolation != "stop" {
+		faults = append(faults, "-isolation must be \"stop\" or \"serve\", not \""+f.isolation+"\"")
+	}
+	if f.contact <= 0 {
+		faults = append(faults, "-contact must be positive")
+	}
+	if len(faults) > 0 {
+		return opts, table, &usageError{
+			reason: strings.Join(faults, "; "),
+			usage:  serveUsage,
+		}
+	}
+	return opts, table, nil
+}
+
+func serve(ctx context.Context, f serveFlags) error {
+	opts, table, err := f.Validate()
+	if err != nil {
+		return err
+	}
+	if opts.Logger, err = zap.NewProduction(); err != nil {
+		return errors.Wrap(err, "opening the log")
+	}
+	client := platform.NewClient(platform.ClientOptions{
+		Address: table,
+	})
+	defer client.Close()
+	opts.Platform = client
+	e, err := entry.Assemble(opts)
+	if err != nil {
+		return errors.Wrap(err, "assembling the entry")
+	}
+	e.Start()
+	waitAndStop(ctx, e)
+	return nil
+}
+
+// waitAndStop shuts an entry down at the first signal and stops it at the second.
+func waitAndStop(ctx context.Context, e *entry.Entry) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+	select {
+	case <-signals:
+	case <-ctx.Done():
+	}
+	stop, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	e.Shutdown(stop)
+}
--- /dev/null
+++ b/cmd/skylarkbeam/status.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"skylarkbeam/entry"
+)
+
+const statusUsage = `status shows what an entry knows and does.
+
+Usage:
+  skylarkbeam status [-entry IP:PORT]
+
+Flags:
+  -entry IP:PORT   control address of any entry (127.0.0.1:7201)
+
+Examples:
+  skylarkbeam status -entry 127.0.0.1:7203
+`
+
+func newStatus(s streams) *ffcli.Command {
+	var o operator
+	command := newCommand(s, "status", "show what an entry knows and does", statusUsage,
+		func(ctx context.Context, args []string) error {
+			if len(args) > 0 {
+				return &usageError{
+					reason: "status takes no arguments",
+					usage:  statusUsage,
+				}
+			}
+			status, err := o.status(ctx)
+			if err != nil {
+				return err
+			}
+			printStatus(s.Out, status)
+			return nil
+		})
+	command.FlagSet.StringVar(&o.entry, "entry", "127.0.0.1:7201", "")
+	return command
+}
+
+func printStatus(out io.Writer, s *entry.Status) {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(w, "entry\t%s in %s: %s\n", s.Entry, s.Domain, condition(s))
+	fmt.Fprintf(w, "state\tversion %d by %s at %s: %s\n", s.Version, s.Who, s.When, s.What)
+	fmt.Fprintf(w, "drained\tdomains: %s; targets: %s\n", list(s.Domains), list(s.Targets))
+	for _, m := range s.Members {
+		fmt.Fprintf(w, "member\t%s in %s: %s, version %d, heard %s ago\n",
+			m.Name, m.Domain, m.State, m.Version, time.Duration(m.Heard).Round(time.Millisecond))
+	}
+	for _, p := range s.Phases {
+		warm := "cold or not known"
+		if p.Warm != "" && (p.Warm == p.Instance || p.Instance == "") {
+			warm = "warm"
+		}
+		fmt.Fprintf(w, "target\t%s of %s: %s, owner %s\n", p.Target, p.Service, warm, p.Owner)
+	}
+	for _, t := range s.Tasks {
+		fmt.Fprintf(w, "task\t%s every %s\n", t.Name, t.Interval)
+	}
+	w.Flush()
+}
+
+// condition says in a few words whether the entry takes calls, and why not.
+func condition(s *entry.Status) string {
+	switch {
+	case s.Leaving:
+		return "leaving"
+	case !s.Contact:
+		return "refuses new calls: no contact with the platform or a majority of the members"
+	case s.Base == 0:
+		return "refuses calls: no settings were applied yet"
+	}
+	return "in operation"
+}
+
+func list(names []string) string {
+	if len(names) == 0 {
+		return "none"
+	}
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/entry/addresses.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	restful "github.com/emicklei/go-restful/v3"
+
+	"skylarkbeam/fleet"
+	"skylarkbeam/setting"
+)
+
+// heardLimit is how long an entry may be unheard before callers are no longer sent to it.
+const heardLimit = 3 * time.Second
+
+// address is one address that a caller may use.
+type address struct {
+	Address netip.AddrPort `json:"address"`
+	Domain  string         `json:"domain"`
+}
+
+// serveAddresses tells a caller which entries to use, those in its own failure domain first, and for how long.
+func (e *Entry) serveAddresses(req *restful.Request, resp *restful.Response) {
+	keep := setting.Duration(defaultKeep)
+	if settings := e.view.Load().settings; settings != nil {
+		keep = settings.Limits.Keep
+	}
+	writeJSON(resp, struct {
+		Addresses []address        `json:"addresses"`
+		Keep      setting.Duration `json:"keep"`
+	}{
+		Addresses: e.addresses(req.QueryParameter("domain")),
+		Keep:      keep,
+	})
+}
+
+// addresses lists the entries in operation, in random order within each of the two groups so that callers spread.
+func (e *Entry) addresses(domain string) []address {
+	now := e.timers.Now()
+	near, far := []address{}, []address{}
+	for _, m := range e.fleet.Members() {
+		if !e.usable(now, m) {
+			continue
+		}
+		a := address{
+			Address: m.Caller,
+			Domain:  m.Domain,
+		}
+		if m.Domain == domain {
+			near = append(near, a)
+		} else {
+			far = append(far, a)
+		}
+	}
+	for _, list := range [][]address{near, far} {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	return append(near, far...)
+}
+
+func (e *Entry) usable(now time.Time, m fleet.Member) bool {
+	if m.State != fleet.RecordStateActive {
+		return false
+	}
+	if m.Name == e.opts.Name {
+		return !e.leaving.Load() && e.fleet.Contact(now)
+	}
+	return now.Sub(m.Heard) < heardLimit
+}
--- /dev/null
+++ b/entry/attempt.go
@@ -0,0 +1,287 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"skylarkbeam/outcome"
+	"skylarkbeam/route"
+	"skylarkbeam/target"
+)
+
+// answer is the answer of a target, of which the first part has arrived. If the whole is no longer than the buffer, rest
+// is nil and nothing can break any more.
+type answer struct {
+	status int
+	header http.Header
+	length int64
+	prefix []byte
+	rest   io.ReadCloser
+	// end ends the attempt once the rest was read or given up. It is nil if the attempt has ended.
+	end func(route.Kind)
+}
+
+// discard gives up an answer that is not needed.
+func (a *answer) discard() {
+	if a.rest != nil {
+		a.rest.Close()
+	}
+	if a.end != nil {
+		a.end(route.Canceled)
+	}
+}
+
+// race makes an attempt, and a second one for an idempotent call if the first is slower than usual. It returns the first
+// whole answer, or what became of the first attempt.
+func (e *Entry) race(ctx context.Context, c *call, permit *route.Permit) any {
+	after, ok := e.table.HedgeAfter(c.service.name)
+	if !c.idempotent || !ok {
+		c.tried = append(c.tried, permit.Target)
+		return e.attempt(ctx, c, permit)
+	}
+	c.tried = append(c.tried, permit.Target)
+	firstCtx, cancelFirst := context.WithCancel(ctx)
+	h := &hedge{
+		entry:       e,
+		call:        c,
+		query:       c.query(),
+		cancelFirst: cancelFirst,
+		result:      make(chan any, 1),
+	}
+	h.ctx, h.cancel = context.WithCancel(ctx)
+	timer := time.AfterFunc(after, h.run)
+	first := e.attempt(firstCtx, c, permit)
+	if timer.Stop() {
+		h.cancel()
+		return e.keep(first, cancelFirst)
+	}
+	return e.keep(h.settle(first), func() {
+		cancelFirst()
+		h.cancel()
+	})
+}
+
+// keep releases the contexts of a race once its result no longer needs them: the rest of a streamed answer does.
+func (e *Entry) keep(result any, release func()) any {
+	a, ok := result.(*answer)
+	if !ok || a.end == nil {
+		release()
+		return result
+	}
+	end := a.end
+	a.end = func(kind route.Kind) {
+		end(kind)
+		release()
+	}
+	return a
+}
+
+// hedge is the second attempt of a race.
+type hedge struct {
+	entry       *Entry
+	call        *call
+	query       route.Query
+	ctx         context.Context
+	cancel      context.CancelFunc
+	cancelFirst context.CancelFunc
+	result      chan any
+
+	mu   sync.Mutex
+	lost bool // the first attempt has won
+}
+
+func (h *hedge) run() {
+	permit := h.entry.table.Hedge(h.entry.timers.Now(), h.call.service.name, h.query)
+	if permit == nil || !h.entry.fleet.Contact(h.entry.timers.Now()) {
+		if permit != nil {
+			permit.Done(h.entry.timers.Now(), route.Result{
+				Kind: route.Canceled,
+			})
+		}
+		h.result <- nil
+		return
+	}
+	h.entry.counters.Retried(outcome.Hedge)
+	result := h.entry.attempt(h.ctx, h.call, permit)
+	h.mu.Lock()
+	lost := h.lost
+	if a, ok := result.(*answer); ok {
+		if lost {
+			a.discard()
+			result = nil
+		} else {
+			h.cancelFirst()
+		}
+	}
+	h.mu.Unlock()
+	h.result <- result
+}
+
+// settle chooses between the first attempt, which has ended, and the hedge.
+func (h *hedge) settle(first any) any {
+	if _, ok := first.(*answer); ok {
+		h.mu.Lock()
+		h.lost = true
+		h.mu.Unlock()
+		h.cancel()
+		select {
+		case second := <-h.result:
+			// Both have won.
+			if a, ok := second.(*answer); ok {
+				a.discard()
+			}
+		default:
+		}
+		return first
+	}
+	second := <-h.result
+	if a, ok := second.(*answer); ok {
+		h.entry.counters.hedgeWins.Inc()
+		return a
+	}
+	return first
+}
+
+// attempt sends a call to the target of the permit. It returns an *answer, *outcome.NotRun or *outcome.Unknown. The
+// permit ends with the attempt, that of a streamed answer with its end.
+func (e *Entry) attempt(ctx context.Context, c *call, permit *route.Permit) any {
+	start := e.timers.Now()
+	deadline := c.deadline
+	if !permit.Until.IsZero() && permit.Until.Before(deadline) {
+		deadline = permit.Until
+	}
+	if c.claim != nil && c.claim.Until().Before(deadline) {
+		deadline = c.claim.Until()
+	}
+	p := c.view.pools[permit.Target]
+	if p == nil {
+		permit.Done(start, route.Result{
+			Kind: route.Canceled,
+		})
+		return &outcome.NotRun{
+			Reason: outcome.Dial,
+		}
+	}
+	e.counters.dispatch.Inc()
+	o := p.Send(ctx, c.message(deadline.Sub(start)))
+	return e.receive(ctx, c, o, func(kind route.Kind, report outcome.Report, silent bool) {
+		now := e.timers.Now()
+		e.notify(permit.Done(now, route.Result{
+			Kind:    kind,
+			Latency: now.Sub(start),
+			Report:  report,
+			Silent:  silent,
+		}))
+	})
+}
+
+// message returns the call in the form that is sent to a target or to another entry.
+func (c *call) message(timeout time.Duration) *target.Call {
+	return &target.Call{
+		Method:     c.request.Method,
+		Path:       c.request.URL.RequestURI(),
+		Host:       c.request.Host,
+		Header:     c.request.Header,
+		Body:       c.body,
+		Idempotent: c.idempotent,
+		Timeout:    timeout,
+	}
+}
+
+// receive settles an outcome: it reads the first part of an answer, so that a break within it can be repaired before the
+// caller has seen anything. Done ends the attempt.
+func (e *Entry) receive(ctx context.Context, c *call, o outcome.Outcome, done func(route.Kind, outcome.Report, bool)) any {
+	switch o := o.(type) {
+	case *outcome.NotRun:
+		kind := route.Unsent
+		if o.Reason == outcome.Shed {
+			kind = route.Shed
+		}
+		done(kind, o.Report, false)
+		return o
+	case *outcome.Unknown:
+		kind := route.Failed
+		if ctx.Err() == context.Canceled {
+			kind = route.Canceled
+		}
+		done(kind, outcome.Report{}, o.Reason == outcome.Silent)
+		return o
+	case *outcome.Answered:
+		return e.buffer(ctx, c, o, done)
+	default:
+		panic(errors.AssertionFailedf("unknown outcome %T", o))
+	}
+}
+
+func (e *Entry) buffer(ctx context.Context, c *call, o *outcome.Answered, done func(route.Kind, outcome.Report, bool)) any {
+	a := &answer{
+		status: o.Status,
+		header: o.Header,
+		length: o.Length,
+	}
+	limit := int64(c.view.settings.Limits.Buffer)
+	size := o.Length
+	if size < 0 || size > limit {
+		size = min(limit, 4096)
+	}
+	kind := route.Succeeded
+	if o.Status >= http.StatusInternalServerError {
+		kind = route.Failed
+	}
+	prefix, whole, err := readPrefix(o.Body, size, limit)
+	switch {
+	case err != nil:
+		o.Body.Close()
+		reason := outcome.Truncated
+		failed := route.Failed
+		if ctx.Err() == context.Canceled {
+			reason, failed = outcome.Canceled, route.Canceled
+		}
+		done(failed, o.Report, false)
+		return &outcome.Unknown{
+			Reason: reason,
+		}
+	case whole:
+		o.Body.Close()
+		a.prefix = prefix
+		a.length = int64(len(prefix))
+		done(kind, o.Report, false)
+		return a
+	}
+	a.prefix = prefix
+	a.rest = o.Body
+	a.end = func(k route.Kind) {
+		if k == route.Succeeded {
+			k = kind
+		}
+		done(k, o.Report, false)
+	}
+	return a
+}
+
+// readPrefix reads up to limit bytes; whole means that the body has ended within them. The size is where the buffer
+// starts to grow from.
+func readPrefix(r io.Reader, size, limit int64) (prefix []byte, whole bool, err error) {
+	prefix = make([]byte, 0, size+1)
+	for {
+		n, err := r.Read(prefix[len(prefix):cap(prefix)])
+		prefix = prefix[:len(prefix)+n]
+		if err == io.EOF {
+			return prefix, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+		if int64(len(prefix)) > limit {
+			return prefix, false, nil
+		}
+		if len(prefix) == cap(prefix) {
+			prefix = append(prefix, 0)[:len(prefix)]
+		}
+	}
+}
--- /dev/null
+++ b/entry/background.go
@@ -0,0 +1,134 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// job is one piece of background work.
+type job struct {
+	name     string
+	interval time.Duration
+	run      func()
+}
+
+// jobs lists the background work of the entry itself. That of the fleet and of the ledger is registered there; the status
+// of an entry shows all of it.
+func (e *Entry) jobs() []job {
+	return []job{
+		{
+			name:     "probe cold targets",
+			interval: 500 * time.Millisecond,
+			run:      e.probeCold,
+		},
+		{
+			name:     "adjust capacity",
+			interval: 100 * time.Millisecond,
+			run:      e.expire,
+		},
+		{
+			name:     "trim connections",
+			interval: 5 * time.Second,
+			run:      e.trim,
+		},
+		{
+			name:     "list VMs",
+			interval: 2 * time.Second,
+			run:      e.listVMs,
+		},
+	}
+}
+
+func (e *Entry) background() {
+	for _, j := range e.jobs() {
+		e.tasks.Go(func() {
+			sub := e.timers.Every(j.name, j.interval)
+			defer sub.Stop()
+			for {
+				select {
+				case <-sub.C:
+					j.run()
+				case <-e.done:
+					return
+				}
+			}
+		})
+	}
+	e.tasks.Go(e.follow)
+}
+
+// follow derives a new view at each change of the accepted state.
+func (e *Entry) follow() {
+	for {
+		changed := e.fleet.Changed()
+		e.refresh()
+		select {
+		case <-changed:
+		case <-e.fleet.Done():
+			if err := e.fleet.Err(); err != nil {
+				e.log.Error("left the fleet", zap.Error(err))
+			}
+			return
+		case <-e.done:
+			return
+		}
+	}
+}
+
+// probeCold reads the load of cold targets that this entry owns, because without traffic nothing else tells when their
+// cold start has ended. A target that has answered within the last second is not probed.
+func (e *Entry) probeCold() {
+	now := e.timers.Now()
+	for name, p := range e.view.Load().pools {
+		if !e.table.Cold(name) {
+			continue
+		}
+		if _, owned := e.fleet.Owns(now, name); !owned {
+			continue
+		}
+		e.tasks.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			// A failed probe shows in the target's phase and is repeated.
+			if report, err := p.Probe(ctx); err == nil {
+				e.notify(e.table.Observe(e.timers.Now(), name, report))
+			}
+		})
+	}
+}
+
+func (e *Entry) expire() {
+	now := e.timers.Now()
+	for _, s := range e.view.Load().services {
+		e.adjust(now, s)
+		s.scheduler.Expire(now)
+	}
+}
+
+func (e *Entry) trim() {
+	for _, p := range e.view.Load().pools {
+		p.Trim()
+	}
+}
+
+// listVMs takes targets that the platform lists as leaving out of selection. The list names targets by their VMs' names
+// or addresses.
+func (e *Entry) listVMs() {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	vms, err := e.opts.Platform.VMs().List(ctx)
+	if err != nil {
+		return
+	}
+	v := e.view.Load()
+	for _, vm := range vms {
+		if !vm.Leaving {
+			continue
+		}
+		if _, ok := v.pools[vm.Name]; ok {
+			e.table.Leaving(vm.Name)
+		}
+	}
+}
--- a/entry/counters.go
+++ b/entry/counters.go
@@ -23,6 +23,9 @@
 	replays   *metrics.Counter
 	breaks    *metrics.Counter
 	hedgeWins *metrics.Counter
+	falls     *metrics.Counter
+	warmed    *metrics.Counter
+	probes    *metrics.Counter
 	duration  *metrics.Histogram
 }
 
@@ -40,6 +43,9 @@
 		replays:   set.NewCounter("skylarkbeam_replays_total"),
 		breaks:    set.NewCounter("skylarkbeam_broken_answers_total"),
 		hedgeWins: set.NewCounter("skylarkbeam_hedge_wins_total"),
+		falls:     set.NewCounter("skylarkbeam_target_falls_total"),
+		warmed:    set.NewCounter("skylarkbeam_targets_warmed_total"),
+		probes:    set.NewCounter("skylarkbeam_probes_total"),
 		duration:  set.NewHistogram("skylarkbeam_call_seconds"),
 	}
 	for _, r := range outcome.Refusals {
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,131 @@
+// Package entry is the process on an entry VM: it takes calls from callers, sends them to targets and returns whole
+// answers.
+//
+// An Entry puts the other packages together. For each call it asks in this order: whether the entry may send new work
+// (fleet), whether the caller's call goes next (share), whether a non-idempotent call may run (claim), which target gets
+// it (route), and what became of it (target). Each refusal and each retry is counted by its reason.
+//
+// # Usage
+//
+//	e, err := entry.Assemble(entry.Options{
+//		Name:     "entry1",
+//		Domain:   "cairns",
+//		Caller:   netip.MustParseAddrPort("10.0.0.1:80"),
+//		Control:  netip.MustParseAddrPort("10.0.0.1:81"),
+//		Platform: client,
+//		Logger:   logger,
+//	})
+//	if err != nil {
+//		return err
+//	}
+//	e.Start()
+//	<-ctx.Done()
+//	e.Shutdown(context.Background())
+package entry
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"skylarkbeam/claim"
+	"skylarkbeam/fleet"
+	"skylarkbeam/outcome"
+	"skylarkbeam/route"
+	"skylarkbeam/target"
+	"skylarkbeam/timer"
+)
+
+// Entry is one entry process. Assemble returns a new one.
+type Entry struct {
+	opts     Options
+	timers   *timer.Service
+	log      *zap.Logger
+	counters *Counters
+	fleet    *fleet.Fleet
+	peers    *fleet.Client
+	ledger   *claim.Ledger
+	table    *route.Table
+	started  time.Time
+
+	view atomic.Pointer[view]
+
+	mu      sync.Mutex
+	budgets map[string]*target.Budget
+	relays  map[string]*relay
+	vms     map[string]bool // targets that the platform lists as leaving
+
+	listeners     *listeners
+	callerServer  *http.Server
+	controlServer *http.Server
+
+	leaving  atomic.Bool
+	inflight atomic.Int64
+	done     chan struct{}
+	stopOnce sync.Once
+	tasks    sync.WaitGroup
+}
+
+// New puts an entry together from its parts. Start makes it serve.
+func New(opts Options, timers *timer.Service, counters *Counters, l *listeners, peers *fleet.Client, f *fleet.Fleet, ledger *claim.Ledger, table *route.Table) *Entry {
+	e := &Entry{
+		opts:      opts,
+		timers:    timers,
+		log:       opts.Logger.With(zap.String("entry", opts.Name)),
+		counters:  counters,
+		listeners: l,
+		fleet:     f,
+		peers:     peers,
+		ledger:    ledger,
+		table:     table,
+		started:   timers.Now(),
+		budgets:   map[string]*target.Budget{},
+		relays:    map[string]*relay{},
+		vms:       map[string]bool{},
+		done:      make(chan struct{}),
+	}
+	e.view.Store(&view{})
+	table.SetOwner(f.Owns)
+	e.gauges()
+	return e
+}
+
+// Done is closed when the entry has stopped.
+func (e *Entry) Done() <-chan struct{} { return e.done }
+
+// gauges registers the values that are computed when the metrics are read.
+func (e *Entry) gauges() {
+	e.counters.Gauge("skylarkbeam_calls_in_flight", func() float64 { return float64(e.inflight.Load()) })
+	e.counters.Gauge("skylarkbeam_state_version", func() float64 { return float64(e.fleet.State().Version) })
+	e.counters.Gauge("skylarkbeam_contact", func() float64 {
+		if e.fleet.Contact(e.timers.Now()) {
+			return 1
+		}
+		return 0
+	})
+}
+
+// notify passes a change of a target's phase on to the other entries.
+func (e *Entry) notify(event route.Event) {
+	switch ev := event.(type) {
+	case nil:
+	case route.Fell:
+		e.counters.falls.Inc()
+		e.log.Info("target is cold", zap.String("target", ev.Target), zap.String("instance", ev.Instance))
+		e.fleet.Sighting(ev.Target, ev.Instance)
+	case route.Warmed:
+		e.counters.warmed.Inc()
+		e.log.Info("target is warm", zap.String("target", ev.Target), zap.String("instance", ev.Instance))
+		e.fleet.Announce(ev.Target, ev.Instance)
+	}
+}
+
+// sighted is called when another entry has seen an instance of a target that this entry owns.
+func (e *Entry) sighted(name, instance string) {
+	e.table.Observe(e.timers.Now(), name, outcome.Report{
+		Instance: instance,
+	})
+}
--- a/entry/header.go
+++ b/entry/header.go
@@ -5,8 +5,6 @@
 	headerCaller   = "Skylarkbeam-Caller"
 	headerTimeout  = "Skylarkbeam-Timeout"
 	headerKey      = "Idempotency-Key"
-	headerKeyX     = "X-Idempotency-Key"
-	headerSentKey  = "Skylarkbeam-Key"
 	headerOutcome  = "Skylarkbeam-Outcome"
 	headerReason   = "Skylarkbeam-Reason"
 	headerReplayed = "Skylarkbeam-Replayed"
--- /dev/null
+++ b/entry/options.go
@@ -0,0 +1,29 @@
+package entry
+
+import (
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"skylarkbeam/platform"
+)
+
+// Options are what a process knows before it has read the accepted settings.
+type Options struct {
+	// Name is the entry's name in the settings, Domain its failure domain.
+	Name   string
+	Domain string
+	// Caller is the address for callers, Control the one for peers, operators and metrics.
+	Caller  netip.AddrPort
+	Control netip.AddrPort
+	// Platform holds everything that must outlive the process.
+	Platform platform.Platform
+	// Seeds are control addresses of other entries, to start from while the platform is down.
+	Seeds []netip.AddrPort
+	// Contact is how old a confirmation of the accepted state may be; the default is 4 s.
+	Contact time.Duration
+	// Serve keeps an entry without contact in service. Drained failure domains can then receive new work.
+	Serve  bool
+	Logger *zap.Logger
+}
--- /dev/null
+++ b/entry/provide.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+
+	"go.uber.org/zap"
+
+	"skylarkbeam/claim"
+	"skylarkbeam/fleet"
+	"skylarkbeam/route"
+	"skylarkbeam/timer"
+)
+
+// callbacks breaks the cycle between the fleet, which reports sightings and warm targets, and the entry, which acts on
+// them. The entry is set before the first call arrives.
+type callbacks struct {
+	ready chan struct{}
+	entry *Entry
+}
+
+func newCallbacks() *callbacks {
+	return &callbacks{
+		ready: make(chan struct{}),
+	}
+}
+
+func (c *callbacks) seen(target, instance string) {
+	<-c.ready
+	c.entry.sighted(target, instance)
+}
+
+func (c *callbacks) warmed(target, instance string) {
+	<-c.ready
+	c.entry.table.SetWarm(c.entry.timers.Now(), target, instance)
+}
+
+func newPeers(counters *Counters) *fleet.Client {
+	return fleet.NewClient(counters.set)
+}
+
+func newFleet(opts Options, timers *timer.Service, counters *Counters, l *listeners, peers *fleet.Client, c *callbacks) *fleet.Fleet {
+	return fleet.Open(fleet.Options{
+		Platform: opts.Platform,
+		Timers:   timers,
+		Name:     opts.Name,
+		Domain:   opts.Domain,
+		Caller:   addressOf(l.caller),
+		Control:  addressOf(l.control),
+		Check:    checkSettings,
+		Peers:    peers,
+		Seeds:    opts.Seeds,
+		Contact:  opts.Contact,
+		Serve:    opts.Serve,
+		Seen:     c.seen,
+		Warmed:   c.warmed,
+		Metrics:  counters.set,
+		Logger:   opts.Logger.With(zap.String("entry", opts.Name)),
+	})
+}
+
+func newLedger(opts Options, timers *timer.Service) *claim.Ledger {
+	return claim.Open(claim.Options{
+		Table:       opts.Platform,
+		Entry:       opts.Name,
+		Incarnation: hex.EncodeToString(random()),
+		Timers:      timers,
+	})
+}
+
+func newTable() *route.Table {
+	return route.New(route.Options{
+		Seed: binary.BigEndian.Uint64(random()),
+	})
+}
+
+func random() []byte {
+	b := make([]byte, 8)
+	// Read never fails, see crypto/rand.
+	rand.Read(b)
+	return b
+}
+
+// connect finishes the assembly: from here on the fleet's callbacks reach the entry.
+func connect(opts Options, timers *timer.Service, counters *Counters, l *listeners, peers *fleet.Client, f *fleet.Fleet, ledger *claim.Ledger, table *route.Table, c *callbacks) *Entry {
+	c.entry = New(opts, timers, counters, l, peers, f, ledger, table)
+	close(c.ready)
+	return c.entry
+}
--- /dev/null
+++ b/entry/view.go
@@ -0,0 +1,206 @@
+package entry
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"skylarkbeam/outcome"
+	"skylarkbeam/route"
+	"skylarkbeam/setting"
+	"skylarkbeam/share"
+	"skylarkbeam/target"
+)
+
+const (
+	// quotaRaise is how long a higher probe quota waits for the other entries to lower theirs: the limit within which a
+	// change is in force everywhere.
+	quotaRaise = 16 * time.Second
+	// silenceFloor is the shortest time that an idempotent call waits for the first byte on a reused connection.
+	silenceFloor = 100 * time.Millisecond
+	// silenceFactor is that time in multiples of the usual work of the service.
+	silenceFactor = 10
+)
+
+// view is what an entry derives from one version of the accepted state. It is immutable; its parts have locks of their
+// own and are carried over from one view to the next.
+type view struct {
+	version  uint64
+	settings *setting.Settings
+	services map[string]*service
+	pools    map[string]*pool
+}
+
+// service is one service at this entry.
+type service struct {
+	name      string
+	spec      setting.Service
+	scheduler *share.Scheduler
+	// adjusted is when the scheduler last got its capacity, in Unix nanoseconds.
+	adjusted atomic.Int64
+}
+
+// pool is the connection pool of a target with the settings it was made from.
+type pool struct {
+	*target.Pool
+	spec        setting.Target
+	connections int
+}
+
+// refresh derives a new view if the accepted state is newer than the present one.
+func (e *Entry) refresh() {
+	state := e.fleet.State()
+	old := e.view.Load()
+	if state.Settings == nil || old.settings != nil && state.Version == old.version {
+		return
+	}
+	settings, err := setting.Parse(state.Settings)
+	if err != nil {
+		// Entries check settings before they accept them, so this takes a newer program that accepts more.
+		e.log.Error("accepted settings cannot be read", zap.Uint64("version", state.Version), zap.Error(err))
+		return
+	}
+	now := e.timers.Now()
+	next := &view{
+		version:  state.Version,
+		settings: settings,
+		services: map[string]*service{},
+		pools:    map[string]*pool{},
+	}
+	var targets []route.Target
+	for name, spec := range settings.Services {
+		next.services[name] = e.service(old, name, spec)
+		for targetName, t := range spec.Targets {
+			next.pools[targetName] = e.pool(now, old, settings, spec, targetName, t)
+			targets = append(targets, route.Target{
+				Name:     targetName,
+				Service:  name,
+				Domain:   t.Domain,
+				Address:  t.Address,
+				Slots:    firstPositive(t.Slots, spec.Slots),
+				Bear:     firstPositive(t.Bear, spec.Cold.Bear),
+				ColdTime: time.Duration(spec.Cold.Time),
+				Drained:  slices.Contains(state.Domains, t.Domain) || slices.Contains(state.Targets, targetName),
+			})
+		}
+	}
+	e.table.SetEntries(len(settings.Entries))
+	e.table.SetTargets(now, targets)
+	for name := range next.pools {
+		e.table.SetWarm(now, name, e.fleet.Warm(name))
+	}
+	e.view.Store(next)
+	for name, p := range old.pools {
+		if next.pools[name] != p {
+			p.Close()
+		}
+	}
+	e.adjustAll(now)
+	e.log.Info("state in force", zap.Uint64("version", state.Version), zap.String("who", state.Who), zap.String("what", state.What))
+}
+
+func firstPositive(values ...int) int {
+	for _, v := range values {
+		if v > 0 {
+			return v
+		}
+	}
+	return 0
+}
+
+func (e *Entry) service(old *view, name string, spec setting.Service) *service {
+	s := &service{
+		name: name,
+		spec: spec,
+	}
+	if have := old.services[name]; have != nil {
+		s.scheduler = have.scheduler
+		return s
+	}
+	s.scheduler = share.New(share.Options{
+		Share: e.share,
+		Work:  time.Duration(spec.Work),
+		Now:   e.timers.Now,
+	})
+	return s
+}
+
+// share returns the fraction of a service's capacity that is owed to a caller.
+func (e *Entry) share(caller string) float64 {
+	settings := e.view.Load().settings
+	if settings == nil {
+		return 0
+	}
+	return settings.Classes[settings.Callers[caller].Class].Share
+}
+
+func (e *Entry) pool(now time.Time, old *view, settings *setting.Settings, spec setting.Service, name string, t setting.Target) *pool {
+	entries := max(len(settings.Entries), 1)
+	connections := max(spec.Connections/entries, 1)
+	budget := e.budget(now, name, spec.Probes/entries)
+	if have := old.pools[name]; have != nil && have.spec == t && have.connections == connections {
+		return have
+	}
+	return &pool{
+		Pool: target.New(target.Options{
+			Name:        name,
+			Address:     t.Address,
+			Connections: connections,
+			Probes:      budget,
+			Timers:      e.timers,
+			Silence:     max(silenceFactor*time.Duration(spec.Work), silenceFloor),
+			OnReport:    func(r outcome.Report) { e.reported(name, r) },
+			OnRetry:     e.counters.Retried,
+		}),
+		spec:        t,
+		connections: connections,
+	}
+}
+
+// budget returns the probe budget of a target, which outlives its pools.
+func (e *Entry) budget(now time.Time, name string, quota int) *target.Budget {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b := e.budgets[name]
+	if b == nil {
+		b = target.NewBudget(quota, e.started)
+		b.SetGate(e.mayProbe)
+		e.budgets[name] = b
+		return b
+	}
+	b.Set(quota, now.Add(quotaRaise))
+	return b
+}
+
+// mayProbe tells whether the entry may use its part of the probe budgets now.
+func (e *Entry) mayProbe(now time.Time) bool {
+	if !e.fleet.Contact(now) || !e.fleet.Probes(now) {
+		return false
+	}
+	e.counters.probes.Inc()
+	return true
+}
+
+// reported takes note of reports that come with connection checks and load reads.
+func (e *Entry) reported(name string, r outcome.Report) {
+	e.notify(e.table.Observe(e.timers.Now(), name, r))
+}
+
+// adjust tells the scheduler of a service how many calls this entry should have in flight. At most once in a
+// hundredth of a second, because it takes the locks of both.
+func (e *Entry) adjust(now time.Time, s *service) {
+	const interval = 10 * time.Millisecond
+	last := s.adjusted.Load()
+	if now.UnixNano()-last < int64(interval) || !s.adjusted.CompareAndSwap(last, now.UnixNano()) {
+		return
+	}
+	s.scheduler.SetCapacity(now, e.table.Capacity(now, s.name))
+}
+
+func (e *Entry) adjustAll(now time.Time) {
+	for _, s := range e.view.Load().services {
+		e.adjust(now, s)
+	}
+}
--- a/route/table.go
+++ b/route/table.go
@@ -179,6 +179,13 @@
 	if report.Instance == x.instance {
 		x.setLoad(now, report)
 	}
+	if e != nil || x.isWarm() {
+		return e
+	}
+	// The cold start of a target without calls ends by time alone, under the same conditions.
+	if _, owned := x.own(now); owned {
+		e = x.warmed(now, report)
+	}
 	return e
 }
 
@@ -261,3 +268,14 @@
 	defer s.mu.Unlock()
 	return s.capacity(now)
 }
+
+// Cold tells whether a target in operation is not known to be warm.
+func (t *Table) Cold(name string) bool {
+	x := t.view.Load().targets[name]
+	if x == nil {
+		return false
+	}
+	x.service.mu.Lock()
+	defer x.service.mu.Unlock()
+	return !x.Drained && !x.leaving && !x.isWarm()
+}
--- a/target/budget.go
+++ b/target/budget.go
@@ -22,6 +22,7 @@
 	next   int       // quota from the time of raise on
 	raise  time.Time // zero if no change is due
 	from   time.Time // no probe before
+	gate   func(now time.Time) bool
 	flying int
 	until  []time.Time // when ended probes stop counting, in no order
 }
@@ -49,6 +50,14 @@
 	b.raise = from
 }
 
+// SetGate makes every probe also depend on gate, which is asked at the moment of the probe and must not block. An entry
+// that woke from a pause learns in this way that its quota may belong to another process by now.
+func (b *Budget) SetGate(gate func(now time.Time) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.gate = gate
+}
+
 // Hold allows no probe before the given time.
 func (b *Budget) Hold(until time.Time) {
 	b.mu.Lock()
@@ -66,6 +75,9 @@
 	if now.Before(b.from) {
 		return b.from.Sub(now), false
 	}
+	if b.gate != nil && !b.gate(now) {
+		return window, false
+	}
 	if !b.raise.IsZero() && !now.Before(b.raise) {
 		b.quota = b.next
 		b.raise = time.Time{}
