--- /dev/null
+++ b/claim/ledger_test.go
@@ -0,0 +1,195 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkbeam/platform"
+	"skylarkbeam/timer"
+)
+
+// world is a table with ledgers, inside a bubble of synctest.
+type world struct {
+	t      *testing.T
+	timers *timer.Service
+	table  *platform.Memory
+	opened int
+}
+
+// simulate runs a test in simulated time.
+func simulate(t *testing.T, run func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		timers := timer.New()
+		run(&world{
+			t:      t,
+			timers: timers,
+			table:  platform.NewMemory(timers),
+		})
+	})
+}
+
+// open returns a ledger that is registered and waits for calls.
+func (w *world) open(entry string, off mechanisms) *Ledger {
+	w.opened++
+	l := Open(Options{
+		Table:       w.table,
+		Entry:       entry,
+		Incarnation: fmt.Sprintf("%s-%d", entry, w.opened),
+		Timers:      w.timers,
+		disabled:    off,
+	})
+	w.t.Cleanup(func() {
+		l.Close()
+		<-l.Done()
+	})
+	w.sleep(time.Second)
+	return l
+}
+
+func (w *world) faults(f platform.Faults) { assert.NilError(w.t, w.table.SetFaults(f)) }
+
+func (w *world) sleep(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func take(l *Ledger, key string) Decision { return l.Take(context.Background(), key, "digest") }
+
+func mustGrant(t *testing.T, d Decision) *Claim {
+	t.Helper()
+	g, ok := d.(*Granted)
+	assert.Assert(t, ok, "have %#v, want a granted claim", d)
+	return g.Claim
+}
+
+// name describes a decision in a word or two.
+func name(d Decision) string {
+	switch d := d.(type) {
+	case *Granted:
+		return "granted"
+	case *Done:
+		return fmt.Sprintf("done %d %s%.9s omitted=%v", d.Status, d.Header.Get("Content-Type"), d.Body, d.Omitted)
+	case *Busy:
+		return "busy " + d.Entry
+	case *Mismatch:
+		return "mismatch"
+	default:
+		return "unavailable"
+	}
+}
+
+// Guards against a repeat that is run again, and against one that does not get the answer of the first call. With the
+// checks of versions switched off, another entry runs the repeat.
+func TestRepeat(t *testing.T) {
+	nothing := func(*Claim) {}
+	finish := func(c *Claim) { c.Finish(201, "text/plain", []byte("booked")) }
+	large := func(c *Claim) { c.Finish(201, "", []byte(strings.Repeat("x", MaxAnswer+1))) }
+	tests := []struct {
+		name   string
+		end    func(*Claim)
+		wait   time.Duration
+		digest string
+		off    mechanisms
+		same   string // want at the same ledger
+		other  string // want at another ledger, unless it depends on the order of two transactions
+	}{
+		{
+			name:  "running",
+			end:   nothing,
+			wait:  time.Hour,
+			same:  "busy a",
+			other: "busy a",
+		},
+		{
+			name: "finished just now",
+			end:  finish,
+			same: "done 201 text/plainbooked omitted=false",
+		},
+		{
+			name:  "finished",
+			end:   finish,
+			wait:  time.Second,
+			same:  "done 201 text/plainbooked omitted=false",
+			other: "done 201 text/plainbooked omitted=false",
+		},
+		{
+			name:  "finished with a large answer",
+			end:   large,
+			wait:  time.Second,
+			same:  "done 201  omitted=true",
+			other: "done 201  omitted=true",
+		},
+		{
+			name: "released just now",
+			end:  (*Claim).Release,
+			same: "unavailable",
+		},
+		{
+			name:  "released",
+			end:   (*Claim).Release,
+			wait:  time.Second,
+			same:  "granted",
+			other: "busy a",
+		},
+		{
+			name:  "abandoned",
+			end:   (*Claim).Abandon,
+			wait:  23 * time.Hour,
+			same:  "busy a",
+			other: "busy a",
+		},
+		{
+			name:   "another request",
+			end:    nothing,
+			digest: "other",
+			wait:   time.Second,
+			same:   "mismatch",
+			other:  "mismatch",
+		},
+		{
+			name:   "another request, finished",
+			end:    finish,
+			digest: "other",
+			wait:   time.Second,
+			same:   "mismatch",
+			other:  "mismatch",
+		},
+		{
+			name: "running, checks off",
+			end:  nothing,
+			off: mechanisms{
+				check: true,
+			},
+			same:  "busy a",
+			other: "granted",
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			simulate(t, func(w *world) {
+				a, b := w.open("a", test.off), w.open("b", test.off)
+				if test.digest == "" {
+					test.digest = "digest"
+				}
+				c := mustGrant(t, take(a, "k"))
+				assert.Equal(t, name(take(a, "k")), "busy a")
+				w.sleep(time.Second) // The next group waits for its turn no longer.
+				test.end(c)
+				if test.wait > 0 {
+					w.sleep(test.wait)
+				}
+				assert.Equal(t, name(a.Take(context.Background(), "k", test.digest)), test.same)
+				if test.other != "" {
+					assert.Equal(t, name(b.Take(context.Background(), "k", test.digest)), test.other)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/claim/pace.go
@@ -0,0 +1,25 @@
+package claim
+
+import "time"
+
+const (
+	// minSpacing keeps one entry at 50 transactions a second, so that six entries stay at the platform's 300 writes.
+	minSpacing = 20 * time.Millisecond
+	maxSpacing = 160 * time.Millisecond
+)
+
+// pace spaces the transactions of a ledger. A transaction that goes at once, as a retry does, delays the later ones.
+type pace struct {
+	next    time.Time
+	spacing time.Duration
+}
+
+func (p *pace) spend(now time.Time) {
+	if p.next.Before(now) {
+		p.next = now
+	}
+	p.next = p.next.Add(p.spacing)
+}
+
+func (p *pace) throttled() { p.spacing = min(2*p.spacing, maxSpacing) }
+func (p *pace) accepted()  { p.spacing = max(p.spacing*7/8, minSpacing) }
--- /dev/null
+++ b/claim/run.go
@@ -0,0 +1,316 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"skylarkbeam/platform"
+)
+
+// run writes groups until the ledger is closed.
+func (l *Ledger) run() {
+	defer close(l.done)
+	defer l.refuseAll()
+	probe := l.options.Timers.Every("claim probe", probeInterval)
+	defer probe.Stop()
+	l.commitGroup() // Registers the ledger before the first call comes.
+	for {
+		select {
+		case <-l.wake:
+			if !l.isDown() && l.waitTurn() {
+				l.commitGroup()
+			}
+		case <-probe.C:
+			if l.isDown() {
+				l.probe()
+			}
+		case <-l.stop:
+			l.drain()
+			return
+		}
+	}
+}
+
+// drain writes what is queued when the ledger closes.
+func (l *Ledger) drain() {
+	deadline := l.options.Timers.Now().Add(closeLimit)
+	for l.queued() > 0 || l.pending != nil {
+		if l.options.Timers.Now().After(deadline) {
+			return
+		}
+		if l.isDown() {
+			l.probe()
+			l.pace.spend(l.options.Timers.Now())
+		} else {
+			l.commitGroup()
+		}
+		time.Sleep(l.pace.next.Sub(l.options.Timers.Now()))
+	}
+}
+
+func (l *Ledger) queued() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.queue)
+}
+
+func (l *Ledger) isDown() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.down
+}
+
+// waitTurn waits until the next transaction may start and returns false if the ledger is closed meanwhile.
+func (l *Ledger) waitTurn() bool {
+	wait := l.pace.next.Sub(l.options.Timers.Now())
+	if wait <= 0 {
+		return true
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-l.stop:
+		return false
+	}
+}
+
+// commitGroup commits what is queued. A group that conflicts is retried at once without the writes that conflicted.
+func (l *Ledger) commitGroup() {
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	writes := l.collect()
+	if !l.register(ctx) {
+		l.requeue(writes)
+		l.goDown()
+		return
+	}
+	for len(writes) > 0 {
+		writes = l.attempt(ctx, writes)
+	}
+	l.wakeIfQueued()
+}
+
+// collect takes the next writes from the queue and refuses the calls that have waited for too long.
+func (l *Ledger) collect() []*write {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	horizon := l.options.Timers.Now().Add(-waitLimit)
+	var writes []*write
+	for len(l.queue) > 0 && len(writes) < maxWrites {
+		w := l.queue[0]
+		l.queue = l.queue[1:]
+		if w.isTake() && (w.answered || w.start.Before(horizon)) {
+			l.drop(w)
+			continue
+		}
+		writes = append(writes, w)
+	}
+	return writes
+}
+
+// drop ends a take that is certainly not in the table.
+func (l *Ledger) drop(w *write) {
+	w.reply(unavailable())
+	delete(l.held, w.key)
+}
+
+func (l *Ledger) requeue(writes []*write) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queue = append(writes, l.queue...)
+}
+
+func (l *Ledger) wakeIfQueued() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.queue) > 0 {
+		select {
+		case l.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (l *Ledger) nonce() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sequence++
+	return fmt.Sprintf("%s.%d", l.options.Incarnation, l.sequence)
+}
+
+// register writes the group row if its version is not known. No claim depends on the check that the row is absent,
+// because that check, unlike one for a version, could hold again.
+func (l *Ledger) register(ctx context.Context) bool {
+	for l.version == 0 {
+		if ctx.Err() != nil {
+			return false
+		}
+		now := l.options.Timers.Now()
+		l.pace.spend(now)
+		result, err := l.commit(ctx, l.fence(l.nonce(), now))
+		if err != nil {
+			if platform.KindOf(err) != platform.Lost {
+				return false
+			}
+			continue
+		}
+		l.adopt(result)
+	}
+	return true
+}
+
+// adopt takes over the version of the group row from the result of a transaction.
+func (l *Ledger) adopt(result platform.Result) {
+	switch r := result.(type) {
+	case *platform.Committed:
+		l.version = r.Versions[l.groupKey]
+	case *platform.Conflict:
+		for _, row := range r.Rows {
+			if row.Key == l.groupKey {
+				l.version = row.Version
+			}
+		}
+	}
+}
+
+func (l *Ledger) commit(ctx context.Context, tx platform.Transaction) (platform.Result, error) {
+	transactions.Inc()
+	return l.options.Table.Commit(ctx, tx)
+}
+
+// attempt commits one group and returns the writes to retry at once.
+func (l *Ledger) attempt(ctx context.Context, writes []*write) []*write {
+	g := &group{
+		nonce:  l.nonce(),
+		start:  l.options.Timers.Now(),
+		writes: writes,
+	}
+	l.pace.spend(g.start)
+	result, err := l.commit(ctx, l.transaction(g))
+	if err != nil {
+		l.failed(ctx, g, err)
+		return nil
+	}
+	l.pace.accepted()
+	switch r := result.(type) {
+	case *platform.Committed:
+		l.adopt(r)
+		l.landed(g, r.Versions)
+		return nil
+	case *platform.Conflict:
+		return l.split(ctx, g, r)
+	default:
+		panic(fmt.Sprintf("unknown result %T", result))
+	}
+}
+
+func (l *Ledger) failed(ctx context.Context, g *group, err error) {
+	switch platform.KindOf(err) {
+	case platform.Throttled:
+		l.pace.throttled()
+		l.requeue(g.writes)
+	case platform.Down:
+		l.requeue(g.writes)
+		l.goDown()
+	case platform.Invalid, platform.Missing:
+		// The platform rejects this group for good, so its calls are refused instead of retried.
+		l.pace.throttled()
+		l.requeue(g.writes)
+		l.refuseAll()
+	default:
+		lost.Inc()
+		l.pending = g
+		l.resolve(ctx)
+	}
+}
+
+// split settles the writes that conflicted and returns the others.
+func (l *Ledger) split(ctx context.Context, g *group, c *platform.Conflict) []*write {
+	rows := map[string]platform.Row{}
+	for _, row := range c.Rows {
+		rows[row.Key] = row
+	}
+	if row, ok := rows[l.groupKey]; ok {
+		if readGroup(row) == g.nonce {
+			// The transaction was delivered twice.
+			l.pending = g
+			l.resolve(ctx)
+			return nil
+		}
+		l.version = row.Version
+		if !l.register(ctx) {
+			l.requeue(g.writes)
+			l.goDown()
+			return nil
+		}
+		return g.writes
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	others := make([]*write, 0, len(g.writes))
+	for _, w := range g.writes {
+		if row, ok := rows[claimPrefix+w.key]; ok {
+			l.conflicted(w, row)
+		} else {
+			others = append(others, w)
+		}
+	}
+	return others
+}
+
+func (l *Ledger) conflicted(w *write, r platform.Row) {
+	delete(l.held, w.key)
+	if !w.isTake() {
+		lapsed.Inc()
+		return
+	}
+	w.reply(readRow(r).decide(w.row.Digest))
+}
+
+// landed settles a group that is in the table.
+func (l *Ledger) landed(g *group, versions map[string]uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, w := range g.writes {
+		version := versions[claimPrefix+w.key]
+		switch {
+		case !w.isTake():
+			delete(l.held, w.key)
+		case version == 0:
+			l.drop(w) // The claim has expired before it was read back.
+		case w.answered:
+			l.free(w, version)
+		default:
+			l.grant(g, w, version)
+		}
+	}
+}
+
+func (l *Ledger) grant(g *group, w *write, version uint64) {
+	l.held[w.key] = holding{
+		row:   *w.row,
+		phase: phaseGranted,
+	}
+	w.reply(&Granted{
+		Claim: &Claim{
+			ledger:  l,
+			key:     w.key,
+			row:     *w.row,
+			version: version,
+			until:   g.start.Add(expiry - expiryMargin),
+		},
+	})
+}
+
+// free deletes a claim that is in the table although its call was refused.
+func (l *Ledger) free(w *write, version uint64) {
+	freed.Inc()
+	l.push(&write{
+		key:     w.key,
+		version: version,
+		start:   l.options.Timers.Now(),
+	})
+}
