Prove the outcomes of the pool against counted runs

Each rule of the pool needs a test that shows the fault it prevents. Switches that only tests can set turn single mechanisms off. A load read that gets no answer in time goes on in the background and counts against the budget, because a paused target runs it when it wakes. The stand-in's cut in a chunked body of one byte sent the final chunk, so the answer was whole to any reader; it now announces the whole body as one chunk and sends half of it.

--- a/standin/fault.go
+++ b/standin/fault.go
@@ -40,7 +40,8 @@
 	FaultCut Fault = "cut"
 	// FaultChunk closes the connection in the middle of a chunked body.
 	FaultChunk Fault = "chunk"
-	// FaultPlain sends a whole body with neither Content-Length nor chunking, and closes the connection.
+	// FaultPlain closes the connection in the middle of a body with neither Content-Length nor chunking, where nothing
+	// but the close marks the end.
 	FaultPlain Fault = "plain"
 	// FaultLate answers after Delay, whether or not the call was given up.
 	FaultLate Fault = "late"
@@ -134,11 +135,14 @@
 		_, _ = io.Copy(nc, half)
 	case FaultChunk:
 		_, _ = nc.Write(t.head(a, "Transfer-Encoding: chunked"))
-		data, _ := io.ReadAll(half)
-		fmt.Fprintf(nc, "%x\r\n%s\r\n", len(data), data)
+		if a.content.size > 0 {
+			// A chunk of length zero would end the body.
+			fmt.Fprintf(nc, "%x\r\n", a.content.size)
+			_, _ = io.Copy(nc, half)
+		}
 	case FaultPlain:
 		_, _ = nc.Write(t.head(a, "Connection: close"))
-		_, _ = io.Copy(nc, a.content)
+		_, _ = io.Copy(nc, half)
 	case FaultGarbage:
 		_, _ = io.WriteString(nc, "\x16\x03\x01 this is not HTTP\r\n\r\n")
 	case FaultTwice:
--- a/target/budget.go
+++ b/target/budget.go
@@ -5,13 +5,8 @@
 	"time"
 )
 
-const (
-	// window is the length of the sliding window of a probe budget. The value is part of the design (2.7).
-	window = time.Second
-	// abandonedHold is how long a probe that was given up counts after that. Its request may still lie in the
-	// socket of a target that is paused; it then reaches the target's handler when the target wakes.
-	abandonedHold = 10 * time.Second
-)
+// window is the length of the sliding window of a probe budget. The value is part of the design (2.7).
+const window = time.Second
 
 // Budget limits the probes of one entry at one target: load reads and connection checks together. At most quota probes
 // count at any moment, where a probe counts from its start until one second after its end. So a target sees at most
@@ -87,17 +82,12 @@
 	return 0, true
 }
 
-// Done ends a probe. Abandoned says that it was given up while the target may still have to run it; such a probe counts
-// for ten seconds.
-func (b *Budget) Done(now time.Time, abandoned bool) {
-	hold := window
-	if abandoned {
-		hold = abandonedHold
-	}
+// Done ends a probe. End is the last moment at which it may have run at the target.
+func (b *Budget) Done(end time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.end()
-	b.until = append(b.until, now.Add(hold))
+	b.until = append(b.until, end.Add(window))
 }
 
 // Cancel ends a probe of which nothing was sent.
--- /dev/null
+++ b/target/budget_test.go
@@ -0,0 +1,203 @@
+package target
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"skylarkbeam/standin"
+)
+
+// limiter is what the property of the budget is checked on.
+type limiter interface {
+	Take(now time.Time) (time.Duration, bool)
+	Done(end time.Time)
+}
+
+// fixedWindow counts probes by the second in which they start, which is the usual limiter that is not exact.
+type fixedWindow struct {
+	quota, taken int
+	second       time.Time
+}
+
+func (f *fixedWindow) Take(now time.Time) (time.Duration, bool) {
+	if s := now.Truncate(time.Second); s != f.second {
+		f.second, f.taken = s, 0
+	}
+	if f.taken >= f.quota {
+		return 0, false
+	}
+	f.taken++
+	return 0, true
+}
+
+func (f *fixedWindow) Done(time.Time) {}
+
+// worst draws probes at a limiter and returns the largest number that run at the target in any window of one second. A
+// probe runs at a drawn moment between its start and its end.
+func worst(t *rapid.T, l limiter, start time.Time) int {
+	type probe struct{ run, end time.Time }
+	var flying []probe
+	var runs []time.Time
+	now := start
+	for range rapid.IntRange(1, 200).Draw(t, "steps") {
+		now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "wait")) * time.Millisecond)
+		kept := flying[:0]
+		for _, f := range flying {
+			if f.end.After(now) {
+				kept = append(kept, f)
+				continue
+			}
+			l.Done(f.end)
+		}
+		flying = kept
+		if _, ok := l.Take(now); ok {
+			lasts := time.Duration(rapid.IntRange(0, 1500).Draw(t, "lasts")) * time.Millisecond
+			run := now.Add(lasts * time.Duration(rapid.IntRange(0, 100).Draw(t, "run")) / 100)
+			runs = append(runs, run)
+			flying = append(flying, probe{
+				run: run,
+				end: now.Add(lasts),
+			})
+		}
+	}
+	sort.Slice(runs, func(i, j int) bool { return runs[i].Before(runs[j]) })
+	most := 0
+	for i, first := range runs {
+		n := sort.Search(len(runs), func(j int) bool { return runs[j].Sub(first) >= time.Second })
+		most = max(most, n-i)
+	}
+	return most
+}
+
+// Guards against more probes than the quota in any second at the target, however long probes take. The control is a
+// limiter with fixed windows.
+func TestBudgetWindow(t *testing.T) {
+	start := time.Date(2026, 7, 31, 0, 0, 0, 0, time.UTC)
+	exceeded := 0
+	rapid.Check(t, func(t *rapid.T) {
+		quota := rapid.IntRange(1, 4).Draw(t, "quota")
+		if have := worst(t, NewBudget(quota, start), start); have > quota {
+			t.Fatalf("%d probes in one second, quota %d", have, quota)
+		}
+		if worst(t, &fixedWindow{
+			quota: quota,
+		}, start) > quota {
+			exceeded++
+		}
+	})
+	assert.Assert(t, exceeded > 0, "the control never exceeded its quota")
+}
+
+// Guards against probes in the first second of a process and during a hold, and against a higher quota before its time.
+func TestBudgetTimes(t *testing.T) {
+	start := time.Now()
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	take := func(b *Budget, d time.Duration) bool {
+		_, ok := b.Take(at(d))
+		return ok
+	}
+	b := NewBudget(1, start)
+	wait, ok := b.Take(at(999 * time.Millisecond))
+	assert.Assert(t, !ok && wait == time.Millisecond)
+	assert.Assert(t, take(b, time.Second))
+	assert.Assert(t, !take(b, 9*time.Second), "the first probe has not ended")
+	b.Done(at(9 * time.Second))
+	assert.Assert(t, !take(b, 10*time.Second))
+	assert.Assert(t, take(b, 10*time.Second+1))
+	b.Cancel()
+	b.Set(2, at(12*time.Second))
+	assert.Assert(t, take(b, 11*time.Second))
+	assert.Assert(t, !take(b, 12*time.Second-1))
+	assert.Assert(t, take(b, 12*time.Second))
+	b.Set(1, at(0))
+	b.Cancel()
+	assert.Assert(t, !take(b, 13*time.Second))
+	b.Cancel()
+	b.Hold(at(20 * time.Second))
+	assert.Assert(t, !take(b, 20*time.Second-1))
+	assert.Assert(t, take(b, 20*time.Second))
+}
+
+// Guards against more load reads than agreed in any second at the target, at its own count, while six entries probe as
+// often as they may, are killed and start again. The control lets a new process probe at once.
+func TestBudgetOfEntries(t *testing.T) {
+	const entries, quota = 6, 2
+	run := func(skip time.Duration) standin.Counts {
+		target, first := start(t, standin.Switches{}, nil)
+		ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+		defer cancel()
+		var group sync.WaitGroup
+		for entry := range entries {
+			group.Go(func() {
+				// Lives of different lengths, so that kills fall into all parts of the window.
+				life := 1300*time.Millisecond + time.Duration(entry)*170*time.Millisecond
+				for ctx.Err() == nil {
+					budget := NewBudget(quota, time.Now().Add(-skip))
+					probeUntil(ctx, time.Now().Add(life), first.opts, budget)
+				}
+			})
+		}
+		group.Wait()
+		return target.Counts()
+	}
+	t.Run("budget", func(t *testing.T) {
+		t.Parallel()
+		counts := run(0)
+		t.Logf("%d load reads, at most %d in a second, agreed %d", counts.Loads, counts.Window, entries*quota)
+		assert.Assert(t, counts.Window <= entries*quota)
+		assert.Assert(t, counts.Loads > 2*entries*quota, "too few load reads to show anything")
+	})
+	t.Run("control", func(t *testing.T) {
+		t.Parallel()
+		counts := run(time.Minute)
+		t.Logf("control: %d load reads, at most %d in a second", counts.Loads, counts.Window)
+		assert.Assert(t, counts.Window > entries*quota)
+	})
+}
+
+// probeUntil probes as often as the budget allows, each time with a new pool that knows nothing, until the process of
+// the budget is killed.
+func probeUntil(ctx context.Context, killed time.Time, opts Options, budget *Budget) {
+	opts.Probes = budget
+	for time.Now().Before(killed) && ctx.Err() == nil {
+		p := New(opts)
+		_, _ = p.Probe(ctx)
+		p.Close()
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// Guards against load reads of a target that reported of its own accord within the last second, and against a load read
+// that a paused target runs after it no longer counts.
+func TestProbe(t *testing.T) {
+	t.Parallel()
+	target, p := start(t, standin.Switches{}, func(o *Options) {
+		o.Check = 50 * time.Millisecond
+		o.Probes = NewBudget(1, time.Now().Add(-time.Minute))
+	})
+	expect(t, p, newCall("GET", "/", "", ""), "whole")
+	report, err := p.Probe(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, report.Instance, target.Instance())
+	assert.Equal(t, target.Counts().Loads, 0)
+
+	time.Sleep(recent + 10*time.Millisecond)
+	target.Set(func(s *standin.Switches) { s.Freeze = true })
+	_, err = p.Probe(t.Context())
+	assert.ErrorIs(t, err, ErrLate)
+	time.Sleep(recent + 100*time.Millisecond)
+	_, err = p.Probe(t.Context())
+	assert.ErrorIs(t, err, ErrBudget)
+	target.Set(func(s *standin.Switches) { s.Freeze = false })
+	time.Sleep(recent + 100*time.Millisecond)
+	_, err = p.Probe(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, target.Counts().Loads, 2)
+	assert.Equal(t, target.Counts().Window, 1)
+}
--- a/target/conn.go
+++ b/target/conn.go
@@ -29,6 +29,7 @@
 
 	// State of the current request. The request and its parts are reused from call to call.
 	written int64 // bytes of the request that the kernel took
+	broken  bool  // a write to the connection failed
 	sent    time.Time
 	head    int64 // bytes that may still be read for the head; negative if there is no limit
 	req     http.Request
@@ -45,23 +46,6 @@
 
 func (*replay) Close() error { return nil }
 
-// streamed is a request body that is read from the caller.
-type streamed struct {
-	io.Reader
-	err error
-}
-
-func (s *streamed) Close() error { return nil }
-
-// Read keeps an error, so that a caller who went away can be told from a target that did.
-func (s *streamed) Read(p []byte) (int, error) {
-	n, err := s.Reader.Read(p)
-	if err != nil && err != io.EOF {
-		s.err = err
-	}
-	return n, err
-}
-
 func newConn(nc net.Conn) *conn {
 	c := &conn{
 		nc:     nc,
@@ -104,12 +88,12 @@
 }
 
 // prepare fills in the request. All fields that a former request left are replaced.
-func (c *conn) prepare(call *Call, host, id string, left time.Duration) (*streamed, error) {
+func (c *conn) prepare(call *Call, host, id string, left time.Duration) error {
 	if strings.HasPrefix(call.Path, "//") {
 		// url.URL.RequestURI would put a scheme before an opaque part of this form.
 		u, err := url.ParseRequestURI(call.Path)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		c.url = *u
 	} else {
@@ -133,24 +117,21 @@
 		Header: c.header,
 	}
 	if call.Stream != nil && call.Length != 0 {
-		s := &streamed{
-			Reader: call.Stream,
-		}
-		c.req.Body = s
+		c.req.Body = io.NopCloser(call.Stream)
 		c.req.ContentLength = call.Length
-		return s, nil
 	}
 	if call.Stream == nil && len(call.Body) > 0 {
 		c.body.Reset(call.Body)
 		c.req.Body = &c.body
 		c.req.ContentLength = int64(len(call.Body))
 	}
-	return nil, nil
+	return nil
 }
 
 // write writes the prepared request.
 func (c *conn) write() error {
 	c.written = 0
+	c.broken = false
 	c.bw.Reset((*connWriter)(c))
 	if err := c.req.Write(c.bw); err != nil {
 		return err
@@ -198,5 +179,6 @@
 func (w *connWriter) Write(p []byte) (int, error) {
 	n, err := w.nc.Write(p)
 	w.written += int64(n)
+	w.broken = w.broken || err != nil
 	return n, err
 }
--- a/target/pool.go
+++ b/target/pool.go
@@ -50,8 +50,10 @@
 
 // Pool is a pool of connections to one target. It is safe for concurrent use.
 type Pool struct {
-	opts Options
-	done chan struct{}
+	opts   Options
+	done   chan struct{}
+	ctx    context.Context // ends load reads when the pool is closed
+	cancel context.CancelFunc
 
 	mu     sync.Mutex
 	idle   []*conn // in order of their last answer, the most recent one at the end
@@ -69,6 +71,7 @@
 		recent  bool // send non-idempotent calls on connections of any age
 		silence bool // no first-byte timeout
 		check   bool // no check of new connections
+		giveUp  bool // reuse connections whose request was given up
 		unknown bool // forget that an earlier attempt within Send may have run
 	}
 }
@@ -76,9 +79,12 @@
 // New returns a pool without connections.
 func New(opts Options) *Pool {
 	opts.Defaults()
+	ctx, cancel := context.WithCancel(context.Background())
 	return &Pool{
-		opts: opts,
-		done: make(chan struct{}),
+		opts:   opts,
+		done:   make(chan struct{}),
+		ctx:    ctx,
+		cancel: cancel,
 	}
 }
 
@@ -99,7 +105,8 @@
 	return p.open
 }
 
-// Close refuses further calls with reason leaving and closes idle connections. Calls in flight run to their end.
+// Close refuses further calls with reason leaving, ends load reads and closes idle connections. Calls in flight run to
+// their end.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	if p.closed {
@@ -113,6 +120,7 @@
 		close(p.done)
 	}
 	p.mu.Unlock()
+	p.cancel()
 	p.drop(idle...)
 }
 
@@ -187,6 +195,19 @@
 	p.drop(old...)
 }
 
+// dropOldest closes the idle connection that has been idle longest.
+func (p *Pool) dropOldest() {
+	p.mu.Lock()
+	if len(p.idle) == 0 {
+		p.mu.Unlock()
+		return
+	}
+	c := p.idle[0]
+	p.idle = append(p.idle[:0], p.idle[1:]...)
+	p.mu.Unlock()
+	p.drop(c)
+}
+
 // reserve makes room for one more connection. The reason is empty if there is room.
 func (p *Pool) reserve() outcome.Reason {
 	p.mu.Lock()
--- a/target/pool_test.go
+++ b/target/pool_test.go
@@ -2,21 +2,37 @@
 
 import (
 	"context"
+	"errors"
+	"flag"
+	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"skylarkbeam/outcome"
 	"skylarkbeam/standin"
 )
 
+const seed = "20260731"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set(seed)
+	}
+	fmt.Println("rapid seed", flag.Lookup("rapid.seed").Value)
+	os.Exit(m.Run())
+}
+
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
 
-// start runs a stand-in with a pool that leads to it. The budget is large and usable at once, unless probes is given.
+// start runs a stand-in with a pool that leads to it. Its probe budget is large and usable at once.
 func start(t testing.TB, switches standin.Switches, change func(*Options)) (*standin.Target, *Pool) {
 	t.Helper()
 	s, err := standin.Start(standin.New(standin.Options{
@@ -45,7 +61,8 @@
 	return s.Target, p
 }
 
-func newCall(method, path, key string, body string) *Call {
+// newCall returns a call that is idempotent if it has no key.
+func newCall(method, path, key, body string) *Call {
 	call := &Call{
 		Method:     method,
 		Path:       path,
@@ -60,26 +77,296 @@
 	return call
 }
 
-// whole sends a call and tells whether its own answer arrived whole.
-func whole(t testing.TB, p *Pool, call *Call) bool {
+// result sends a call and describes what became of it: "whole" or "foreign" for an answer that ended without an error,
+// "truncated" for one that did not, or the outcome with its reason.
+func result(ctx context.Context, p *Pool, call *Call) string {
+	switch o := p.Send(ctx, call).(type) {
+	case *outcome.NotRun:
+		return "not-run " + string(o.Reason)
+	case *outcome.Unknown:
+		return "unknown " + string(o.Reason)
+	case *outcome.Answered:
+		defer func() { _ = o.Body.Close() }()
+		have, err := io.ReadAll(o.Body)
+		want := standin.Want(call.Method, call.Path, call.Header.Get("Idempotency-Key"), call.Body)
+		switch {
+		case errors.Is(err, ErrTruncated):
+			return "truncated"
+		case err != nil:
+			return err.Error()
+		case o.Status != http.StatusOK:
+			return fmt.Sprint(o.Status)
+		case string(have) != string(want):
+			return "foreign"
+		}
+		return "whole"
+	}
+	panic("target: Send returned no outcome")
+}
+
+func expect(t testing.TB, p *Pool, call *Call, want string) {
 	t.Helper()
-	answered, ok := p.Send(context.Background(), call).(*outcome.Answered)
-	if !ok {
-		return false
-	}
-	defer answered.Body.Close()
-	have, err := io.ReadAll(answered.Body)
-	want := standin.Want(call.Method, call.Path, call.Header.Get("Idempotency-Key"), call.Body)
-	return err == nil && string(have) == string(want)
+	assert.Equal(t, result(context.Background(), p, call), want, "%s %s", call.Method, call.Path)
 }
 
 // Guards against answers that are altered on their way, and against a connection that is not reused.
 func TestSend(t *testing.T) {
 	target, p := start(t, standin.Switches{}, nil)
 	for _, path := range []string{"/a", "/a?size=0", "/b?size=300000", "/b?size=70000&chunked=1", "//c?x=%2F"} {
-		assert.Assert(t, whole(t, p, newCall("GET", path, "", "")), path)
-		assert.Assert(t, whole(t, p, newCall("POST", path, "key", "some body")), path)
+		expect(t, p, newCall("GET", path, "", ""), "whole")
+		expect(t, p, newCall("POST", path, "key", "some body"), "whole")
+	}
+	for _, call := range []*Call{newCall("HEAD", "/a", "", ""), newCall("GET", "/a?status=204", "", ""), newCall("GET", "/a?status=304", "", "")} {
+		answered := p.Send(t.Context(), call).(*outcome.Answered)
+		assert.Assert(t, answered.Body == http.NoBody)
 	}
 	assert.Equal(t, target.KeyRuns("key"), 5)
 	assert.Equal(t, target.Conns(), 1)
+	for _, call := range []*Call{newCall("CONNECT", "/", "", ""), newCall("A B", "/", "", ""), newCall("GET", "/a b", "", ""), newCall("GET", "a", "", "")} {
+		expect(t, p, call, "not-run invalid")
+	}
+}
+
+// Guards against a wrong account of what happened to a call. The control switches off the match of request ids and the
+// need for a body of known extent; a caller then takes a foreign and a cut answer for its own.
+func TestOutcomes(t *testing.T) {
+	tests := []struct {
+		fault    standin.Fault
+		want     string
+		wantRuns int
+		wantOff  string // with the mechanisms off, if that differs
+	}{
+		{fault: standin.FaultClose, want: "unknown broken"},
+		{fault: standin.FaultShed, want: "not-run shed"},
+		{fault: standin.FaultError, want: "500"},
+		{fault: standin.FaultFreeze, want: "unknown silent"},
+		{fault: standin.FaultDrop, want: "unknown broken", wantRuns: 1},
+		{fault: standin.FaultReset, want: "unknown broken", wantRuns: 1},
+		{fault: standin.FaultHead, want: "unknown broken", wantRuns: 1},
+		{fault: standin.FaultEmpty, want: "truncated", wantRuns: 1},
+		{fault: standin.FaultCut, want: "truncated", wantRuns: 1},
+		{fault: standin.FaultChunk, want: "truncated", wantRuns: 1},
+		{fault: standin.FaultPlain, want: "unknown truncated", wantRuns: 1, wantOff: "foreign"},
+		{fault: standin.FaultLate, want: "unknown silent", wantRuns: 1},
+		{fault: standin.FaultCross, want: "unknown crossed", wantRuns: 1, wantOff: "foreign"},
+		{fault: standin.FaultGarbage, want: "unknown broken", wantRuns: 1},
+		{fault: standin.FaultEndless, want: "unknown broken", wantRuns: 1},
+		{fault: standin.FaultInform, want: "whole", wantRuns: 1},
+		{fault: standin.FaultTwice, want: "whole", wantRuns: 1},
+	}
+	for _, test := range tests {
+		for _, off := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s off=%v", test.fault, off), func(t *testing.T) {
+				t.Parallel()
+				target, p := start(t, standin.Switches{
+					Delay: standin.Duration(time.Second),
+				}, nil)
+				p.off.match, p.off.extent = off, off
+				want := test.want
+				if off && test.wantOff != "" {
+					want = test.wantOff
+				}
+				// The fault meets a reused connection, where the temptation to send again is greatest.
+				expect(t, p, newCall("POST", "/first", "first", ""), "whole")
+				target.Next(test.fault)
+				call := newCall("POST", "/second", "second", "body")
+				if test.fault == standin.FaultFreeze || test.fault == standin.FaultLate {
+					call.Timeout = 200 * time.Millisecond
+				}
+				expect(t, p, call, want)
+				assert.Equal(t, target.KeyRuns("second"), test.wantRuns)
+				expect(t, p, newCall("POST", "/third", "third", ""), "whole")
+			})
+		}
+	}
+	t.Run("refused", func(t *testing.T) {
+		_, p := start(t, standin.Switches{}, func(o *Options) { o.Address = netip.MustParseAddrPort("127.0.0.1:1") })
+		expect(t, p, newCall("POST", "/", "key", ""), "not-run dial")
+	})
+	t.Run("limit", func(t *testing.T) {
+		_, p := start(t, standin.Switches{}, func(o *Options) { o.Connections = 1 })
+		answered := p.Send(t.Context(), newCall("GET", "/?size=10000000", "", "")).(*outcome.Answered)
+		expect(t, p, newCall("GET", "/", "", ""), "not-run queue")
+		assert.NilError(t, answered.Body.Close())
+		_, err := answered.Body.Read(make([]byte, 1))
+		assert.ErrorIs(t, err, errBodyClosed)
+		expect(t, p, newCall("GET", "/", "", ""), "whole")
+	})
+}
+
+// Guards against an answer that reaches the next call on its connection after its own call was given up. The control
+// reuses such a connection.
+func TestLate(t *testing.T) {
+	tests := []struct {
+		off  bool
+		want string
+	}{
+		{off: false, want: "whole"},
+		{off: true, want: "foreign"},
+	}
+	for _, test := range tests {
+		target, p := start(t, standin.Switches{
+			Delay: standin.Duration(100 * time.Millisecond),
+		}, nil)
+		p.off.giveUp, p.off.match, p.off.alive = test.off, test.off, test.off
+		target.Next(standin.FaultLate)
+		first := newCall("POST", "/first", "first", "")
+		first.Timeout = 50 * time.Millisecond
+		expect(t, p, first, "unknown silent")
+		expect(t, p, newCall("POST", "/second", "second", ""), test.want)
+	}
+}
+
+// Guards against a call that runs twice because the sender resends it after a broken connection. The control is
+// http.Transport, which resends a POST with an Idempotency-Key.
+func TestResend(t *testing.T) {
+	target, p := start(t, standin.Switches{}, nil)
+	expect(t, p, newCall("POST", "/", "warm", ""), "whole")
+	target.Next(standin.FaultDrop)
+	expect(t, p, newCall("POST", "/", "pool", ""), "unknown broken")
+	assert.Equal(t, target.KeyRuns("pool"), 1)
+
+	client := http.Client{
+		Transport: &http.Transport{},
+	}
+	defer client.CloseIdleConnections()
+	send := func() {
+		req, err := http.NewRequest("POST", "http://"+p.opts.Address.String()+"/", nil)
+		assert.NilError(t, err)
+		req.Header.Set("Idempotency-Key", "transport")
+		req.Header.Set("Skylarkbeam-Key", "transport")
+		resp, err := client.Do(req)
+		assert.NilError(t, err)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+	send()
+	target.Next(standin.FaultDrop)
+	send()
+	assert.Equal(t, target.KeyRuns("transport"), 3, "two calls")
+}
+
+// Guards against a "not run" for a call whose first attempt within Send may have run. The control forgets that attempt.
+func TestSecondAttemptRefused(t *testing.T) {
+	for off, want := range map[bool]string{false: "unknown silent", true: "not-run shed"} {
+		target, p := start(t, standin.Switches{}, func(o *Options) { o.Silence = 50 * time.Millisecond })
+		p.off.unknown = off
+		expect(t, p, newCall("GET", "/first", "", ""), "whole")
+		target.Silence(true)
+		target.Next(standin.FaultNone, standin.FaultShed)
+		expect(t, p, newCall("GET", "/second", "", ""), want)
+		assert.Equal(t, target.Counts().Runs, 2)
+	}
+}
+
+// Guards against a call that is refused or unknown because the target closed an idle connection. The control does not
+// look for that.
+func TestClosedIdle(t *testing.T) {
+	for off, want := range map[bool]string{false: "whole", true: "unknown broken"} {
+		target, p := start(t, standin.Switches{}, nil)
+		p.off.alive = off
+		expect(t, p, newCall("POST", "/first", "first", ""), "whole")
+		target.Restart(false)
+		time.Sleep(20 * time.Millisecond)
+		expect(t, p, newCall("POST", "/second", "second", ""), want)
+	}
+}
+
+// Guards against calls that are lost on connections that went silent. The controls send non-idempotent calls on
+// connections of any age, and wait for an idempotent call's answer until its deadline.
+func TestSilent(t *testing.T) {
+	tests := []struct {
+		name     string
+		key      string
+		off      bool
+		run      bool // calls on silent connections run
+		want     string
+		wantRuns int
+	}{
+		{name: "non-idempotent", key: "key", want: "whole", wantRuns: 1},
+		{name: "non-idempotent, runs", key: "key", run: true, want: "whole", wantRuns: 1},
+		{name: "non-idempotent, off", key: "key", off: true, want: "unknown silent", wantRuns: 0},
+		{name: "non-idempotent, off, runs", key: "key", off: true, run: true, want: "unknown silent", wantRuns: 1},
+		{name: "idempotent", want: "whole", wantRuns: 1},
+		{name: "idempotent, runs", run: true, want: "whole", wantRuns: 2},
+		{name: "idempotent, off", off: true, want: "unknown silent", wantRuns: 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			target, p := start(t, standin.Switches{}, func(o *Options) { o.Silence = 100 * time.Millisecond })
+			p.off.recent, p.off.silence = test.off, test.off
+			var bodies []io.ReadCloser
+			for range 5 {
+				bodies = append(bodies, p.Send(t.Context(), newCall("GET", "/", "", "")).(*outcome.Answered).Body)
+			}
+			for _, body := range bodies {
+				_, err := io.Copy(io.Discard, body)
+				assert.NilError(t, err)
+			}
+			assert.Equal(t, target.Conns(), 5)
+			target.Silence(test.run)
+			target.Reset()
+			time.Sleep(recent + 50*time.Millisecond)
+			begin := time.Now()
+			expect(t, p, newCall("POST", "/x", test.key, ""), test.want)
+			if !test.off {
+				assert.Assert(t, time.Since(begin) < time.Second, "took %s", time.Since(begin))
+			}
+			assert.Equal(t, target.Counts().Runs, test.wantRuns)
+		})
+	}
+}
+
+// Guards against warm calls at a target that restarted and is cold again. The control does not check new connections.
+func TestInstance(t *testing.T) {
+	for off, want := range map[bool]string{false: "not-run instance", true: "whole"} {
+		var reports []outcome.Report
+		target, p := start(t, standin.Switches{
+			Cold: standin.Duration(time.Minute),
+		}, func(o *Options) { o.OnReport = func(r outcome.Report) { reports = append(reports, r) } })
+		p.off.check = off
+		call := newCall("POST", "/", "key", "")
+		call.Instance = target.Instance()
+		expect(t, p, call, "whole")
+		target.Restart(false)
+		time.Sleep(20 * time.Millisecond)
+		target.Reset()
+		expect(t, p, call, want)
+		assert.Equal(t, target.Counts().Violations != 0, off)
+		assert.Equal(t, reports[len(reports)-1].Instance, target.Instance())
+		// A caller with a permit for a cold call, or one that knows the new instance, is served without another probe.
+		loads := target.Counts().Loads
+		call.Instance = ""
+		expect(t, p, call, "whole")
+		call.Instance = target.Instance()
+		expect(t, p, call, "whole")
+		assert.Equal(t, target.Counts().Loads, loads)
+	}
+}
+
+// Guards against a given-up call that keeps its slot at the target, and against a connection that stays open.
+func TestGiveUp(t *testing.T) {
+	target, p := start(t, standin.Switches{
+		Work: standin.Duration(time.Minute),
+	}, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	assert.Equal(t, result(ctx, p, newCall("POST", "/", "key", "")), "unknown canceled")
+	assert.Equal(t, p.Open(), 0)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if target.Counts().Canceled == 1 && target.Conns() == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("%+v", target.Counts())
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+
+	target.Set(func(s *standin.Switches) { s.Work = 0 })
+	ctx, cancel = context.WithCancel(t.Context())
+	answered := p.Send(ctx, newCall("GET", "/?size=100000000", "", "")).(*outcome.Answered)
+	cancel()
+	_, err := io.Copy(io.Discard, answered.Body)
+	assert.ErrorIs(t, err, ErrTruncated)
+	assert.ErrorIs(t, err, context.Canceled)
+	assert.Equal(t, p.Open(), 0)
 }
--- a/target/probe.go
+++ b/target/probe.go
@@ -7,13 +7,23 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"skylarkbeam/outcome"
 )
 
-// ErrBudget is the error of Probe if the budget allows no load read now.
-var ErrBudget = errors.New("probe budget is used up")
+// maxProbe is how long a load read is waited for in the background after its caller gave up. While it is waited for it
+// counts against the budget, because a target that was paused runs it when it wakes.
+const maxProbe = 10 * time.Second
+
+// Errors of Probe. Failures of the connection and of the answer are wrapped errors of their own.
+var (
+	// ErrBudget means that the budget allows no load read now.
+	ErrBudget = errors.New("probe budget is used up")
+	// ErrLate means that the load read was not answered in time.
+	ErrLate = errors.New("no answer in time")
+)
 
 var loadCall = &Call{
 	Method:     http.MethodGet,
@@ -22,55 +32,111 @@
 }
 
 // Probe returns the target's report: the last one learned if that was within the last second, else the result of a load
-// read. Errors are ErrBudget, and failures of the connection or of the answer.
+// read on a new connection. Idle connections have carried no answer for a second then and may have gone silent.
 func (p *Pool) Probe(ctx context.Context) (outcome.Report, error) {
 	now := p.opts.Timers.Now()
 	if report, learned := p.Report(); report.Instance != "" && now.Sub(learned) <= recent {
 		return report, nil
 	}
 	if p.opts.Probes == nil {
-		return outcome.Report{}, fmt.Errorf("probe target %s: %w", p.opts.Name, ErrBudget)
+		return outcome.Report{}, p.probeError(ErrBudget)
 	}
 	if _, ok := p.opts.Probes.Take(now); !ok {
-		return outcome.Report{}, fmt.Errorf("probe target %s: %w", p.opts.Name, ErrBudget)
+		return outcome.Report{}, p.probeError(ErrBudget)
 	}
+	p.dropOldest()
 	deadline := now.Add(p.opts.Connect + p.opts.Check)
-	c := p.reuse(loadCall, now)
-	if c == nil {
-		var reason outcome.Reason
-		if c, reason = p.connect(ctx, deadline); reason != "" {
-			p.opts.Probes.Cancel()
-			return outcome.Report{}, fmt.Errorf("probe target %s: no connection: %s", p.opts.Name, reason)
-		}
+	c, reason := p.connect(ctx, deadline)
+	if reason != "" {
+		p.opts.Probes.Cancel()
+		return outcome.Report{}, p.probeError(fmt.Errorf("no connection: %s", reason))
 	}
 	report, err := p.load(ctx, c, deadline)
 	if err != nil {
-		return outcome.Report{}, fmt.Errorf("probe target %s: %w", p.opts.Name, err)
+		return outcome.Report{}, p.probeError(err)
 	}
 	p.release(c)
 	return report, nil
 }
 
-// load does one load read on c, which it closes on failure, and ends the probe that was taken for it.
+func (p *Pool) probeError(err error) error {
+	return fmt.Errorf("probe target %s: %w", p.opts.Name, err)
+}
+
+// load does one load read on c and ends the probe that was taken for it. If it returns an error, c is closed or will
+// be taken care of.
 func (p *Pool) load(ctx context.Context, c *conn, deadline time.Time) (outcome.Report, error) {
-	if limit := p.opts.Timers.Now().Add(p.opts.Check); limit.Before(deadline) {
+	type result struct {
+		report outcome.Report
+		err    error
+	}
+	var settled atomic.Bool // by the read with its result, or by the caller giving up
+	results := make(chan result, 1)
+	go func() {
+		report, err := p.readLoad(c)
+		if settled.CompareAndSwap(false, true) {
+			results <- result{
+				report: report,
+				err:    err,
+			}
+		} else if err == nil {
+			p.release(c)
+		}
+	}()
+	now := p.opts.Timers.Now()
+	if limit := now.Add(p.opts.Check); limit.Before(deadline) {
 		deadline = limit
 	}
-	report, abandoned, err := p.readLoad(ctx, c, deadline)
-	if err != nil && c.written == 0 {
+	late := time.NewTimer(deadline.Sub(now))
+	defer late.Stop()
+	select {
+	case r := <-results:
+		return r.report, r.err
+	case <-late.C:
+	case <-ctx.Done():
+	}
+	if !settled.CompareAndSwap(false, true) {
+		r := <-results
+		return r.report, r.err
+	}
+	return outcome.Report{}, fmt.Errorf("load read: %w", ErrLate)
+}
+
+// readLoad does a load read that lasts as long as it must, and settles its probe. It closes the connection on failure.
+func (p *Pool) readLoad(c *conn) (outcome.Report, error) {
+	deadline := p.opts.Timers.Now().Add(maxProbe)
+	resp, stop, failed := p.exchange(p.ctx, c, loadCall, deadline, deadline)
+	end := p.opts.Timers.Now()
+	switch o := failed.(type) {
+	case *outcome.NotRun:
 		p.opts.Probes.Cancel()
-	} else {
-		p.opts.Probes.Done(p.opts.Timers.Now(), abandoned)
+		return outcome.Report{}, fmt.Errorf("load read: %s", o.Reason)
+	case *outcome.Unknown:
+		if o.Reason == outcome.Canceled {
+			end = deadline
+		}
+		p.opts.Probes.Done(end)
+		return outcome.Report{}, fmt.Errorf("load read: %s", o.Reason)
 	}
-	if err == nil {
-		c.instance = report.Instance
-		p.learn(report, c.sent)
+	p.opts.Probes.Done(end)
+	report, err := parseLoad(resp)
+	if err == nil && (resp.Close || c.br.Buffered() > 0) {
+		err = errors.New("connection cannot be used again")
+	}
+	if !stop() && err == nil {
+		err = context.Canceled
 	}
-	return report, err
+	if err != nil {
+		p.drop(c)
+		return outcome.Report{}, fmt.Errorf("load read: %w", err)
+	}
+	c.instance = report.Instance
+	p.learn(report, c.sent)
+	return report, nil
 }
 
-// readLoad reports as abandoned a load read that the target may still have to run.
-func (p *Pool) readLoad(ctx context.Context, c *conn, deadline time.Time) (report outcome.Report, abandoned bool, err error) {
+// parseLoad reads the answer to a load read to its end.
+func parseLoad(resp *http.Response) (outcome.Report, error) {
 	var wire struct {
 		Instance string        `json:"instance"`
 		Phase    outcome.Phase `json:"phase"`
@@ -78,43 +144,28 @@
 		Slots    int           `json:"slots"`
 		Queued   int           `json:"queued"`
 	}
-	resp, stop, failed := p.exchange(ctx, c, loadCall, deadline, deadline)
-	switch o := failed.(type) {
-	case *outcome.NotRun:
-		return outcome.Report{}, false, fmt.Errorf("load read: %s", o.Reason)
-	case *outcome.Unknown:
-		return outcome.Report{}, o.Reason == outcome.Silent || o.Reason == outcome.Canceled, fmt.Errorf("load read: %s", o.Reason)
-	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxLoad))
-	if err == nil {
-		err = json.Unmarshal(data, &wire)
-	}
-	switch {
-	case err != nil:
-	case resp.StatusCode != http.StatusOK:
-		err = fmt.Errorf("status %d", resp.StatusCode)
-	case wire.Instance == "":
-		err = errors.New("no instance")
-	case resp.Close || c.br.Buffered() > 0:
-		err = errors.New("connection cannot be used again")
+	if err != nil {
+		return outcome.Report{}, err
 	}
-	// A false stop means that the context has ended and its watch closes the connection.
-	if !stop() && err == nil {
-		err = ctx.Err()
+	if resp.StatusCode != http.StatusOK {
+		return outcome.Report{}, fmt.Errorf("status %d", resp.StatusCode)
 	}
-	if err != nil {
-		p.drop(c)
-		return outcome.Report{}, false, fmt.Errorf("load read: %w", err)
+	if err := json.Unmarshal(data, &wire); err != nil {
+		return outcome.Report{}, err
 	}
+	// The header is written with the answer; the body may have been prepared earlier.
 	if header := resp.Header.Get(HeaderInstance); header != "" {
-		// The header is written with the answer; the body may have been prepared earlier.
 		wire.Instance = header
 	}
+	if wire.Instance == "" {
+		return outcome.Report{}, errors.New("no instance")
+	}
 	return outcome.Report{
 		Instance: wire.Instance,
 		Phase:    wire.Phase,
 		Active:   max(wire.Active, 0),
 		Slots:    max(wire.Slots, 0),
 		Queued:   max(wire.Queued, 0),
-	}, false, nil
+	}, nil
 }
--- a/target/send.go
+++ b/target/send.go
@@ -181,8 +181,7 @@
 	}
 	id := attemptID()
 	c.written = 0
-	stream, err := c.prepare(call, host, id, deadline.Sub(c.sent))
-	if err != nil {
+	if err := c.prepare(call, host, id, deadline.Sub(c.sent)); err != nil {
 		p.drop(c)
 		return nil, nil, notRun(outcome.Invalid)
 	}
@@ -192,8 +191,7 @@
 	}
 	stop := context.AfterFunc(ctx, c.abort)
 	fail := func(reason outcome.Reason) (*http.Response, func() bool, outcome.Outcome) {
-		stop()
-		p.drop(c)
+		p.finish(c, stop, p.off.giveUp && reason == outcome.Silent)
 		reason = givenUp(ctx, reason)
 		if c.written == 0 {
 			return nil, nil, notRun(reason)
@@ -205,7 +203,8 @@
 	writeErr := c.write()
 	switch {
 	case writeErr == nil:
-	case stream != nil && stream.err != nil:
+	case !c.broken:
+		// The stream failed or does not have its length, which means that the caller went away.
 		return fail(outcome.Canceled)
 	case c.written == 0 || errors.Is(writeErr, os.ErrDeadlineExceeded):
 		return fail(failure(writeErr))
