--- a/bench/entry.go
+++ b/bench/entry.go
@@ -265,10 +265,17 @@
 	}
 	now := e.sim.time()
 	settled := c.ticket.Done(now, latency)
-	settled = append(settled, e.scheduler.SetCapacity(now, e.selector.capacity(now))...)
+	settled = append(settled, e.adapt()...)
 	e.settle(settled)
 }
 
+// adapt passes the capacity of the targets on to the scheduler.
+func (e *entry) adapt() []*share.Ticket {
+	now := e.sim.time()
+	window, total := e.selector.capacity(now, e.scheduler.Demand(now))
+	return e.scheduler.SetCapacity(now, window, total)
+}
+
 // expire refuses the waiting calls that are too late.
 func (e *entry) expire() {
 	if !e.dead && len(e.waiting) > 0 {
--- a/bench/selector.go
+++ b/bench/selector.go
@@ -19,7 +19,7 @@
 	repeat(now time.Time, tried []string) permit
 	hedge(now time.Time, tried []string) permit
 	hedgeAfter() (time.Duration, bool)
-	capacity(now time.Time) float64
+	capacity(now time.Time, demand float64) (window, total float64)
 }
 
 type permit interface {
@@ -106,7 +106,9 @@
 }
 
 func (s tableSelector) hedgeAfter() (time.Duration, bool) { return s.HedgeAfter(serviceName) }
-func (s tableSelector) capacity(now time.Time) float64    { return s.Capacity(now, serviceName) }
+func (s tableSelector) capacity(now time.Time, demand float64) (window, total float64) {
+	return s.Capacity(now, serviceName, demand)
+}
 
 // plainSelector holds the policies to compare with. They know only the calls in flight of their own entry. They repeat
 // within the same budget and never hedge.
@@ -179,4 +181,7 @@
 
 func (s *plainSelector) hedge(time.Time, []string) permit  { return nil }
 func (s *plainSelector) hedgeAfter() (time.Duration, bool) { return 0, false }
-func (s *plainSelector) capacity(time.Time) float64        { return float64(s.slots) }
+
+func (s *plainSelector) capacity(time.Time, float64) (window, total float64) {
+	return float64(s.slots), float64(s.slots)
+}
--- a/bench/sim.go
+++ b/bench/sim.go
@@ -84,6 +84,7 @@
 		}
 	}
 	s.schedule()
+	if dbg != nil { dbg(s) }
 	s.runUntil(Warmup + c.Length)
 	s.finish()
 	return s.result
@@ -115,7 +116,7 @@
 			slots:    s.config.Shape.Slots * s.config.Shape.Targets,
 		}
 	}
-	e.scheduler.SetCapacity(s.time(), e.selector.capacity(s.time()))
+	e.adapt()
 	return e
 }
 
@@ -261,3 +262,4 @@
 	}
 	s.result.unwarmed = len(s.fallen)
 }
+var dbg func(*sim)
--- a/route/service.go
+++ b/route/service.go
@@ -41,6 +41,10 @@
 	window   float64
 	windowed time.Time
 	queued   float64
+	demand   float64
+	// usual is the average number of calls that other entries have at a target, for each slot.
+	usual float64
+	trust trust
 }
 
 func newService(t *Table, name string, now time.Time, seed uint64) *service {
@@ -238,18 +242,19 @@
 	return until, true
 }
 
-// load estimates the calls at the target: this entry's own, and those of other entries as last reported. A report loses
-// its value within the time of a call, and is replaced by the average of the reports.
+// load estimates the calls at the target: this entry's own, and those of other entries. Of a report, only the deviation
+// from the target's usual report counts, because a target can always report too little; that it is slow shows in its
+// latency. The deviation loses its value within the time of a call.
 func (t *target) load(now time.Time) float64 {
 	load := float64(t.inflight)
 	if t.reported.IsZero() {
-		return load
+		return load + t.service.usual*float64(t.Slots)
 	}
 	x := 0.0
 	if t.service.latency > 0 {
 		x = float64(now.Sub(t.reported)) / t.service.latency
 	}
-	return load + t.usual + (t.others-t.usual)/(1+x+x*x)
+	return max(load+t.service.usual*float64(t.Slots)+t.service.trust.level()*(t.others-t.usual)/(1+x+x*x), 0)
 }
 
 // score is the time that a call is expected to take; the lowest is best.
--- a/route/target.go
+++ b/route/target.go
@@ -14,6 +14,8 @@
 	// latencyFade is the time in which half of a latency above the usual is forgotten without new samples, so that a
 	// target that was slow is tried again.
 	latencyFade = 3 * time.Second
+	// usualWeight is the weight of a new report in the usual load of a target.
+	usualWeight = 0.1
 	// failureWeight is the weight of a new result in the failure rate of a target.
 	failureWeight = 0.2
 	// ejectRate is the failure rate above which a target is ejected: four failures in a row from a clean state.
@@ -182,11 +184,15 @@
 	if r.Slots <= 0 {
 		return
 	}
+	slots := float64(t.Slots)
+	t.service.trust.add(float64(t.inflight)/slots, float64(r.Active+r.Queued)/slots)
 	t.others = max(float64(r.Active+r.Queued-t.inflight), 0)
 	if t.reported.IsZero() {
 		t.usual = t.others
 	}
-	t.usual += (t.others - t.usual) * 0.1
+	t.usual += (t.others - t.usual) * usualWeight
+	s := t.service
+	s.usual += (t.others/slots - s.usual) * latencyMean
 	t.reported = now
 }
 
--- a/share/scheduler.go
+++ b/share/scheduler.go
@@ -11,7 +11,7 @@
 //	s := share.New(share.Options{
 //		Share: func(caller string) float64 { return shares[caller] },
 //	})
-//	s.SetCapacity(time.Now(), 20)
+//	s.SetCapacity(time.Now(), 4, 20)
 //	ticket, refusal := s.Admit(ctx, caller, deadline)
 //	if refusal != nil {
 //		return refuse(refusal.Reason, refusal.RetryAfter)
@@ -37,6 +37,9 @@
 	window = 500 * time.Millisecond
 	// queueLimit is the default length of a caller's queue. It bounds memory; the deadline bounds the wait.
 	queueLimit = 1024
+	// waitPart is the part of the spare time before its deadline that a call may wait. The rest is kept for estimates
+	// that are too low.
+	waitPart = 0.25
 	// shareFloor is the share of a caller to whom none is owed.
 	shareFloor = 0.001
 	// retryFloor and retryCeiling bound the estimate in refusals.
@@ -73,6 +76,7 @@
 
 	mu       sync.Mutex
 	capacity float64
+	total    float64
 	running  int
 	waiting  int
 	tickets  uint64
@@ -103,17 +107,19 @@
 		queue:    o.Queue,
 		now:      o.Now,
 		capacity: 1,
+		total:    1,
 		work:     o.Work.Seconds(),
 		callers:  map[string]*caller{},
 	}
 }
 
-// SetCapacity sets the number of calls that may run at once, at least one. It returns the waiting tickets that it
-// started or refused.
-func (s *Scheduler) SetCapacity(now time.Time, slots float64) []*Ticket {
+// SetCapacity sets the number of calls that may run at once from this entry, at least one, and the capacity of the whole
+// service. It returns the waiting tickets that it started or refused.
+func (s *Scheduler) SetCapacity(now time.Time, slots, total float64) []*Ticket {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.capacity = max(slots, 1)
+	s.total = max(total, s.capacity)
 	return s.next(now)
 }
 
@@ -124,6 +130,7 @@
 	defer s.mu.Unlock()
 	c := s.caller(now, name)
 	c.settle(now)
+	c.offered += 1 / window.Seconds()
 	if s.free() {
 		if refusal := s.late(now, c, deadline, 0); refusal != nil {
 			return nil, refusal
@@ -187,6 +194,19 @@
 	return t.result()
 }
 
+// Demand returns the number of slots that the callers want, each counted up to its share of the total capacity of the
+// service. A flood by one caller thus raises the demand by no more than its share.
+func (s *Scheduler) Demand(now time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	demand := 0.0
+	for _, c := range s.callers {
+		c.settle(now)
+		demand += min(c.offered*s.work, c.share*s.total)
+	}
+	return demand
+}
+
 func (s *Scheduler) free() bool {
 	return float64(s.running) < max(math.Floor(s.capacity), 1)
 }
@@ -227,18 +247,21 @@
 // ratio is the use of a caller, including what its running calls will still use, for its share of the capacity. Below 1
 // the caller is within its share.
 func (s *Scheduler) ratio(c *caller) float64 {
-	ahead := float64(c.running) * s.work / window.Seconds()
-	return (c.use + ahead) / (c.share * s.capacity)
+	return c.work(s.work) * s.work / window.Seconds() / (c.share * s.capacity)
 }
 
 func (s *Scheduler) inTime(now, deadline time.Time) bool {
-	return !now.Add(seconds(s.work)).After(deadline)
+	return !now.Add(seconds(s.usual())).After(deadline)
+}
+
+// usual is the time in seconds in which all but a few calls end.
+func (s *Scheduler) usual() float64 {
+	return s.work + 2*s.deviation
 }
 
-// late refuses a call that would not be answered by its deadline after waiting for the given seconds. The deviation is
-// added because a call that takes longer than usual must be in time as well.
+// late refuses a call that would not be answered by its deadline, or would spend too much of its time waiting.
 func (s *Scheduler) late(now time.Time, c *caller, deadline time.Time, wait float64) *Refusal {
-	end := now.Add(seconds(wait + s.work + 2*s.deviation))
+	end := now.Add(seconds(wait/waitPart + s.usual()))
 	if !end.After(deadline) {
 		return nil
 	}
@@ -268,8 +291,9 @@
 	return s.late(now, c, deadline, wait)
 }
 
-// wait estimates the seconds until a new call of the caller starts. The caller is served at least at the rate of its
-// part of the shares of all callers that wait; a caller within its share at the rate of that share.
+// wait estimates the seconds until a new call of the caller starts. As long as the caller is within its share, its calls
+// go first and take the next free slots. Beyond it, the caller is served at least at the rate of its part of the shares
+// of all callers that wait.
 func (s *Scheduler) wait(c *caller) float64 {
 	shares := c.share
 	for _, other := range s.queued {
@@ -277,10 +301,11 @@
 			shares += other.share
 		}
 	}
-	slots := s.capacity * c.share / shares
-	// The first call of a caller within its share waits for one slot of all; behind it, the caller's own rate counts.
-	first := s.work / s.capacity
-	return first + float64(c.waiting.Len())*s.work/max(slots, 0.01)
+	waiting := float64(c.waiting.Len())
+	owed := c.share*s.capacity*window.Seconds()/s.work - c.work(s.work)
+	first := min(max(owed, 0), waiting)
+	rate := s.capacity / s.work
+	return (1+first)/rate + (waiting-first)/(rate*c.share/shares)
 }
 
 func (s *Scheduler) run(now time.Time, t *Ticket) {
