Serve calls from end to end as separate processes

Cause: nothing ran yet. Cold targets are reached through the entry that owns them, so a first start serves calls.

--- a/cmd/skylarkbeam/demo.go
+++ b/cmd/skylarkbeam/demo.go
@@ -39,7 +39,7 @@
 
 const (
 	demoTargets = 3
-	demoStart   = 10 * time.Second
+	demoLimit   = 20 * time.Second
 )
 
 func newDemo(s streams) *ffcli.Command {
@@ -67,7 +67,8 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(out, "started 2 entries, %d targets and the platform in one process\n\n", 2*demoTargets)
+	fmt.Fprintf(out, "started 2 entries, %d targets and the platform in one process\n", 2*demoTargets)
+	fmt.Fprintf(out, "waiting until the entries have agreed on who warms which target, and for the cold starts\n\n")
 	if err := d.apply(settings); err != nil {
 		return err
 	}
@@ -210,7 +211,7 @@
 		entry: d.entries[0].ControlAddress().String(),
 		who:   "demo",
 	}
-	deadline := time.Now().Add(demoStart)
+	deadline := time.Now().Add(demoLimit)
 	for {
 		o.id, o.base = newID(), 0
 		err := o.change(context.Background(), io.Discard, http.MethodPut, "settings", entry.Change{
@@ -226,7 +227,7 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	for _, e := range d.entries {
-		for !e.Ready() {
+		for !e.Ready() || !allWarm(e) {
 			if time.Now().After(deadline) {
 				return errors.New("the entries did not become ready")
 			}
@@ -236,6 +237,16 @@
 	return nil
 }
 
+// allWarm tells whether the entry knows that all targets have finished their cold start.
+func allWarm(e *entry.Entry) bool {
+	for _, p := range e.Status().Phases {
+		if p.Warm == "" {
+			return false
+		}
+	}
+	return true
+}
+
 // session shows a caller's first steps.
 func (d *deployment) session(out io.Writer) error {
 	first, second := d.entries[0].CallerAddress(), d.entries[1].CallerAddress()
--- /dev/null
+++ b/cmd/skylarkbeam/processes_test.go
@@ -0,0 +1,346 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkbeam/entry"
+	"skylarkbeam/setting"
+	"skylarkbeam/standin"
+)
+
+const startLimit = 60 * time.Second
+
+// binaries are built once for all tests that start processes.
+var binaries = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "skylarkbeam-test-")
+	if err != nil {
+		return "", err
+	}
+	build := exec.Command("go", "build", "-o", dir, "skylarkbeam/cmd/skylarkbeam", "skylarkbeam/cmd/standin-platform", "skylarkbeam/cmd/standin-target")
+	out, err := build.CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("building: %w: %s", err, out)
+	}
+	return dir, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if dir, err := binaries(); err == nil {
+		os.RemoveAll(dir)
+	}
+	os.Exit(code)
+}
+
+// processes is a deployment of examples/beaconwatch as separate processes, on ports that the system chose.
+type processes struct {
+	t        *testing.T
+	dir      string
+	platform string
+	targets  map[string]string
+	entries  []*entryProcess
+	client   *http.Client
+}
+
+type entryProcess struct {
+	name    string
+	caller  string
+	control string
+	cmd     *exec.Cmd
+	log     *lockedBuffer
+}
+
+// startProcesses starts the platform, 30 targets and 6 entries, and applies the settings with extra ones merged last.
+func startProcesses(t *testing.T, extra string) *processes {
+	t.Helper()
+	dir, err := binaries()
+	assert.NilError(t, err)
+	p := &processes{
+		t:       t,
+		dir:     dir,
+		targets: map[string]string{},
+		client: &http.Client{
+			Timeout: 10 * time.Second,
+		},
+	}
+	lines := p.start("standin-platform", "-listen", "127.0.0.1:0")
+	p.platform = strings.TrimPrefix(<-lines, "listening on ")
+	folder, err := setting.LoadDir("../../examples/beaconwatch")
+	assert.NilError(t, err)
+	for name, s := range folder.Settings.Services {
+		args := []string{"-service", name, "-slots", "2", "-cold", "1s", "-work", "4ms"}
+		for target := range s.Targets {
+			args = append(args, target+"=127.0.0.1:0")
+		}
+		lines := p.start("standin-target", args...)
+		for range s.Targets {
+			target, address, _ := strings.Cut(<-lines, " ")
+			p.targets[target] = address
+		}
+	}
+	for name, e := range folder.Settings.Entries {
+		p.entries = append(p.entries, p.startEntry(name, e.Domain))
+	}
+	p.apply(folder.Settings, extra)
+	p.waitReady()
+	return p
+}
+
+// start starts a program and returns its lines of output.
+func (p *processes) start(program string, args ...string) <-chan string {
+	cmd := exec.Command(filepath.Join(p.dir, program), args...)
+	out, err := cmd.StdoutPipe()
+	assert.NilError(p.t, err)
+	cmd.Stderr = os.Stderr
+	assert.NilError(p.t, cmd.Start())
+	p.t.Cleanup(func() {
+		cmd.Process.Kill()
+		cmd.Wait()
+	})
+	lines := make(chan string, 64)
+	go func() {
+		scanner := bufio.NewScanner(out)
+		for scanner.Scan() {
+			lines <- scanner.Text()
+		}
+		close(lines)
+	}()
+	return lines
+}
+
+func (p *processes) startEntry(name, domain string) *entryProcess {
+	e := &entryProcess{
+		name: name,
+		log:  &lockedBuffer{},
+	}
+	e.cmd = exec.Command(filepath.Join(p.dir, "skylarkbeam"), "serve", "-name", name, "-domain", domain,
+		"-caller", "127.0.0.1:0", "-control", "127.0.0.1:0", "-platform", p.platform)
+	e.cmd.Stderr = e.log
+	assert.NilError(p.t, e.cmd.Start())
+	p.t.Cleanup(func() {
+		e.cmd.Process.Signal(syscall.SIGCONT)
+		e.cmd.Process.Kill()
+		e.cmd.Wait()
+		if p.t.Failed() {
+			p.t.Logf("log of %s:\n%s", name, e.log)
+		}
+	})
+	p.until("entry "+name+" serves", func() bool {
+		for _, line := range strings.Split(e.log.String(), "\n") {
+			var row struct{ Msg, Caller, Control string }
+			if json.Unmarshal([]byte(line), &row) == nil && row.Msg == "serving" {
+				e.caller, e.control = callerField(line), row.Control
+				return true
+			}
+		}
+		return false
+	})
+	return e
+}
+
+// callerField returns the last field named caller: the log library uses the same name for the line of code.
+func callerField(line string) string {
+	_, rest, _ := strings.Cut(line, `"msg":"serving"`)
+	var row struct{ Caller string }
+	json.Unmarshal([]byte("{"+strings.TrimPrefix(rest, ",")), &row)
+	return row.Caller
+}
+
+func (p *processes) apply(settings *setting.Settings, extra string) {
+	dir := p.t.TempDir()
+	data, err := settings.Encode()
+	assert.NilError(p.t, err)
+	assert.NilError(p.t, os.WriteFile(filepath.Join(dir, "10-base.json"), data, 0o600))
+	assert.NilError(p.t, os.WriteFile(filepath.Join(dir, "20-addresses.json"), p.addresses(settings), 0o600))
+	assert.NilError(p.t, os.WriteFile(filepath.Join(dir, "30-extra.json"), []byte(extra), 0o600))
+	p.until("settings are accepted", func() bool {
+		out, err := p.command("apply", dir)
+		p.t.Logf("apply: %s", out)
+		return err == nil
+	})
+}
+
+// addresses overrides the addresses of the example by those that the system chose.
+func (p *processes) addresses(settings *setting.Settings) []byte {
+	type addressed struct {
+		Address string `json:"address"`
+	}
+	type serviceOverride struct {
+		Targets map[string]addressed `json:"targets"`
+	}
+	var override struct {
+		Services map[string]serviceOverride `json:"services"`
+	}
+	override.Services = map[string]serviceOverride{}
+	for name, s := range settings.Services {
+		targets := map[string]addressed{}
+		for target := range s.Targets {
+			targets[target] = addressed{
+				Address: p.targets[target],
+			}
+		}
+		override.Services[name] = serviceOverride{
+			Targets: targets,
+		}
+	}
+	data, err := json.Marshal(override)
+	assert.NilError(p.t, err)
+	return data
+}
+
+// command runs an operator's command against the first entry.
+func (p *processes) command(name string, args ...string) (string, error) {
+	full := append([]string{name, "-entry", p.entries[0].control}, args...)
+	out, err := exec.Command(filepath.Join(p.dir, "skylarkbeam"), full...).CombinedOutput()
+	return string(out), err
+}
+
+// waitReady waits until every entry knows every target to be warm.
+func (p *processes) waitReady() {
+	p.until("all targets are warm everywhere", func() bool {
+		for _, e := range p.entries {
+			s := p.status(e)
+			if s == nil || !s.Contact || len(s.Phases) != 30 {
+				return false
+			}
+			for _, phase := range s.Phases {
+				if phase.Warm == "" {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+func (p *processes) status(e *entryProcess) *entry.Status {
+	resp, err := p.client.Get("http://" + e.control + "/skylarkbeam/status")
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	var s entry.Status
+	if json.NewDecoder(resp.Body).Decode(&s) != nil {
+		return nil
+	}
+	return &s
+}
+
+// until polls a condition until the limit for starting and recovering.
+func (p *processes) until(what string, ok func() bool) {
+	p.t.Helper()
+	deadline := time.Now().Add(startLimit)
+	for !ok() {
+		if time.Now().After(deadline) {
+			p.t.Fatalf("not within %s: %s", startLimit, what)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// faults sets the faults of the platform stand-in.
+func (p *processes) faults(body string) {
+	p.t.Helper()
+	req, err := http.NewRequest(http.MethodPut, "http://"+p.platform+"/control/faults", strings.NewReader(body))
+	assert.NilError(p.t, err)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := p.client.Do(req)
+	assert.NilError(p.t, err)
+	resp.Body.Close()
+	assert.Equal(p.t, resp.StatusCode/100, 2)
+}
+
+// runs returns how often the targets of all services ran calls with the key.
+func (p *processes) runs(key string) int {
+	p.t.Helper()
+	n := 0
+	for _, address := range p.targets {
+		resp, err := p.client.Get("http://" + address + "/standin/runs")
+		assert.NilError(p.t, err)
+		var runs struct{ Keys map[string]int }
+		assert.NilError(p.t, json.NewDecoder(resp.Body).Decode(&runs))
+		resp.Body.Close()
+		n += runs.Keys[key]
+	}
+	return n
+}
+
+// result is what a caller gets.
+type result struct {
+	status  int
+	header  http.Header
+	body    string
+	err     error
+	elapsed time.Duration
+}
+
+func (r result) outcome() string { return r.header.Get("Skylarkbeam-Outcome") }
+
+// whole tells whether the answer is the whole answer to the request: the stand-in's bodies depend on all of it.
+func (r result) whole(method, path, key, body string) bool {
+	return r.err == nil && r.outcome() == "answered" && r.body == string(standin.Want(method, path, key, []byte(body)))
+}
+
+func (p *processes) call(client *http.Client, address, method, path, caller, key, body string) result {
+	req, err := http.NewRequest(method, "http://"+address+path, io.MultiReader(strings.NewReader(body)))
+	if err != nil {
+		return result{
+			err: err,
+		}
+	}
+	req.Header.Set("Skylarkbeam-Caller", caller)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	start := time.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		return result{
+			err:     err,
+			header:  http.Header{},
+			elapsed: time.Since(start),
+		}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return result{
+		status:  resp.StatusCode,
+		header:  resp.Header,
+		body:    string(data),
+		err:     err,
+		elapsed: time.Since(start),
+	}
+}
+
+// lockedBuffer collects the log of a process.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -37,13 +37,21 @@
 		start := e.timers.Now()
 		o := e.relay(m).Send(ctx, c.message(c.deadline.Sub(start)))
 		result = e.receive(ctx, c, o, func(route.Kind, outcome.Report, bool) {})
+		if a, ok := result.(*answer); ok {
+			result = relayed(a)
+		}
 		switch r := result.(type) {
 		case *answer:
-			return relayed(r)
+			return r
 		case *outcome.Unknown:
 			if !c.idempotent {
 				return r
 			}
+		case *outcome.NotRun:
+			// The other entry's refusal is one for want of a target that can take the call.
+			result = &outcome.NotRun{
+				Reason: outcome.Cold,
+			}
 		}
 	}
 	return result
--- a/entry/view.go
+++ b/entry/view.go
@@ -196,7 +196,8 @@
 	if now.UnixNano()-last < int64(interval) || !s.adjusted.CompareAndSwap(last, now.UnixNano()) {
 		return
 	}
-	s.scheduler.SetCapacity(now, e.table.Capacity(now, s.name))
+	window, total := e.table.Capacity(now, s.name, s.scheduler.Demand(now))
+	s.scheduler.SetCapacity(now, window, total)
 }
 
 func (e *Entry) adjustAll(now time.Time) {
