Prove at-most-once bookings through failing entries

Bookings are repeated at other entries while entries are killed, replaced, paused and woken, 5% of the table's answers are lost, the table is down for 2 s, and targets drop answers of calls that ran. The harness can put forwarders in front of the platform and the control addresses, for which serve gets -advertise, and runs at most three deployments at once.

--- /dev/null
+++ b/cmd/skylarkbeam/forwarder_test.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"net"
+	"regexp"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// forwarder passes TCP connections on and can cut them: then connections stay open and new ones are accepted, but no
+// byte gets through in either direction.
+type forwarder struct {
+	address  string
+	listener net.Listener
+
+	mu       sync.Mutex
+	upstream string
+	all      bool
+	senders  map[string]bool
+	conns    map[net.Conn]bool
+}
+
+func startForwarder(t *testing.T, upstream string) *forwarder {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	f := &forwarder{
+		address:  listener.Addr().String(),
+		listener: listener,
+		upstream: upstream,
+		senders:  map[string]bool{},
+		conns:    map[net.Conn]bool{},
+	}
+	go f.accept()
+	t.Cleanup(func() {
+		listener.Close()
+		f.heal()
+	})
+	return f
+}
+
+func (f *forwarder) forwardTo(upstream string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.upstream = upstream
+}
+
+// cut stops everything, or only connections from the entries named as senders.
+func (f *forwarder) cut(senders ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.all = f.all || len(senders) == 0
+	for _, name := range senders {
+		f.senders[name] = true
+	}
+}
+
+// heal ends all cuts. It closes the present connections, because bytes of them may be lost.
+func (f *forwarder) heal() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.all = false
+	clear(f.senders)
+	for c := range f.conns {
+		c.Close()
+	}
+}
+
+func (f *forwarder) blocked(sender string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.all || f.senders[sender]
+}
+
+func (f *forwarder) track(c net.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.conns[c] = true
+}
+
+func (f *forwarder) drop(c net.Conn) {
+	c.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.conns, c)
+}
+
+func (f *forwarder) accept() {
+	for {
+		client, err := f.listener.Accept()
+		if err != nil {
+			return
+		}
+		go f.serve(client)
+	}
+}
+
+// sender finds the name of the entry that sends a message to a peer. A connection belongs to one process, but its first
+// request may be one that does not name the sender.
+var sender = regexp.MustCompile(`"entry":"([^"]+)"`)
+
+func (f *forwarder) serve(client net.Conn) {
+	f.track(client)
+	defer f.drop(client)
+	f.mu.Lock()
+	upstream := f.upstream
+	f.mu.Unlock()
+	server, err := net.Dial("tcp", upstream)
+	if err != nil {
+		return
+	}
+	f.track(server)
+	defer f.drop(server)
+	var name atomic.Value
+	name.Store("")
+	go func() {
+		defer f.drop(client)
+		f.copy(client, server, func([]byte) string { return name.Load().(string) })
+	}()
+	f.copy(server, client, func(data []byte) string {
+		if m := sender.FindSubmatch(data); m != nil {
+			name.Store(string(m[1]))
+		}
+		return name.Load().(string)
+	})
+}
+
+// copy passes on what arrives while the connection is not cut.
+func (f *forwarder) copy(to, from net.Conn, name func(data []byte) string) {
+	data := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(data)
+		if err != nil {
+			return
+		}
+		if !f.blocked(name(data[:n])) {
+			if _, err := to.Write(data[:n]); err != nil {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/cmd/skylarkbeam/once_test.go
@@ -0,0 +1,185 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// booked is what became of one booking.
+type booked struct {
+	key      string
+	answered bool
+	// refused means that every answer was "not-run".
+	refused bool
+}
+
+// checker asks the targets for the runs of keys that have just been refused, many keys at a time.
+type checker struct {
+	asked chan asked
+}
+
+type asked struct {
+	key  string
+	runs chan int
+}
+
+func startChecker(p *processes, targets []string) *checker {
+	c := &checker{
+		asked: make(chan asked, 64),
+	}
+	go func() {
+		for first := range c.asked {
+			batch := []asked{first}
+			for len(c.asked) > 0 {
+				batch = append(batch, <-c.asked)
+			}
+			keys := p.keys(targets)
+			for _, a := range batch {
+				a.runs <- keys[a.key]
+			}
+		}
+	}()
+	return c
+}
+
+func (c *checker) runs(key string) int {
+	a := asked{
+		key:  key,
+		runs: make(chan int),
+	}
+	c.asked <- a
+	return <-a.runs
+}
+
+// Guards against a booking that runs twice and against a "not-run" that is false, while bookings are repeated at other
+// entries, answers of the table and of targets are lost, the table goes down and returns, and entries are killed,
+// replaced, paused and woken. The negative control sends the same bookings straight to the same targets.
+func TestAtMostOnce(t *testing.T) {
+	t.Parallel()
+	p := startSetup(t, setup{
+		extra: `{"services":{"reservations":{` + quick + `}}}`,
+	})
+	t.Logf("seed %d", seed)
+	targets := p.targetsOf("reservations")
+	losses := startLoad(1, func(_, _ int, random *rand.Rand) {
+		p.control(targets[random.IntN(len(targets))], "POST", "next?fault=drop", "")
+		time.Sleep(60 * time.Millisecond)
+	})
+	const lossy = `{"lose":{"rate":0.05,"seed":20261204,"point":"any","late":"100ms"}}`
+	p.faults(lossy)
+	c := startChecker(p, targets)
+	defer close(c.asked)
+	client := newClient(time.Second)
+	seen := newTally()
+	var mu sync.Mutex
+	var all []booked
+	entries := slices.Clone(p.entries)
+	bookings := startLoad(12, func(w, i int, random *rand.Rand) {
+		b := booked{
+			key:     fmt.Sprintf("once-%d-%d", w, i),
+			refused: true,
+		}
+		for range 1 + random.IntN(5) {
+			mu.Lock()
+			e := entries[random.IntN(len(entries))]
+			mu.Unlock()
+			r := p.call(client, e.caller, "POST", "/reservations/x", "web", b.key, "3 nights")
+			seen.add(r.kind())
+			b.answered = b.answered || r.outcome() == "answered"
+			b.refused = b.refused && r.outcome() == "not-run"
+			switch {
+			case r.outcome() == "answered":
+				assert.Check(t, r.whole("POST", "/reservations/x", b.key, "3 nights"), "%s: %s", b.key, r.body)
+			case b.refused:
+				assert.Check(t, c.runs(b.key) == 0, "%s ran although each answer was not-run", b.key)
+			}
+			time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		all = append(all, b)
+	})
+	killed, paused := p.entry(1), p.entry(2)
+	time.Sleep(time.Second)
+	p.kill(killed)
+	time.Sleep(time.Second)
+	p.pause(paused)
+	time.Sleep(time.Second)
+	p.faults(`{"down":true}`)
+	time.Sleep(2 * time.Second)
+	p.faults(lossy)
+	time.Sleep(2 * time.Second)
+	p.wake(paused)
+	time.Sleep(500 * time.Millisecond)
+	replacement := p.startEntry(killed.name, killed.domain)
+	mu.Lock()
+	entries[0] = replacement
+	mu.Unlock()
+	time.Sleep(time.Second)
+	p.pause(p.entry(3))
+	// Long enough to be marked gone by the others while it holds claims.
+	time.Sleep(7 * time.Second)
+	p.wake(p.entry(3))
+	time.Sleep(time.Second)
+	bookings.stop()
+	losses.stop()
+	p.faults(`{}`)
+	// A call that waited in a paused entry ends at the latest with its deadline, which is below a second.
+	time.Sleep(time.Second)
+	runs := p.keys(targets)
+	ran, answered, refused := 0, 0, 0
+	for _, b := range all {
+		n := runs[b.key]
+		ran += n
+		assert.Check(t, n <= 1, "%s ran %d times", b.key, n)
+		if b.answered {
+			answered++
+			assert.Check(t, n == 1, "%s was answered and ran %d times", b.key, n)
+		}
+		if b.refused {
+			refused++
+			assert.Check(t, n == 0, "%s was only refused as not-run and ran %d times", b.key, n)
+		}
+	}
+	t.Logf("%d bookings: %d ran, %d answered, %d only refused; answers: %v", len(all), ran, answered, refused, seen)
+	assert.Assert(t, answered > 0 && refused > 0 && seen.get("not-run table") > 0 && seen.get("broken") > 0)
+	p.plainBookings(t, targets)
+}
+
+// plainBookings shows that the faults at the targets make a client that repeats on any error run bookings twice.
+func (p *processes) plainBookings(t *testing.T, targets []string) {
+	losses := startLoad(1, func(_, _ int, random *rand.Rand) {
+		p.control(targets[random.IntN(len(targets))], "POST", "next?fault=drop", "")
+		time.Sleep(20 * time.Millisecond)
+	})
+	client := newClient(time.Second)
+	bookings := startLoad(12, func(w, i int, random *rand.Rand) {
+		for range 5 {
+			r := p.direct(client, targets[random.IntN(len(targets))], "POST", "/reservations/x", fmt.Sprintf("plain-%d-%d", w, i))
+			if r.err == nil && r.status == 200 {
+				break
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	})
+	time.Sleep(time.Second)
+	bookings.stop()
+	losses.stop()
+	twice, keys := 0, 0
+	for key, n := range p.keys(targets) {
+		if len(key) > 6 && key[:6] == "plain-" {
+			keys++
+			if n > 1 {
+				twice++
+			}
+		}
+	}
+	t.Logf("negative control: %d of %d keys of a plain client ran more than once", twice, keys)
+	assert.Assert(t, twice > 0, "the faults do not show with a plain client")
+}
--- a/cmd/skylarkbeam/processes_test.go
+++ b/cmd/skylarkbeam/processes_test.go
@@ -6,10 +6,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -47,33 +49,66 @@
 	os.Exit(code)
 }
 
+// deployments bounds how many tests run their processes at once.
+var deployments = make(chan struct{}, 3)
+
 // processes is a deployment of examples/beaconwatch as separate processes, on ports that the system chose.
 type processes struct {
 	t        *testing.T
 	dir      string
 	platform string
 	targets  map[string]string
+	settings *setting.Settings
+	setup    setup
 	entries  []*entryProcess
 	client   *http.Client
 }
 
 type entryProcess struct {
 	name    string
+	domain  string
 	caller  string
 	control string
 	cmd     *exec.Cmd
 	log     *lockedBuffer
+	// table and peers are the ways to the platform and from other entries, nil unless the setup has forwarders.
+	table, peers *forwarder
+}
+
+// setup is what a test changes about the deployment.
+type setup struct {
+	// extra is a settings file that is merged last.
+	extra string
+	// targets are flags of the target stand-ins.
+	targets []string
+	// forward puts a forwarder in front of the platform and of the control address of each entry.
+	forward bool
+	// serve are the names of entries that run with -isolation serve.
+	serve []string
 }
 
+// quick shortens the cold start, which is the longest part of starting a deployment.
+const quick = `"cold":{"time":"300ms"}`
+
 // startProcesses starts the platform, 30 targets and 6 entries, and applies the settings with extra ones merged last.
 func startProcesses(t *testing.T, extra string) *processes {
 	t.Helper()
+	return startSetup(t, setup{
+		extra: extra,
+	})
+}
+
+func startSetup(t *testing.T, s setup) *processes {
+	t.Helper()
+	deployments <- struct{}{}
+	t.Cleanup(func() { <-deployments })
 	dir, err := binaries()
 	assert.NilError(t, err)
 	p := &processes{
 		t:       t,
 		dir:     dir,
 		targets: map[string]string{},
+		setup:   s,
 		client: &http.Client{
 			Timeout: 10 * time.Second,
 		},
@@ -82,8 +117,10 @@
 	p.platform = strings.TrimPrefix(<-lines, "listening on ")
 	folder, err := setting.LoadDir("../../examples/beaconwatch")
 	assert.NilError(t, err)
+	p.settings = folder.Settings
 	for name, s := range folder.Settings.Services {
 		args := []string{"-service", name, "-slots", "2", "-cold", "1s", "-work", "4ms"}
+		args = append(args, p.setup.targets...)
 		for target := range s.Targets {
 			args = append(args, target+"=127.0.0.1:0")
 		}
@@ -93,10 +130,10 @@
 			p.targets[target] = address
 		}
 	}
-	for name, e := range folder.Settings.Entries {
-		p.entries = append(p.entries, p.startEntry(name, e.Domain))
+	for _, name := range slices.Sorted(maps.Keys(folder.Settings.Entries)) {
+		p.entries = append(p.entries, p.startEntry(name, folder.Settings.Entries[name].Domain))
 	}
-	p.apply(folder.Settings, extra)
+	p.apply(folder.Settings, s.extra)
 	p.waitReady()
 	return p
 }
@@ -125,11 +162,21 @@
 
 func (p *processes) startEntry(name, domain string) *entryProcess {
 	e := &entryProcess{
-		name: name,
-		log:  &lockedBuffer{},
+		name:   name,
+		domain: domain,
+		log:    &lockedBuffer{},
+	}
+	args := []string{"serve", "-name", name, "-domain", domain, "-caller", "127.0.0.1:0", "-control", "127.0.0.1:0"}
+	if p.setup.forward {
+		e.table, e.peers = startForwarder(p.t, p.platform), startForwarder(p.t, "")
+		args = append(args, "-platform", e.table.address, "-advertise", e.peers.address)
+	} else {
+		args = append(args, "-platform", p.platform)
 	}
-	e.cmd = exec.Command(filepath.Join(p.dir, "skylarkbeam"), "serve", "-name", name, "-domain", domain,
-		"-caller", "127.0.0.1:0", "-control", "127.0.0.1:0", "-platform", p.platform)
+	if slices.Contains(p.setup.serve, name) {
+		args = append(args, "-isolation", "serve")
+	}
+	e.cmd = exec.Command(filepath.Join(p.dir, "skylarkbeam"), args...)
 	e.cmd.Stderr = e.log
 	assert.NilError(p.t, e.cmd.Start())
 	p.t.Cleanup(func() {
@@ -145,6 +192,9 @@
 			var row struct{ Msg, Caller, Control string }
 			if json.Unmarshal([]byte(line), &row) == nil && row.Msg == "serving" {
 				e.caller, e.control = callerField(line), row.Control
+				if e.peers != nil {
+					e.peers.forwardTo(e.control)
+				}
 				return true
 			}
 		}
--- a/cmd/skylarkbeam/serve.go
+++ b/cmd/skylarkbeam/serve.go
@@ -29,6 +29,8 @@
   -domain NAME        failure domain of this entry
   -caller IP:PORT     address for callers
   -control IP:PORT    address for peers, operators and metrics
+  -advertise IP:PORT  control address given to other entries, where it is not that of
+                      -control, such as behind a forwarded port
   -platform IP:PORT   address of the platform's table, object store and VM list
   -seeds LIST         control addresses of other entries, separated by commas, to
                       start from while the platform is down
@@ -50,8 +52,8 @@
 
 // serveFlags are the flags of serve as they are written.
 type serveFlags struct {
-	name, domain, caller, control, platform, seeds, isolation string
-	contact                                                   time.Duration
+	name, domain, caller, control, advertise, platform, seeds, isolation string
+	contact                                                              time.Duration
 }
 
 func newServe(s streams) *ffcli.Command {
@@ -80,6 +82,7 @@
 	flags.StringVar(&f.domain, "domain", "", "")
 	flags.StringVar(&f.caller, "caller", "", "")
 	flags.StringVar(&f.control, "control", "", "")
+	flags.StringVar(&f.advertise, "advertise", "", "")
 	flags.StringVar(&f.platform, "platform", "", "")
 	flags.StringVar(&f.seeds, "seeds", "", "")
 	flags.StringVar(&f.isolation, "isolation", "stop", "")
@@ -105,6 +108,9 @@
 		Contact: f.contact,
 		Serve:   f.isolation == "serve",
 	}
+	if f.advertise != "" {
+		opts.Advertise = address("advertise", f.advertise)
+	}
 	table := address("platform", f.platform)
 	for _, text := range strings.FieldsFunc(f.seeds, func(r rune) bool { return r == ',' }) {
 		opts.Seeds = append(opts.Seeds, address("seeds", text))
--- a/entry/options.go
+++ b/entry/options.go
@@ -17,6 +17,8 @@
 	// Caller is the address for callers, Control the one for peers, operators and metrics.
 	Caller  netip.AddrPort
 	Control netip.AddrPort
+	// Advertise is the control address given to other entries; the default is the one that the entry listens on.
+	Advertise netip.AddrPort
 	// Platform holds everything that must outlive the process.
 	Platform platform.Platform
 	// Seeds are control addresses of other entries, to start from while the platform is down.
--- a/entry/provide.go
+++ b/entry/provide.go
@@ -41,13 +41,17 @@
 }
 
 func newFleet(opts Options, timers *timer.Service, counters *Counters, l *listeners, peers *fleet.Client, c *callbacks) *fleet.Fleet {
+	control := opts.Advertise
+	if !control.IsValid() {
+		control = addressOf(l.control)
+	}
 	return fleet.Open(fleet.Options{
 		Platform: opts.Platform,
 		Timers:   timers,
 		Name:     opts.Name,
 		Domain:   opts.Domain,
 		Caller:   addressOf(l.caller),
-		Control:  addressOf(l.control),
+		Control:  control,
 		Check:    checkSettings,
 		Peers:    peers,
 		Seeds:    opts.Seeds,
