Ask for contact again before each attempt

A call that was let in before a pause, and waited for its claim, was sent to a failure domain that had been drained meanwhile: contact was asked for only at its arrival. Each attempt now asks again, and a state that has just arrived is put in force before contact counts.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -97,7 +97,7 @@
 
 func (h *hedge) run() {
 	permit := h.entry.table.Hedge(h.entry.timers.Now(), h.call.service.name, h.query)
-	if permit == nil || !h.entry.fleet.Contact(h.entry.timers.Now()) {
+	if permit == nil || !h.entry.contact(h.entry.timers.Now()) {
 		if permit != nil {
 			permit.Done(h.entry.timers.Now(), route.Result{
 				Kind: route.Canceled,
@@ -151,6 +151,15 @@
 // permit ends with the attempt, that of a streamed answer with its end.
 func (e *Entry) attempt(ctx context.Context, c *call, permit *route.Permit) any {
 	start := e.timers.Now()
+	if !e.contact(start) {
+		// The process may have been paused since the call was let in, most likely while it waited for its claim.
+		permit.Done(start, route.Result{
+			Kind: route.Canceled,
+		})
+		return &outcome.NotRun{
+			Reason: outcome.Isolated,
+		}
+	}
 	deadline := c.deadline
 	if !permit.Until.IsZero() && permit.Until.Before(deadline) {
 		deadline = permit.Until
--- a/entry/call.go
+++ b/entry/call.go
@@ -168,7 +168,7 @@
 
 // handle admits a call, runs it and writes its answer. A returned refusal is still to be written.
 func (e *Entry) handle(w http.ResponseWriter, c *call) *refusal {
-	if !e.fleet.Contact(e.timers.Now()) {
+	if !e.contact(e.timers.Now()) {
 		return notRun(outcome.Isolated, retryLater, "this entry has lost contact with the platform and its peers")
 	}
 	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline)
@@ -333,7 +333,7 @@
 // repeat selects the target for another attempt, nil if there is to be none.
 func (e *Entry) repeat(ctx context.Context, c *call) *route.Permit {
 	now := e.timers.Now()
-	if ctx.Err() != nil || !now.Before(c.deadline) || !e.fleet.Contact(now) {
+	if ctx.Err() != nil || !now.Before(c.deadline) || !e.contact(now) {
 		return nil
 	}
 	return e.table.Repeat(now, c.service.name, c.query())
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -51,7 +51,8 @@
 	table    *route.Table
 	started  time.Time
 
-	view atomic.Pointer[view]
+	view       atomic.Pointer[view]
+	refreshing sync.Mutex
 
 	mu      sync.Mutex
 	budgets map[string]*target.Budget
--- a/entry/view.go
+++ b/entry/view.go
@@ -49,8 +49,22 @@
 	connections int
 }
 
+// contact tells whether new work may be sent now. It first puts a state that has just arrived in force: contact that
+// was regained by hearing of a drain must not let a call through to what was drained.
+func (e *Entry) contact(now time.Time) bool {
+	if !e.fleet.Contact(now) {
+		return false
+	}
+	if e.fleet.State().Version != e.view.Load().version {
+		e.refresh()
+	}
+	return true
+}
+
 // refresh derives a new view if the accepted state is newer than the present one.
 func (e *Entry) refresh() {
+	e.refreshing.Lock()
+	defer e.refreshing.Unlock()
 	state := e.fleet.State()
 	old := e.view.Load()
 	if state.Settings == nil || old.settings != nil && state.Version == old.version {
