Tell the pool which instance a call must reach

The entry did not pass the permit's instance on, so the pool never checked new connections, and several entries called a target that had restarted at once. The call now carries the instance.

go test -race -run 'TestDrain|TestColdStart' -v ./cmd/skylarkbeam: 4 calls beyond what cold targets bear at the return of a failure domain before, 0 after.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -177,7 +177,7 @@
 		}
 	}
 	e.counters.dispatch.Inc()
-	o := p.Send(ctx, c.message(deadline.Sub(start)))
+	o := p.Send(ctx, c.message(permit.Instance, deadline.Sub(start)))
 	return e.receive(ctx, c, o, func(kind route.Kind, report outcome.Report, silent bool) {
 		now := e.timers.Now()
 		e.notify(permit.Done(now, route.Result{
@@ -189,8 +189,9 @@
 	})
 }
 
-// message returns the call in the form that is sent to a target or to another entry.
-func (c *call) message(timeout time.Duration) *target.Call {
+// message returns the call in the form that is sent to a target or to another entry. The instance is the one that the
+// call must reach, empty for any.
+func (c *call) message(instance string, timeout time.Duration) *target.Call {
 	return &target.Call{
 		Method:     c.request.Method,
 		Path:       c.request.URL.RequestURI(),
@@ -198,6 +199,7 @@
 		Header:     c.request.Header,
 		Body:       c.body,
 		Idempotent: c.idempotent,
+		Instance:   instance,
 		Timeout:    timeout,
 	}
 }
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -35,7 +35,7 @@
 		}
 		e.counters.relays.Inc()
 		start := e.timers.Now()
-		o := e.relay(m).Send(ctx, c.message(c.deadline.Sub(start)))
+		o := e.relay(m).Send(ctx, c.message("", c.deadline.Sub(start)))
 		result = e.receive(ctx, c, o, func(route.Kind, outcome.Report, bool) {})
 		if a, ok := result.(*answer); ok {
 			result = relayed(a)
