--- a/cmd/skylarkbeam/cold_test.go
+++ b/cmd/skylarkbeam/cold_test.go
@@ -36,9 +36,7 @@
 // The targets count by themselves. The negative control calls a cold target from six plain clients.
 func TestColdStart(t *testing.T) {
 	t.Parallel()
-	p := startSetup(t, setup{
-		extra: `{"services":{"availability":{` + quick + `},"reservations":{` + quick + `}}}`,
-	})
+	p := startProcesses(t, `{}`)
 	t.Logf("seed %d", seed)
 	kinds := newTally()
 	calls := p.mixedLoad(3, func(_ *entryProcess, r result) { kinds.add(r.kind()) })
--- a/cmd/skylarkbeam/drain_test.go
+++ b/cmd/skylarkbeam/drain_test.go
@@ -107,8 +107,8 @@
 	})
 }
 
-// longCalls starts non-idempotent calls, which are not hedged, until some run for the given time at the targets.
-func (p *processes) longCalls(targets []string, d time.Duration) (keys []string, results func() []result) {
+// longCalls starts non-idempotent calls at the entries, which are not hedged, until some run for the given time at the targets.
+func (p *processes) longCalls(entries []*entryProcess, targets []string, d time.Duration) (keys []string, results func() []result) {
 	for _, name := range targets {
 		p.control(name, "PATCH", "switches", fmt.Sprintf(`{"work":%q}`, d))
 	}
@@ -117,7 +117,7 @@
 	var mu sync.Mutex
 	var all []result
 	for i := range 60 {
-		e := p.entries[i%len(p.entries)]
+		e := entries[i%len(entries)]
 		key := fmt.Sprintf("long-%s-%d", e.name, i)
 		group.Go(func() {
 			r := p.call(client, e.caller, "POST", "/documents/x", "reeftravel", key, "")
@@ -152,8 +152,7 @@
 }
 
 // longDeadlines lets calls run for longer than a drain takes.
-const longDeadlines = `"classes":{"agent":{"deadline":"30s"}},"services":{"availability":{"deadline":"30s",` + quick +
-	`},"reservations":{"deadline":"30s",` + quick + `},"documents":{"deadline":"30s",` + quick + `}}`
+const longDeadlines = `"classes":{"agent":{"deadline":"30s"}},"services":{"availability":{"deadline":"30s"},"reservations":{"deadline":"30s"},"documents":{"deadline":"30s"}}`
 
 // waitDrained waits for the acceptance of a drain and returns its time, at most 20 ms late.
 func (p *processes) waitDrained(domain string) time.Time {
@@ -198,7 +197,7 @@
 			documents := p.targetsIn(func(service, domain string) bool { return service == "documents" && domain == "cairns" })
 			kinds := newTally()
 			calls := p.mixedLoad(2, func(e *entryProcess, r result) { kinds.add(e.name + " " + r.kind()) })
-			long, longResults := p.longCalls(documents, 8*time.Second)
+			long, longResults := p.longCalls(p.entries, documents, 8*time.Second)
 			assert.Assert(t, len(long) > 0, "no long call runs in the failure domain")
 			a := p.follow(cairns)
 			paused, alone := p.entry(2), p.entry(4)
--- a/cmd/skylarkbeam/once_test.go
+++ b/cmd/skylarkbeam/once_test.go
@@ -62,9 +62,7 @@
 // replaced, paused and woken. The negative control sends the same bookings straight to the same targets.
 func TestAtMostOnce(t *testing.T) {
 	t.Parallel()
-	p := startSetup(t, setup{
-		extra: `{"services":{"reservations":{` + quick + `}}}`,
-	})
+	p := startProcesses(t, `{}`)
 	t.Logf("seed %d", seed)
 	targets := p.targetsOf("reservations")
 	losses := startLoad(1, func(_, _ int, random *rand.Rand) {
--- a/cmd/skylarkbeam/processes_test.go
+++ b/cmd/skylarkbeam/processes_test.go
@@ -88,7 +88,7 @@
 }
 
 // quick shortens the cold start, which is the longest part of starting a deployment.
-const quick = `"cold":{"time":"300ms"}`
+const quick = `{"services":{"availability":{"cold":{"time":"300ms"}},"reservations":{"cold":{"time":"300ms"}},"documents":{"cold":{"time":"300ms"}}}}`
 
 // startProcesses starts the platform, 30 targets and 6 entries, and applies the settings with extra ones merged last.
 func startProcesses(t *testing.T, extra string) *processes {
@@ -217,10 +217,11 @@
 	assert.NilError(p.t, err)
 	assert.NilError(p.t, os.WriteFile(filepath.Join(dir, "10-base.json"), data, 0o600))
 	assert.NilError(p.t, os.WriteFile(filepath.Join(dir, "20-addresses.json"), p.addresses(settings), 0o600))
+	assert.NilError(p.t, os.WriteFile(filepath.Join(dir, "25-quick.json"), []byte(quick), 0o600))
 	assert.NilError(p.t, os.WriteFile(filepath.Join(dir, "30-extra.json"), []byte(extra), 0o600))
 	p.until("settings are accepted", func() bool {
 		out, err := p.command("apply", dir)
-		p.t.Logf("apply: %s", out)
+		assert.Assert(p.t, !strings.Contains(out, "fault"), "the settings are invalid: %s", out)
 		return err == nil
 	})
 }
