--- a/cmd/skylarkbeam/processes_test.go
+++ b/cmd/skylarkbeam/processes_test.go
@@ -60,8 +60,10 @@
 	targets  map[string]string
 	settings *setting.Settings
 	setup    setup
-	entries  []*entryProcess
 	client   *http.Client
+
+	mu      sync.Mutex
+	entries []*entryProcess
 }
 
 type entryProcess struct {
