Settle races between a call and its hedge, and relay calls of a new entry

Cause: reading the call path again showed four faults. A first answer could be taken after the hedge had won and closed its connection; a hedge that ended at the same moment could keep its place at the target; a booking was cancelled when its caller went away, so that a repeat stayed unknown for 24 h; an entry that may not check connections yet refused calls that others could take. Change: one lock decides between the attempts; bookings run to their end without their caller; calls refused for want of a probe budget are relayed; paths are looked up by segment.

--- a/cmd/skylarkbeam/processes_test.go
+++ b/cmd/skylarkbeam/processes_test.go
@@ -49,7 +49,7 @@
 
 // processes is a deployment of examples/beaconwatch as separate processes, on ports that the system chose.
 type processes struct {
-	t        *testing.T
+	t        testing.TB
 	dir      string
 	platform string
 	targets  map[string]string
@@ -66,7 +66,8 @@
 }
 
 // startProcesses starts the platform, 30 targets and 6 entries, and applies the settings with extra ones merged last.
-func startProcesses(t *testing.T, extra string) *processes {
+// The last flag of a kind counts, so targetFlags override those that the targets get anyway.
+func startProcesses(t testing.TB, extra string, targetFlags ...string) *processes {
 	t.Helper()
 	dir, err := binaries()
 	assert.NilError(t, err)
@@ -84,6 +85,7 @@
 	assert.NilError(t, err)
 	for name, s := range folder.Settings.Services {
 		args := []string{"-service", name, "-slots", "2", "-cold", "1s", "-work", "4ms"}
+		args = append(args, targetFlags...)
 		for target := range s.Targets {
 			args = append(args, target+"=127.0.0.1:0")
 		}
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -33,7 +33,9 @@
 		return
 	}
 	defer a.rest.Close()
-	if err == nil {
+	if err != nil {
+		a.end(route.Canceled)
+	} else {
 		err = e.stream(w, a)
 	}
 	if err != nil {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"skylarkbeam/claim"
 	"skylarkbeam/outcome"
 	"skylarkbeam/route"
 	"skylarkbeam/target"
@@ -26,6 +27,14 @@
 	end func(route.Kind)
 }
 
+// recorded returns the body for the record of the call; a body that is still being streamed counts as too large.
+func (a *answer) recorded() []byte {
+	if a.rest != nil {
+		return make([]byte, claim.MaxAnswer+1)
+	}
+	return a.prefix
+}
+
 // discard gives up an answer that is not needed.
 func (a *answer) discard() {
 	if a.rest != nil {
@@ -39,12 +48,11 @@
 // race makes an attempt, and a second one for an idempotent call if the first is slower than usual. It returns the first
 // whole answer, or what became of the first attempt.
 func (e *Entry) race(ctx context.Context, c *call, permit *route.Permit) any {
+	c.tried = append(c.tried, permit.Target)
 	after, ok := e.table.HedgeAfter(c.service.name)
 	if !c.idempotent || !ok {
-		c.tried = append(c.tried, permit.Target)
 		return e.attempt(ctx, c, permit)
 	}
-	c.tried = append(c.tried, permit.Target)
 	firstCtx, cancelFirst := context.WithCancel(ctx)
 	h := &hedge{
 		entry:       e,
@@ -91,60 +99,64 @@
 	cancelFirst context.CancelFunc
 	result      chan any
 
-	mu   sync.Mutex
-	lost bool // the first attempt has won
+	mu sync.Mutex
+	// At most one of the two attempts wins; the answer of the other is discarded.
+	won  bool
+	lost bool
 }
 
+// run makes the second attempt. It always sends one result.
 func (h *hedge) run() {
-	permit := h.entry.table.Hedge(h.entry.timers.Now(), h.call.service.name, h.query)
-	if permit == nil || !h.entry.fleet.Contact(h.entry.timers.Now()) {
-		if permit != nil {
-			permit.Done(h.entry.timers.Now(), route.Result{
-				Kind: route.Canceled,
-			})
-		}
+	e := h.entry
+	permit := e.table.Hedge(e.timers.Now(), h.call.service.name, h.query)
+	if permit == nil {
 		h.result <- nil
 		return
 	}
-	h.entry.counters.Retried(outcome.Hedge)
-	result := h.entry.attempt(h.ctx, h.call, permit)
+	if now := e.timers.Now(); !e.fleet.Contact(now) {
+		permit.Done(now, route.Result{
+			Kind: route.Canceled,
+		})
+		h.result <- nil
+		return
+	}
+	e.counters.Retried(outcome.Hedge)
+	result := e.attempt(h.ctx, h.call, permit)
 	h.mu.Lock()
-	lost := h.lost
+	defer h.mu.Unlock()
 	if a, ok := result.(*answer); ok {
-		if lost {
+		if h.lost {
 			a.discard()
 			result = nil
 		} else {
+			h.won = true
 			h.cancelFirst()
 		}
 	}
-	h.mu.Unlock()
 	h.result <- result
 }
 
-// settle chooses between the first attempt, which has ended, and the hedge.
+// settle chooses between the first attempt, which has ended, and the hedge. A first answer that arrives after the hedge
+// has won cannot be used, because its connection is already being closed.
 func (h *hedge) settle(first any) any {
-	if _, ok := first.(*answer); ok {
-		h.mu.Lock()
+	firstAnswer, answered := first.(*answer)
+	h.mu.Lock()
+	if answered && !h.won {
 		h.lost = true
 		h.mu.Unlock()
 		h.cancel()
-		select {
-		case second := <-h.result:
-			// Both have won.
-			if a, ok := second.(*answer); ok {
-				a.discard()
-			}
-		default:
-		}
 		return first
 	}
-	second := <-h.result
-	if a, ok := second.(*answer); ok {
-		h.entry.counters.hedgeWins.Inc()
-		return a
+	h.mu.Unlock()
+	second, ok := (<-h.result).(*answer)
+	if !ok {
+		return first
+	}
+	if answered {
+		firstAnswer.discard()
 	}
-	return first
+	h.entry.counters.hedgeWins.Inc()
+	return second
 }
 
 // attempt sends a call to the target of the permit. It returns an *answer, *outcome.NotRun or *outcome.Unknown. The
--- a/entry/call.go
+++ b/entry/call.go
@@ -105,7 +105,7 @@
 	if v.settings == nil {
 		return nil, notRun(outcome.Isolated, retryLater, "this entry has no settings yet")
 	}
-	name, ok := v.settings.Find(r.URL.Path)
+	name, ok := v.paths.Find(r.URL.Path)
 	if !ok {
 		return nil, notRun(outcome.Service, 0, "no service has this path")
 	}
@@ -171,7 +171,13 @@
 	if !e.fleet.Contact(e.timers.Now()) {
 		return notRun(outcome.Isolated, retryLater, "this entry has lost contact with the platform and its peers")
 	}
-	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline)
+	ctx := c.request.Context()
+	if !c.idempotent {
+		// A caller that goes away repeats the call. Its answer is then in the record, whereas a call that was cancelled
+		// would stay unknown.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	ticket, refused := c.service.scheduler.Admit(ctx, c.caller, c.deadline)
 	if refused != nil {
@@ -248,7 +254,7 @@
 	switch o := e.run(ctx, c).(type) {
 	case *answer:
 		// The record does not wait for the caller, who may be slow or gone.
-		c.claim.Finish(o.status, o.header.Get("Content-Type"), o.prefix)
+		c.claim.Finish(o.status, o.header.Get("Content-Type"), o.recorded())
 		e.deliver(w, c, o)
 		return nil
 	case *outcome.NotRun:
@@ -277,11 +283,25 @@
 // run sends a call until it has a whole answer or is given up. It returns an *answer, *outcome.NotRun or
 // *outcome.Unknown.
 func (e *Entry) run(ctx context.Context, c *call) any {
+	result := e.runHere(ctx, c)
+	no, ok := result.(*outcome.NotRun)
+	if !ok || c.relayed {
+		return result
+	}
+	switch no.Reason {
+	case outcome.Cold:
+		return e.relayCall(ctx, c, no, e.owners(c))
+	case outcome.Budget:
+		// An entry that has just started may not check connections yet; others have checked theirs.
+		return e.relayCall(ctx, c, no, e.others())
+	}
+	return result
+}
+
+// runHere is run without the help of other entries.
+func (e *Entry) runHere(ctx context.Context, c *call) any {
 	permit, reason := e.pick(ctx, c)
 	if permit == nil {
-		if reason == outcome.Cold && !c.relayed {
-			return e.relayCall(ctx, c)
-		}
 		return &outcome.NotRun{
 			Reason: reason,
 		}
--- a/entry/control.go
+++ b/entry/control.go
@@ -217,9 +217,14 @@
 	Reason  string   `json:"reason,omitempty"`
 }
 
+// Apply changes the accepted settings, as the command does.
+func (e *Entry) Apply(ctx context.Context, c fleet.Change, settings []byte) fleet.Decision {
+	return e.fleet.Apply(ctx, c, settings)
+}
+
 func (e *Entry) serveApply(req *restful.Request, resp *restful.Response) {
 	e.change(req, resp, func(ctx context.Context, c *Change) fleet.Decision {
-		return e.fleet.Apply(ctx, c.change(), c.Settings)
+		return e.Apply(ctx, c.change(), c.Settings)
 	})
 }
 
--- a/entry/counters.go
+++ b/entry/counters.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -48,7 +49,7 @@
 		probes:    set.NewCounter("skylarkbeam_probes_total"),
 		duration:  set.NewHistogram("skylarkbeam_call_seconds"),
 	}
-	for _, r := range outcome.Refusals {
+	for _, r := range slices.Concat(outcome.Refusals, outcome.Retries) {
 		c.refusals[r] = set.NewCounter(fmt.Sprintf("skylarkbeam_refusals_total{reason=%q}", r))
 	}
 	for _, r := range outcome.Retries {
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"skylarkbeam/fleet"
@@ -23,20 +24,17 @@
 	address netip.AddrPort
 }
 
-// relayCall passes a call on to an entry that owns cold targets of the service. That is the way to an answer while this
-// entry knows no warm target, such as after a start of the whole deployment.
-func (e *Entry) relayCall(ctx context.Context, c *call) any {
-	var result any = &outcome.NotRun{
-		Reason: outcome.Cold,
-	}
-	for _, m := range e.owners(c) {
+// relayCall passes a call on to other entries, one after the other, until one answers it. That is the way to an answer
+// while this entry may not use any target, such as after a start of the whole deployment, when all targets are cold.
+// Refused is the result if no other entry can help.
+func (e *Entry) relayCall(ctx context.Context, c *call, refused *outcome.NotRun, others []fleet.Member) any {
+	for _, m := range others {
 		if ctx.Err() != nil {
-			return result
+			break
 		}
 		e.counters.relays.Inc()
-		start := e.timers.Now()
-		o := e.relay(m).Send(ctx, c.message(c.deadline.Sub(start)))
-		result = e.receive(ctx, c, o, func(route.Kind, outcome.Report, bool) {})
+		timeout := c.deadline.Sub(e.timers.Now())
+		result := e.receive(ctx, c, e.relay(m).Send(ctx, c.message(timeout)), func(route.Kind, outcome.Report, bool) {})
 		if a, ok := result.(*answer); ok {
 			result = relayed(a)
 		}
@@ -47,14 +45,9 @@
 			if !c.idempotent {
 				return r
 			}
-		case *outcome.NotRun:
-			// The other entry's refusal is one for want of a target that can take the call.
-			result = &outcome.NotRun{
-				Reason: outcome.Cold,
-			}
 		}
 	}
-	return result
+	return refused
 }
 
 // relayed tells the answer of a target from what the other entry itself has to say.
@@ -80,14 +73,17 @@
 	for name := range c.service.spec.Targets {
 		names[e.fleet.Owner(name)] = true
 	}
-	var owners []fleet.Member
-	for _, m := range e.fleet.Members() {
-		if names[m.Name] && m.Name != e.opts.Name && m.State == fleet.RecordStateActive {
-			owners = append(owners, m)
-		}
-	}
-	rand.Shuffle(len(owners), func(i, j int) { owners[i], owners[j] = owners[j], owners[i] })
-	return owners
+	return slices.DeleteFunc(e.others(), func(m fleet.Member) bool { return !names[m.Name] })
+}
+
+// others returns the other entries in operation, in random order.
+func (e *Entry) others() []fleet.Member {
+	now := e.timers.Now()
+	others := slices.DeleteFunc(e.fleet.Members(), func(m fleet.Member) bool {
+		return m.Name == e.opts.Name || !e.usable(now, m)
+	})
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others
 }
 
 // relay returns the connection pool to another entry.
--- a/entry/view.go
+++ b/entry/view.go
@@ -31,6 +31,7 @@
 	settings *setting.Settings
 	services map[string]*service
 	pools    map[string]*pool
+	paths    setting.Paths
 }
 
 // service is one service at this entry.
@@ -68,6 +69,7 @@
 		settings: settings,
 		services: map[string]*service{},
 		pools:    map[string]*pool{},
+		paths:    settings.Paths(),
 	}
 	var targets []route.Target
 	for name, spec := range settings.Services {
--- /dev/null
+++ b/setting/paths.go
@@ -0,0 +1,32 @@
+package setting
+
+import "strings"
+
+// Paths finds services by the paths of requests, in time that does not grow with the number of services.
+type Paths map[string]string
+
+// Paths returns the paths of all services with the names of the services.
+func (s *Settings) Paths() Paths {
+	paths := Paths{}
+	for name, service := range s.Services {
+		paths[service.Path] = name
+	}
+	return paths
+}
+
+// Find returns the name of the service whose path is a prefix of requestPath in whole segments: "/stock" matches "/stock"
+// and "/stock/7", but not "/stockroom".
+func (p Paths) Find(requestPath string) (name string, ok bool) {
+	for end := len(requestPath); end > 0; end = strings.LastIndexByte(requestPath[:end], '/') {
+		if name, ok := p[requestPath[:end]]; ok {
+			return name, true
+		}
+		// A path may end with a slash.
+		if requestPath[end-1] != '/' {
+			if name, ok := p[requestPath[:strings.LastIndexByte(requestPath[:end], '/')+1]]; ok {
+				return name, true
+			}
+		}
+	}
+	return "", false
+}
--- a/setting/settings.go
+++ b/setting/settings.go
@@ -144,17 +144,6 @@
 	}
 }
 
-// Find returns the name of the service whose path is a prefix of requestPath in whole segments: "/stock" matches
-// "/stock" and "/stock/7", but not "/stockroom".
-func (s *Settings) Find(requestPath string) (name string, ok bool) {
-	for name, service := range s.Services {
-		if under(requestPath, service.Path) {
-			return name, true
-		}
-	}
-	return "", false
-}
-
 // Idempotent reports whether a call with this method can run more than once.
 func (s *Service) Idempotent(method string) bool {
 	return !slices.Contains(s.Once, Method(method))
--- a/setting/settings_test.go
+++ b/setting/settings_test.go
@@ -147,7 +147,7 @@
 
 // Guards against a request that goes to the service of another path.
 func TestFind(t *testing.T) {
-	s := valid()
+	paths := valid().Paths()
 	tests := []struct {
 		path string
 		want string
@@ -158,7 +158,7 @@
 		{"/", ""},
 	}
 	for _, test := range tests {
-		have, ok := s.Find(test.path)
+		have, ok := paths.Find(test.path)
 		assert.Equal(t, have, test.want, test.path)
 		assert.Equal(t, ok, test.want != "", test.path)
 	}
