--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -48,6 +48,7 @@
 	readBack bool // a lost answer counts as not committed
 	fence    bool // a group that a read-back does not show counts as never committed
 	refuse   bool // calls queue while the table is down
+	group    bool // each write has a transaction of its own, which does not wait for its turn
 	expiry   time.Duration
 }
 
--- a/claim/run.go
+++ b/claim/run.go
@@ -80,7 +80,7 @@
 		return false
 	}
 	wait := l.pace.next.Sub(l.options.Timers.Now())
-	if wait <= 0 {
+	if wait <= 0 || l.options.disabled.group {
 		return true
 	}
 	t := time.NewTimer(wait)
@@ -113,8 +113,12 @@
 func (l *Ledger) collect() []*write {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	limit := maxWrites
+	if l.options.disabled.group {
+		limit = 1
+	}
 	var writes []*write
-	for len(l.queue) > 0 && len(writes) < maxWrites {
+	for len(l.queue) > 0 && len(writes) < limit {
 		w := l.queue[0]
 		l.queue = l.queue[1:]
 		if w.isTake() && w.answered {
