Give each transaction of a claim group its own time limit

A group that conflicted on a slow table used up its 250 ms before the retry, and the retry then counted as lost. Each transaction has its own limit now; Take still ends after 250 ms.

--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -19,7 +19,7 @@
 	// expiryMargin is kept between Claim.Until and the expiry of the row, for the difference of the clocks of this
 	// process and of the platform.
 	expiryMargin = time.Hour
-	// waitLimit bounds the wait of a call, and the time of one group with its retries and read-backs.
+	// waitLimit bounds the wait of a call, and the time of one transaction with its read-backs.
 	waitLimit = 250 * time.Millisecond
 	// probeInterval is how often a ledger reads from a table that is down.
 	probeInterval = 250 * time.Millisecond
@@ -62,16 +62,16 @@
 	wake     chan struct{}
 	pace     pace
 
-	mu      sync.Mutex
-	queue   []*write
-	held    map[string]holding
-	down    bool
-	closing bool
+	mu       sync.Mutex
+	queue    []*write
+	held     map[string]holding
+	sequence uint64 // of the last nonce
+	down     bool
+	closing  bool
 
 	// Used by the goroutine of run only.
-	version  uint64 // of the group row; 0 before it was written
-	sequence uint64
-	pending  *group // the group whose effect is unknown
+	version uint64 // of the group row; 0 before it was written
+	pending *group // the group whose effect is unknown
 }
 
 // phase is what a ledger knows about a key that it holds or tries to get.
@@ -115,7 +115,8 @@
 }
 
 // Close ends the ledger: Take is refused from now on, and what is queued is written within 2 s if the table allows.
-// Done tells when that has ended. Claims that are still held stay in the table until they expire.
+// Done tells when that has ended. Claims that are still held then
+// stay in the table until they expire.
 func (l *Ledger) Close() {
 	l.mu.Lock()
 	l.closing = true
--- a/claim/lost_test.go
+++ b/claim/lost_test.go
@@ -1,12 +1,18 @@
 package claim
 
 import (
+	"fmt"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"skylarkbeam/platform"
+	"skylarkbeam/timer"
 )
 
 func loseNext(point platform.Point) platform.Faults {
@@ -190,3 +196,58 @@
 		}
 	}
 }
+
+// Guards against kinds of errors that get lost between a ledger and a platform in another process.
+func TestLostAnswersOverHTTP(t *testing.T) {
+	const seed, keys = 20261204, 200
+	t.Logf("seed %d", seed)
+	timers := timer.New()
+	memory := platform.NewMemory(timers)
+	server := httptest.NewServer(platform.NewHandler(memory))
+	defer server.Close()
+	assert.NilError(t, memory.SetFaults(platform.Faults{
+		Lose: platform.Loss{
+			Rate:  0.2,
+			Seed:  seed,
+			Point: platform.PointAny,
+			Late:  10 * time.Millisecond,
+		},
+	}))
+	var granted [keys]atomic.Int64
+	var calls sync.WaitGroup
+	for i := range 2 {
+		client := platform.NewClient(platform.ClientOptions{
+			Address: netip.MustParseAddrPort(server.Listener.Addr().String()),
+		})
+		defer client.Close()
+		l := Open(Options{
+			Table:       client,
+			Entry:       fmt.Sprint("entry", i),
+			Incarnation: fmt.Sprint("incarnation", i),
+			Timers:      timers,
+		})
+		defer func() {
+			l.Close()
+			<-l.Done()
+		}()
+		for key := range keys {
+			calls.Go(func() {
+				for range 20 {
+					switch take(l, fmt.Sprint("k", key)).(type) {
+					case *Granted:
+						granted[key].Add(1)
+						return
+					case *Busy:
+						return
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+			})
+		}
+	}
+	calls.Wait()
+	assert.Assert(t, memory.Counters().Lost > 0)
+	for key := range granted {
+		assert.Equal(t, granted[key].Load(), int64(1), "grants of key %d", key)
+	}
+}
--- a/claim/outage_test.go
+++ b/claim/outage_test.go
@@ -181,3 +181,20 @@
 		assert.Assert(t, time.Since(start) <= closeLimit+waitLimit)
 	})
 }
+
+// Guards against a slow table that is taken for one that is down.
+func TestSlowTable(t *testing.T) {
+	simulate(t, func(w *world) {
+		a, b := w.open("a", mechanisms{}), w.open("b", mechanisms{})
+		takeAll(b, []string{"k1"})
+		w.sleep(time.Second)
+		w.faults(platform.Faults{
+			Delay: 200 * time.Millisecond,
+		})
+		for range 10 {
+			assert.DeepEqual(t, tally(takeAll(a, []string{"k1"})), map[string]int{"busy b": 1})
+			mustGrant(t, take(a, "k2")).Release()
+			w.sleep(time.Second)
+		}
+	})
+}
--- a/claim/run.go
+++ b/claim/run.go
@@ -95,16 +95,14 @@
 
 // commitGroup commits what is queued. A group that conflicts is retried at once without the writes that conflicted.
 func (l *Ledger) commitGroup() {
-	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
-	defer cancel()
 	writes := l.collect()
-	if !l.register(ctx) {
+	if !l.register() {
 		l.requeue(writes)
 		l.goDown()
 		return
 	}
 	for len(writes) > 0 {
-		writes = l.attempt(ctx, writes)
+		writes = l.attempt(writes)
 	}
 	l.wakeIfQueued()
 }
@@ -162,7 +160,9 @@
 
 // register writes the group row if its version is not known. No claim depends on the check that the row is absent,
 // because that check, unlike one for a version, could hold again.
-func (l *Ledger) register(ctx context.Context) bool {
+func (l *Ledger) register() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
 	for l.version == 0 {
 		if ctx.Err() != nil {
 			return false
@@ -201,7 +201,9 @@
 }
 
 // attempt commits one group and returns the writes to retry at once.
-func (l *Ledger) attempt(ctx context.Context, writes []*write) []*write {
+func (l *Ledger) attempt(writes []*write) []*write {
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
 	g := &group{
 		nonce:  l.nonce(),
 		start:  l.options.Timers.Now(),
@@ -260,7 +262,7 @@
 			return nil
 		}
 		l.version = row.Version
-		if !l.register(ctx) {
+		if !l.register() {
 			l.requeue(g.writes)
 			l.goDown()
 			return nil
--- a/cmd/standin-platform/main.go
+++ b/cmd/standin-platform/main.go
@@ -13,6 +13,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -47,7 +48,9 @@
 		fmt.Fprintln(os.Stderr, "standin-platform:", err)
 		os.Exit(2)
 	}
-	if err := run(o); err != nil {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx, o, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "standin-platform:", err)
 		os.Exit(1)
 	}
@@ -74,7 +77,8 @@
 	return o, o.faults.Validate()
 }
 
-func run(o options) error {
+// run serves until ctx ends.
+func run(ctx context.Context, o options, out io.Writer) error {
 	memory := platform.NewMemory(timer.New())
 	if err := memory.SetFaults(o.faults); err != nil {
 		return errors.Wrap(err, "setting faults")
@@ -90,10 +94,8 @@
 		Handler:           mux,
 		ReadHeaderTimeout: 5 * time.Second,
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	context.AfterFunc(ctx, func() { _ = server.Close() })
-	fmt.Println("listening on", listener.Addr())
+	defer context.AfterFunc(ctx, func() { _ = server.Close() })()
+	fmt.Fprintln(out, "listening on", listener.Addr())
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serving")
 	}
