--- a/claim/run.go
+++ b/claim/run.go
@@ -80,7 +80,7 @@
 		return false
 	}
 	wait := l.pace.next.Sub(l.options.Timers.Now())
-	if wait <= 0 {
+	if wait <= 0 || l.options.disabled.group {
 		return true
 	}
 	t := time.NewTimer(wait)
@@ -95,16 +95,14 @@
 
 // commitGroup commits what is queued. A group that conflicts is retried at once without the writes that conflicted.
 func (l *Ledger) commitGroup() {
-	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
-	defer cancel()
 	writes := l.collect()
-	if !l.register(ctx) {
+	if !l.register() {
 		l.requeue(writes)
 		l.goDown()
 		return
 	}
 	for len(writes) > 0 {
-		writes = l.attempt(ctx, writes)
+		writes = l.attempt(writes)
 	}
 	l.wakeIfQueued()
 }
@@ -113,8 +111,12 @@
 func (l *Ledger) collect() []*write {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	limit := maxWrites
+	if l.options.disabled.group {
+		limit = 1
+	}
 	var writes []*write
-	for len(l.queue) > 0 && len(writes) < maxWrites {
+	for len(l.queue) > 0 && len(writes) < limit {
 		w := l.queue[0]
 		l.queue = l.queue[1:]
 		if w.isTake() && w.answered {
@@ -158,7 +160,9 @@
 
 // register writes the group row if its version is not known. No claim depends on the check that the row is absent,
 // because that check, unlike one for a version, could hold again.
-func (l *Ledger) register(ctx context.Context) bool {
+func (l *Ledger) register() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
 	for l.version == 0 {
 		if ctx.Err() != nil {
 			return false
@@ -197,7 +201,9 @@
 }
 
 // attempt commits one group and returns the writes to retry at once.
-func (l *Ledger) attempt(ctx context.Context, writes []*write) []*write {
+func (l *Ledger) attempt(writes []*write) []*write {
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
 	g := &group{
 		nonce:  l.nonce(),
 		start:  l.options.Timers.Now(),
@@ -256,7 +262,7 @@
 			return nil
 		}
 		l.version = row.Version
-		if !l.register(ctx) {
+		if !l.register() {
 			l.requeue(g.writes)
 			l.goDown()
 			return nil
