Confirm new connections by other answers when the probe budget is used up

Each new connection to a warm target needed a load read of its own, so a burst of calls was refused beyond the quota of probes. An answer to a request that was written after a connection was open now confirms it at no cost; a call that cannot be checked waits up to 50 ms for one, or takes a confirmed connection that becomes idle. A connection no longer counts as leading to an instance when a later report names another one. The stand-in drops calls that a killed process would not have run, which it had counted for the new instance.

TestEvidence with one probe: of 20 calls at once at least 15 are answered; without evidence at most 5.

--- a/standin/call.go
+++ b/standin/call.go
@@ -64,6 +64,10 @@
 // enter waits for a slot. The call has certainly not run if it returns false.
 func (t *Target) enter(ctx context.Context) (*life, bool) {
 	t.mu.Lock()
+	if t.dead(ctx) {
+		t.mu.Unlock()
+		return nil, false
+	}
 	if t.switches.Drain {
 		t.counts.Drained++
 		t.mu.Unlock()
--- a/standin/server.go
+++ b/standin/server.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -30,6 +31,9 @@
 		Address: ln.Addr().(*net.TCPAddr).AddrPort(),
 		http: &http.Server{
 			Handler: t,
+			ConnContext: func(ctx context.Context, nc net.Conn) context.Context {
+				return context.WithValue(ctx, connKey{}, nc)
+			},
 		},
 		done: make(chan struct{}),
 	}
@@ -92,6 +96,16 @@
 	target *Target
 	silent atomic.Int32
 	close  sync.Once
+	dead   bool // the process that accepted the connection was killed; guarded by the target's lock
+}
+
+type connKey struct{}
+
+// dead tells whether the request belongs to a former process start that did not keep its connections. Its handler must
+// not do what the killed process would not have done. The caller holds the lock.
+func (t *Target) dead(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	return ok && c.dead
 }
 
 // Silence makes all connections that are open now silent for ever, while new ones work. Calls on them run without their
--- a/standin/target.go
+++ b/standin/target.go
@@ -117,6 +117,7 @@
 	var conns []*conn
 	if !keep {
 		for c := range t.conns {
+			c.dead = true
 			conns = append(conns, c)
 		}
 	}
--- a/target/conn.go
+++ b/target/conn.go
@@ -23,8 +23,9 @@
 	bw       *bufio.Writer
 	abort    func()
 	peek     func(fd uintptr) bool
-	quiet    bool // result of the last peek
-	instance string
+	quiet    bool   // result of the last peek
+	instance string // that the connection leads to; empty if that is not known
+	dialed   time.Time
 	answered time.Time // when the last answer ended
 
 	// State of the current request. The request and its parts are reused from call to call.
@@ -133,6 +134,11 @@
 	c.written = 0
 	c.broken = false
 	c.bw.Reset((*connWriter)(c))
+	// An idle connection must not keep the body of its last call in memory.
+	defer func() {
+		c.req.Body = nil
+		c.body.Reset(nil)
+	}()
 	if err := c.req.Write(c.bw); err != nil {
 		return err
 	}
--- a/target/options.go
+++ b/target/options.go
@@ -17,6 +17,9 @@
 	// idleLimit is below the idle timeouts of a minute and more that servers commonly have, so that a target rarely
 	// closes a connection at the moment at which it is reused.
 	idleLimit = 30 * time.Second
+	// maxAwait is how long a call waits for another one to confirm its connection. It covers the usual work of a call;
+	// after a longer wait another target would have answered.
+	maxAwait = 50 * time.Millisecond
 	// maxHead bounds the head of an answer, informational answers included. net/http servers accept 1 MiB by default.
 	maxHead = 1 << 20
 	// maxLoad bounds the body of a load read, and the body of a refusal that is read in order to keep the connection.
@@ -43,7 +46,7 @@
 	// a new one; 250ms by default. It should be several times the usual time of the service's work.
 	Silence time.Duration
 	// OnReport is called for each report learned, from answers, refusals, load reads and connection checks. It must
-	// return fast and must not call the pool.
+	// return fast. Reports of concurrent requests can arrive in another order than the target sent them.
 	OnReport func(outcome.Report)
 	// OnRetry is called when Send sends a call again by itself.
 	OnRetry func(outcome.Reason)
--- a/target/pool.go
+++ b/target/pool.go
@@ -40,6 +40,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -62,17 +63,22 @@
 
 	report  outcome.Report // the last one learned
 	learned time.Time      // when report was learned
+	asked   time.Time      // when the latest request was written that was answered by the instance of report
+	checks  int            // connection checks in progress
+	waiting int            // calls that wait for news
+	news    chan struct{}  // closed by the next report or released connection; nil if nobody waits for it
 
 	// off switches single mechanisms off, so that tests can show the fault that each of them prevents.
 	off struct {
-		match   bool // accept answers with any request id
-		extent  bool // accept answers without a known length
-		alive   bool // do not look for closed idle connections
-		recent  bool // send non-idempotent calls on connections of any age
-		silence bool // no first-byte timeout
-		check   bool // no check of new connections
-		giveUp  bool // reuse connections whose request was given up
-		unknown bool // forget that an earlier attempt within Send may have run
+		match    bool // accept answers with any request id
+		extent   bool // accept answers without a known length
+		alive    bool // do not look for closed idle connections
+		recent   bool // send non-idempotent calls on connections of any age
+		silence  bool // no first-byte timeout
+		check    bool // no check of new connections
+		evidence bool // only a check of its own confirms a new connection
+		giveUp   bool // reuse connections whose request was given up
+		unknown  bool // forget that an earlier attempt within Send may have run
 	}
 }
 
@@ -157,28 +163,61 @@
 	}
 }
 
+// pop takes an idle connection off the list, if possible one that is known to lead to the expected instance, else one of
+// which the instance is not known.
 func (p *Pool) pop(call *Call, now time.Time) (c *conn, unfit []*conn) {
+	limit := idleLimit
+	if !call.Idempotent && !p.off.recent {
+		limit = recent
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 {
-		last := len(p.idle) - 1
-		c := p.idle[last]
-		age := now.Sub(c.answered)
-		if age > idleLimit || (!call.Idempotent && age > recent && !p.off.recent) {
+	spare := -1
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if now.Sub(c.answered) > limit {
 			// All others answered even longer ago.
-			unfit = append(unfit, p.idle...)
-			clear(p.idle)
-			p.idle = p.idle[:0]
-			return nil, unfit
+			unfit = append(unfit, p.idle[:i+1]...)
+			p.idle = slices.Delete(p.idle, 0, i+1)
+			spare -= i + 1
+			break
 		}
-		p.idle[last] = nil
-		p.idle = p.idle[:last]
-		if call.Instance == "" || c.instance == call.Instance || p.off.check {
+		if call.Instance == "" || p.leads(c, call.Instance) || p.off.check {
+			p.idle = slices.Delete(p.idle, i, i+1)
 			return c, unfit
 		}
+		if c.instance == "" {
+			if p.evident(c) && p.report.Instance == call.Instance {
+				c.instance = call.Instance
+				p.idle = slices.Delete(p.idle, i, i+1)
+				return c, unfit
+			}
+			spare = max(spare, i)
+			continue
+		}
 		unfit = append(unfit, c)
+		p.idle = slices.Delete(p.idle, i, i+1)
+		spare--
+	}
+	if spare < 0 {
+		return nil, unfit
 	}
-	return nil, unfit
+	c = p.idle[spare]
+	p.idle = slices.Delete(p.idle, spare, spare+1)
+	return c, unfit
+}
+
+// leads tells whether c leads to the instance. A target that restarts in place may keep its connections, so the last
+// report counts too. The caller holds the lock.
+func (p *Pool) leads(c *conn, instance string) bool {
+	return c.instance == instance && p.report.Instance == instance
+}
+
+// evident tells whether c leads to the instance that last reported: c was open before a request was written that this
+// instance answered, so the process that accepted c was not a later one. If it was an earlier one, c is dead. The caller
+// holds the lock.
+func (p *Pool) evident(c *conn) bool {
+	return p.report.Instance != "" && !p.asked.Before(c.dialed) && !p.off.evidence
 }
 
 // suspect closes the idle connections that have not answered since the given time, at which a request was written that
@@ -235,10 +274,12 @@
 		p.unreserve(1)
 		return nil, err
 	}
-	return newConn(nc), nil
+	c := newConn(nc)
+	c.dialed = p.opts.Timers.Now()
+	return c, nil
 }
 
-// release returns a connection whose last answer was read to its end.
+// release returns a connection whose last answer was read to its end, or one that is new.
 func (p *Pool) release(c *conn) {
 	c.answered = p.opts.Timers.Now()
 	p.mu.Lock()
@@ -248,9 +289,20 @@
 		return
 	}
 	p.idle = append(p.idle, c)
+	if c.instance != "" {
+		p.notify()
+	}
 	p.mu.Unlock()
 }
 
+// notify wakes the calls that wait for news. The caller holds the lock.
+func (p *Pool) notify() {
+	if p.news != nil {
+		close(p.news)
+		p.news = nil
+	}
+}
+
 // drop closes connections that are not in the idle list.
 func (p *Pool) drop(conns ...*conn) {
 	if len(conns) == 0 {
@@ -285,8 +337,12 @@
 		p.mu.Unlock()
 		return
 	}
+	if r.Instance != p.report.Instance || sent.After(p.asked) {
+		p.asked = sent
+	}
 	p.report = r
 	p.learned = p.opts.Timers.Now()
+	p.notify()
 	p.mu.Unlock()
 	p.opts.OnReport(r)
 }
--- a/target/pool_test.go
+++ b/target/pool_test.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -335,6 +337,20 @@
 		expect(t, p, call, want)
 		assert.Equal(t, target.Counts().Violations != 0, off)
 		assert.Equal(t, reports[len(reports)-1].Instance, target.Instance())
+		// Connections that are kept through a restart do not lead to the former instance either, once one has reported.
+		if !off {
+			kept := newCall("GET", "/", "", "")
+			bodies := []io.ReadCloser{p.Send(t.Context(), kept).(*outcome.Answered).Body, p.Send(t.Context(), kept).(*outcome.Answered).Body}
+			for _, body := range bodies {
+				_, err := io.Copy(io.Discard, body)
+				assert.NilError(t, err)
+			}
+			kept.Instance = target.Instance()
+			target.Restart(true)
+			expect(t, p, newCall("GET", "/", "", ""), "whole")
+			p.learned = p.learned.Add(-2 * recent) // Only the connections can tell now.
+			expect(t, p, kept, "not-run instance")
+		}
 		// A caller with a permit for a cold call, or one that knows the new instance, is served without another probe.
 		loads := target.Counts().Loads
 		call.Instance = ""
@@ -345,6 +361,112 @@
 	}
 }
 
+// Guards against a burst of calls at a warm target that is refused because the probe budget checks only one new
+// connection, and against evidence from before a connection was open. The control takes a check for each connection.
+func TestEvidence(t *testing.T) {
+	tests := []struct {
+		off      bool
+		wantFrom int // calls answered; on a busy machine some start late or wait too long
+		wantTo   int
+	}{
+		{off: false, wantFrom: 15, wantTo: 20},
+		{off: true, wantFrom: 1, wantTo: 5},
+	}
+	for _, test := range tests {
+		target, p := start(t, standin.Switches{
+			Slots: 20,
+			Work:  standin.Duration(10 * time.Millisecond),
+		}, func(o *Options) { o.Probes = NewBudget(1, time.Now().Add(-time.Minute)) })
+		p.off.evidence = test.off
+		have := make([]string, 20)
+		var group sync.WaitGroup
+		for i := range have {
+			group.Go(func() {
+				call := newCall("POST", "/", "key", "")
+				call.Instance = target.Instance()
+				have[i] = result(t.Context(), p, call)
+			})
+		}
+		group.Wait()
+		whole := 0
+		for _, h := range have {
+			if h == "whole" {
+				whole++
+			}
+		}
+		assert.Assert(t, whole >= test.wantFrom && whole <= test.wantTo, "%v", have)
+		assert.Equal(t, target.Counts().Loads, 1)
+	}
+
+	// Only a request that was written after a connection was open confirms it.
+	target, p := start(t, standin.Switches{}, nil)
+	expect(t, p, newCall("GET", "/", "", ""), "whole")
+	c, reason := p.connect(t.Context(), time.Now().Add(time.Second))
+	assert.Equal(t, reason, outcome.Reason(""))
+	defer p.drop(c)
+	evident := func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.evident(c)
+	}
+	assert.Assert(t, !evident())
+	expect(t, p, newCall("GET", "/", "", ""), "whole")
+	assert.Assert(t, evident())
+	assert.Equal(t, target.Conns(), 2)
+}
+
+// Guards against any warm call at a target that restarts under the load of three entries. The control does not check
+// new connections.
+func TestRestartUnderLoad(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		t.Run(fmt.Sprintf("off=%v", off), func(t *testing.T) {
+			t.Parallel()
+			target, first := start(t, standin.Switches{
+				Slots: 100,
+				Cold:  standin.Duration(30 * time.Millisecond),
+				Work:  standin.Duration(time.Millisecond),
+			}, nil)
+			time.Sleep(40 * time.Millisecond)
+			var believed atomic.Value
+			believed.Store(target.Instance())
+			ctx, cancel := context.WithCancel(t.Context())
+			var group sync.WaitGroup
+			var whole atomic.Int32
+			for range 3 {
+				opts := first.opts
+				opts.Probes = NewBudget(10, time.Now().Add(-time.Minute))
+				p := New(opts)
+				defer p.Close()
+				p.off.check = off
+				for range 4 {
+					group.Go(func() {
+						for ctx.Err() == nil {
+							call := newCall("POST", "/", "key", "")
+							call.Instance = believed.Load().(string)
+							if result(ctx, p, call) == "whole" {
+								whole.Add(1)
+							}
+							time.Sleep(time.Millisecond)
+						}
+					})
+				}
+			}
+			for range 10 {
+				time.Sleep(60 * time.Millisecond)
+				target.Restart(false)
+				time.Sleep(40 * time.Millisecond)
+				believed.Store(target.Instance())
+			}
+			cancel()
+			group.Wait()
+			counts := target.Counts()
+			t.Logf("%d calls answered, %d at the cold target, %d load reads", whole.Load(), counts.Violations, counts.Loads)
+			assert.Equal(t, counts.Violations > 0, off)
+			assert.Assert(t, whole.Load() > 100)
+		})
+	}
+}
+
 // Guards against a given-up call that keeps its slot at the target, and against a connection that stays open.
 func TestGiveUp(t *testing.T) {
 	target, p := start(t, standin.Switches{
@@ -370,3 +492,28 @@
 	assert.ErrorIs(t, err, context.Canceled)
 	assert.Equal(t, p.Open(), 0)
 }
+
+// Guards against a planned stop that interrupts a call, and against connections that outlive the pool.
+func TestClose(t *testing.T) {
+	target, p := start(t, standin.Switches{
+		Work: standin.Duration(100 * time.Millisecond),
+	}, nil)
+	have := make(chan string)
+	go func() { have <- result(t.Context(), p, newCall("POST", "/?size=1000000", "key", "")) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if target.Counts().Runs == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the call does not run")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+	p.Close()
+	expect(t, p, newCall("POST", "/", "late", ""), "not-run leaving")
+	select {
+	case <-p.Done():
+		t.Fatal("done before the end of the call")
+	default:
+	}
+	assert.Equal(t, <-have, "whole")
+	<-p.Done()
+	assert.Equal(t, p.Open(), 0)
+}
--- a/target/send.go
+++ b/target/send.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"skylarkbeam/outcome"
@@ -17,9 +18,11 @@
 // and the call has no stream: when nothing of the first attempt was written, and when an idempotent call got no answer
 // on it. If the first attempt may have run, the outcome is never NotRun.
 //
-// NotRun has the reason queue if all connections are in use, budget if a connection check is needed and not allowed,
-// instance if the target is another instance than the expected one, and dial if no connection could be opened or
-// checked.
+// A new connection for a call with an expected instance is confirmed by a load read or, if the probe budget allows none,
+// by the answer to another request that was written after the connection was open.
+//
+// NotRun has the reason queue if all connections are in use, budget if a new connection cannot be confirmed, instance
+// if the target is another instance than the expected one, and dial if no connection could be opened or checked.
 func (p *Pool) Send(ctx context.Context, call *Call) outcome.Outcome {
 	now := p.opts.Timers.Now()
 	deadline := now.Add(call.Timeout)
@@ -39,8 +42,8 @@
 		}
 	}
 	c := p.reuse(call, now)
-	if c == nil {
-		return p.sendFresh(ctx, call, deadline)
+	if c == nil || !p.fits(c, call) {
+		return p.sendFresh(ctx, call, deadline, c)
 	}
 	first := p.sendOn(ctx, c, call, deadline, true)
 	if call.Stream != nil || ctx.Err() != nil || !p.opts.Timers.Now().Before(deadline) {
@@ -52,14 +55,14 @@
 			return first
 		}
 		p.opts.OnRetry(o.Reason)
-		return p.sendFresh(ctx, call, deadline)
+		return p.sendFresh(ctx, call, deadline, nil)
 	case *outcome.Unknown:
 		if !call.Idempotent || (o.Reason != outcome.Silent && o.Reason != outcome.Broken) {
 			return first
 		}
 		p.opts.OnRetry(o.Reason)
 		p.suspect(now)
-		second := p.sendFresh(ctx, call, deadline)
+		second := p.sendFresh(ctx, call, deadline, nil)
 		if _, ok := second.(*outcome.NotRun); ok && !p.off.unknown {
 			return first
 		}
@@ -68,42 +71,170 @@
 	return first
 }
 
-// sendFresh sends a call on a new connection.
-func (p *Pool) sendFresh(ctx context.Context, call *Call, deadline time.Time) outcome.Outcome {
-	check := call.Instance != "" && !p.off.check
-	if check {
-		if p.opts.Probes == nil {
-			return notRun(outcome.Budget)
+// fits tells whether c may carry call without another look at the target's instance.
+func (p *Pool) fits(c *conn, call *Call) bool {
+	return call.Instance == "" || c.instance == call.Instance || p.off.check
+}
+
+// sendFresh sends a call on a connection that is not confirmed, or on a new one if c is nil.
+func (p *Pool) sendFresh(ctx context.Context, call *Call, deadline time.Time, c *conn) outcome.Outcome {
+	if call.Instance != "" && !p.off.check {
+		return p.sendChecked(ctx, call, deadline, c)
+	}
+	if c == nil {
+		var reason outcome.Reason
+		if c, reason = p.connect(ctx, deadline); reason != "" {
+			return notRun(reason)
 		}
-		if wait, ok := p.opts.Probes.Take(p.opts.Timers.Now()); !ok {
-			return &outcome.NotRun{
-				Reason:     outcome.Budget,
-				RetryAfter: wait,
-			}
+	}
+	return p.sendOn(ctx, c, call, deadline, false)
+}
+
+// sendChecked sends a call with an expected instance.
+func (p *Pool) sendChecked(ctx context.Context, call *Call, deadline time.Time, c *conn) outcome.Outcome {
+	wait, taken, hopeful := p.take()
+	if !taken && !hopeful {
+		if c != nil {
+			p.release(c)
+		}
+		return &outcome.NotRun{
+			Reason:     outcome.Budget,
+			RetryAfter: wait,
 		}
 	}
-	c, reason := p.connect(ctx, deadline)
-	if reason != "" {
-		if check {
-			p.opts.Probes.Cancel()
+	if c == nil {
+		var reason outcome.Reason
+		if c, reason = p.connect(ctx, deadline); reason != "" {
+			if taken {
+				p.opts.Probes.Cancel()
+				p.checked()
+			}
+			return notRun(reason)
 		}
-		return notRun(reason)
 	}
-	if check {
-		report, err := p.load(ctx, c, deadline)
-		if err != nil {
-			return notRun(givenUp(ctx, outcome.Dial))
+	c, refused := p.check(ctx, call, deadline, c, taken, wait)
+	if taken {
+		p.checked()
+	}
+	if refused != nil {
+		return refused
+	}
+	return p.sendOn(ctx, c, call, deadline, false)
+}
+
+// take takes a probe for a connection check. If the budget allows none, hopeful tells whether something is in flight
+// whose answer could confirm a new connection.
+func (p *Pool) take() (wait time.Duration, taken, hopeful bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.opts.Probes != nil {
+		wait, taken = p.opts.Probes.Take(p.opts.Timers.Now())
+	}
+	if taken {
+		p.checks++
+		return 0, true, true
+	}
+	busy := p.checks > 0 || p.open > len(p.idle)+p.waiting
+	return wait, false, busy && !p.off.evidence
+}
+
+// checked ends a connection check.
+func (p *Pool) checked() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.checks--
+}
+
+// check returns a connection that leads to the expected instance: c, if a load read or evidence from other requests
+// confirms it, or one that another call released meanwhile. Taken says that a probe was taken for a load read. Unless it
+// returns c, check takes care of it.
+func (p *Pool) check(ctx context.Context, call *Call, deadline time.Time, c *conn, taken bool, wait time.Duration) (*conn, outcome.Outcome) {
+	if taken {
+		if _, err := p.load(ctx, c, deadline); err != nil {
+			return nil, notRun(givenUp(ctx, outcome.Dial))
 		}
-		if report.Instance != call.Instance {
-			// The connection stays: it leads to the new instance.
+	} else {
+		confirmed := p.await(ctx, c, call, deadline)
+		if confirmed != c {
 			p.release(c)
-			return &outcome.NotRun{
-				Reason: outcome.Instance,
-				Report: report,
+		}
+		if confirmed == nil {
+			return nil, &outcome.NotRun{
+				Reason:     givenUp(ctx, outcome.Budget),
+				RetryAfter: wait,
 			}
 		}
+		c = confirmed
 	}
-	return p.sendOn(ctx, c, call, deadline, false)
+	if c.instance == call.Instance {
+		return c, nil
+	}
+	// The connection stays: it leads to the new instance.
+	p.release(c)
+	report, _ := p.Report()
+	if report.Instance != c.instance {
+		report = outcome.Report{
+			Instance: c.instance,
+		}
+	}
+	return nil, &outcome.NotRun{
+		Reason: outcome.Instance,
+		Report: report,
+	}
+}
+
+// await waits until there is evidence of the instance that c leads to, or until another connection that leads to the
+// expected instance is idle. It returns the one or the other, or nil if neither happens in time.
+func (p *Pool) await(ctx context.Context, c *conn, call *Call, deadline time.Time) *conn {
+	late := time.NewTimer(min(maxAwait, deadline.Sub(p.opts.Timers.Now())))
+	defer late.Stop()
+	p.wait(1)
+	defer p.wait(-1)
+	for {
+		confirmed, news := p.confirm(c, call.Instance)
+		if confirmed == c || confirmed != nil && confirmed.alive() {
+			return confirmed
+		}
+		if confirmed != nil {
+			p.drop(confirmed)
+			continue
+		}
+		select {
+		case <-news:
+		case <-late.C:
+			return nil
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (p *Pool) wait(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiting += n
+}
+
+// confirm returns c if there is evidence for its instance, else an idle connection to the given instance that answered
+// within the last second, else a channel that is closed when asking again makes sense.
+func (p *Pool) confirm(c *conn, instance string) (*conn, <-chan struct{}) {
+	now := p.opts.Timers.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.evident(c) {
+		c.instance = p.report.Instance
+		return c, nil
+	}
+	for i, other := range slices.Backward(p.idle) {
+		if p.leads(other, instance) && now.Sub(other.answered) <= recent {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return other, nil
+		}
+	}
+	if p.news == nil {
+		p.news = make(chan struct{})
+	}
+	return nil, p.news
 }
 
 // connect opens a connection. The reason is empty if that succeeded.
