Wait for the answer itself in the test of paused load reads

The test slept for a fixed time after the target woke, so it depended on the speed of the machine. It now waits until the pool has learned the answer.

--- a/target/budget_test.go
+++ b/target/budget_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 	"pgregory.net/rapid"
 
 	"skylarkbeam/standin"
@@ -194,8 +195,15 @@
 	time.Sleep(recent + 100*time.Millisecond)
 	_, err = p.Probe(t.Context())
 	assert.ErrorIs(t, err, ErrBudget)
+	_, before := p.Report()
 	target.Set(func(s *standin.Switches) { s.Freeze = false })
-	time.Sleep(recent + 100*time.Millisecond)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, learned := p.Report(); learned.After(before) {
+			return poll.Success()
+		}
+		return poll.Continue("the load read has no answer")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+	time.Sleep(recent + 10*time.Millisecond)
 	_, err = p.Probe(t.Context())
 	assert.NilError(t, err)
 	assert.Equal(t, target.Counts().Loads, 2)
