Test the call path under faults of the targets

Cause: package entry had no tests. The tests guard against answers that are not whole or not the caller's own, bookings that run twice, refusals that cannot be told apart or are not counted, a booking that stays unknown when its caller goes away, and reads that wait for a frozen target.

--- /dev/null
+++ b/entry/call_test.go
@@ -0,0 +1,432 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkbeam/deployment"
+	"skylarkbeam/entry"
+	"skylarkbeam/platform"
+	"skylarkbeam/standin"
+)
+
+// reply is what a caller gets.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (r reply) outcome() string { return r.header.Get("Skylarkbeam-Outcome") }
+func (r reply) reason() string  { return r.header.Get("Skylarkbeam-Reason") }
+
+// request is one call as a caller sends it.
+type request struct {
+	method, path, caller, key, timeout, body string
+}
+
+func (q request) whole() string {
+	return string(standin.Want(q.method, q.path, q.key, []byte(q.body)))
+}
+
+// client does not repeat anything by itself, because the bodies of its requests cannot be read again.
+var client = &http.Client{
+	Timeout:   20 * time.Second,
+	Transport: &http.Transport{},
+}
+
+func send(ctx context.Context, e *entry.Entry, q request) reply {
+	req, err := http.NewRequestWithContext(ctx, q.method, "http://"+e.CallerAddress().String()+q.path, io.MultiReader(strings.NewReader(q.body)))
+	if err != nil {
+		return reply{
+			err: err,
+		}
+	}
+	for name, value := range map[string]string{
+		"Skylarkbeam-Caller":  q.caller,
+		"Idempotency-Key":     q.key,
+		"Skylarkbeam-Timeout": q.timeout,
+	} {
+		if value != "" {
+			req.Header.Set(name, value)
+		}
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply{
+			err:    err,
+			header: http.Header{},
+		}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return reply{
+		status: resp.StatusCode,
+		header: resp.Header,
+		body:   string(body),
+		err:    err,
+	}
+}
+
+func metric(t *testing.T, e *entry.Entry, name string) string {
+	t.Helper()
+	resp, err := http.Get("http://" + e.ControlAddress().String() + "/metrics")
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	for line := range bytes.Lines(data) {
+		if rest, ok := bytes.CutPrefix(line, []byte(name+" ")); ok {
+			return strings.TrimSpace(string(rest))
+		}
+	}
+	return ""
+}
+
+// faulty is a deployment whose targets the test gives faults.
+func faulty(t *testing.T) *deployment.Deployment {
+	return start(t, deployment.Options{
+		Services: []deployment.Service{
+			{
+				Name:    "stock",
+				Targets: 3,
+				Work:    2 * time.Millisecond,
+				Switches: standin.Switches{
+					Slots: 4,
+				},
+			},
+		},
+	})
+}
+
+// next sets the fault of the next call at every target; the counts tell how many targets still have it.
+func next(d *deployment.Deployment, f standin.Fault) {
+	for _, s := range d.Targets {
+		s.Target.Next(f)
+	}
+}
+
+func clear(d *deployment.Deployment) {
+	for _, s := range d.Targets {
+		s.Target.Next()
+	}
+}
+
+// Guards against answers that are not whole or not the caller's own, against a booking that is sent twice, and against a
+// refusal that claims that a booking has not run. Each fault hits the first attempt; the other targets are sound.
+func TestFaults(t *testing.T) {
+	d := faulty(t)
+	e := d.Entries[0]
+	tests := []struct {
+		fault standin.Fault
+		// once is the outcome of a booking.
+		once string
+	}{
+		{
+			fault: standin.FaultNone,
+			once:  "answered",
+		},
+		{
+			fault: standin.FaultShed,
+			once:  "answered", // it was not run, so it may be sent again
+		},
+		{
+			fault: standin.FaultClose,
+			once:  "unknown",
+		},
+		{
+			fault: standin.FaultDrop,
+			once:  "unknown",
+		},
+		{
+			fault: standin.FaultReset,
+			once:  "unknown",
+		},
+		{
+			fault: standin.FaultHead,
+			once:  "unknown",
+		},
+		{
+			fault: standin.FaultEmpty,
+			once:  "unknown",
+		},
+		{
+			fault: standin.FaultCut,
+			once:  "unknown",
+		},
+		{
+			fault: standin.FaultChunk,
+			once:  "unknown",
+		},
+		{
+			fault: standin.FaultPlain,
+			once:  "unknown",
+		},
+		{
+			fault: standin.FaultCross,
+			once:  "unknown",
+		},
+		{
+			fault: standin.FaultGarbage,
+			once:  "unknown",
+		},
+	}
+	for i, tt := range tests {
+		t.Run("read "+string(tt.fault), func(t *testing.T) {
+			q := request{
+				method: "GET",
+				path:   fmt.Sprintf("/stock/%d", i),
+				caller: "web",
+			}
+			// A budget of a tenth allows a repeat only after some first attempts.
+			for range 40 {
+				assert.Equal(t, send(context.Background(), e, q).outcome(), "answered")
+			}
+			oneTarget(d, tt.fault)
+			for range 6 {
+				r := send(context.Background(), e, q)
+				assert.NilError(t, r.err)
+				assert.Equal(t, r.outcome(), "answered", "reason %s", r.reason())
+				assert.Equal(t, r.body, q.whole())
+			}
+			clear(d)
+		})
+		t.Run("booking "+string(tt.fault), func(t *testing.T) {
+			q := request{
+				method: "POST",
+				path:   fmt.Sprintf("/stock/%d", i),
+				caller: "web",
+				key:    fmt.Sprintf("order-%d", i),
+				body:   "2 poles",
+			}
+			for range 20 {
+				assert.Equal(t, send(context.Background(), e, request{
+					method: "GET",
+					path:   "/stock/x",
+					caller: "web",
+				}).outcome(), "answered")
+			}
+			next(d, tt.fault)
+			r := send(context.Background(), e, q)
+			if tt.fault == standin.FaultShed {
+				// All three targets shed their next call; one of a few orders finds a target that has done so.
+				for n := 0; r.outcome() == "not-run" && n < 5; n++ {
+					assert.Equal(t, runs(d, q.key), 0)
+					r = send(context.Background(), e, q)
+				}
+			}
+			clear(d)
+			assert.NilError(t, r.err)
+			assert.Equal(t, r.outcome(), tt.once, "status %d reason %s", r.status, r.reason())
+			if tt.once == "answered" {
+				assert.Equal(t, r.body, q.whole())
+				assert.Equal(t, runs(d, q.key), 1)
+			}
+			// A repeat never runs it again, whatever became of the first one.
+			time.Sleep(50 * time.Millisecond)
+			before := runs(d, q.key)
+			again := send(context.Background(), e, q)
+			assert.Equal(t, again.outcome(), tt.once)
+			assert.Equal(t, runs(d, q.key), before)
+			assert.Assert(t, before <= 1, "the booking ran %d times", before)
+		})
+	}
+}
+
+// oneTarget sets the fault of the next two calls at one target only.
+func oneTarget(d *deployment.Deployment, f standin.Fault) {
+	d.Targets["stock-1"].Target.Next(f, f)
+}
+
+func runs(d *deployment.Deployment, key string) int {
+	n := 0
+	for _, s := range d.Targets {
+		n += s.Target.KeyRuns(key)
+	}
+	return n
+}
+
+// Guards against refusals that callers cannot tell apart, and against one that is not counted.
+func TestRefusals(t *testing.T) {
+	d := faulty(t)
+	e := d.Entries[0]
+	tests := []struct {
+		name   string
+		before func()
+		after  func()
+		q      request
+		status int
+		reason string
+		retry  bool
+	}{
+		{
+			name: "unknown path",
+			q: request{
+				method: "GET",
+				path:   "/tickets",
+				caller: "web",
+			},
+			status: 404,
+			reason: "service",
+		},
+		{
+			name: "unknown caller",
+			q: request{
+				method: "GET",
+				path:   "/stock/1",
+				caller: "nobody",
+			},
+			status: 400,
+			reason: "caller",
+		},
+		{
+			name: "booking without key",
+			q: request{
+				method: "POST",
+				path:   "/stock/1",
+				caller: "web",
+			},
+			status: 400,
+			reason: "key",
+		},
+		{
+			name: "malformed timeout",
+			q: request{
+				method:  "GET",
+				path:    "/stock/1",
+				caller:  "web",
+				timeout: "soon",
+			},
+			status: 400,
+			reason: "invalid",
+		},
+		{
+			name: "no time left",
+			q: request{
+				method:  "GET",
+				path:    "/stock/1",
+				caller:  "web",
+				timeout: "10us",
+			},
+			status: 503,
+			reason: "deadline",
+			retry:  true,
+		},
+		{
+			name: "table down",
+			before: func() {
+				assert.NilError(t, d.Platform.SetFaults(platform.Faults{
+					Down: true,
+				}))
+			},
+			after: func() {
+				assert.NilError(t, d.Platform.SetFaults(platform.Faults{}))
+			},
+			q: request{
+				method: "POST",
+				path:   "/stock/1",
+				caller: "web",
+				key:    "down",
+			},
+			status: 503,
+			reason: "table",
+			retry:  true,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if tt.before != nil {
+				tt.before()
+				defer tt.after()
+			}
+			name := fmt.Sprintf("skylarkbeam_refusals_total{reason=%q}", tt.reason)
+			assert.Equal(t, metric(t, e, name), "0")
+			r := send(context.Background(), e, tt.q)
+			assert.NilError(t, r.err)
+			assert.Equal(t, r.status, tt.status)
+			assert.Equal(t, r.outcome(), "not-run")
+			assert.Equal(t, r.reason(), tt.reason)
+			assert.Equal(t, r.header.Get("Retry-After") != "", tt.retry)
+			assert.Equal(t, metric(t, e, name), "1")
+		})
+	}
+}
+
+// Guards against a booking that stays unknown because its caller's connection broke while it ran.
+func TestCallerGone(t *testing.T) {
+	d := faulty(t)
+	e := d.Entries[0]
+	for _, s := range d.Targets {
+		s.Target.Set(func(s *standin.Switches) { s.Work = standin.Duration(200 * time.Millisecond) })
+	}
+	q := request{
+		method: "POST",
+		path:   "/stock/1",
+		caller: "web",
+		key:    "gone",
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	assert.Assert(t, send(ctx, e, q).err != nil, "the first caller was to go away")
+	time.Sleep(500 * time.Millisecond)
+	r := send(context.Background(), e, q)
+	assert.Equal(t, r.outcome(), "answered", "reason %s", r.reason())
+	assert.Equal(t, r.header.Get("Skylarkbeam-Replayed"), "true")
+	assert.Equal(t, r.body, q.whole())
+	assert.Equal(t, runs(d, q.key), 1)
+}
+
+// Guards against a large answer that breaks on the way and looks whole to the caller.
+func TestStreamedBreak(t *testing.T) {
+	d := faulty(t)
+	e := d.Entries[0]
+	q := request{
+		method: "GET",
+		path:   "/stock/manual?size=4000000",
+		caller: "web",
+	}
+	r := send(context.Background(), e, q)
+	assert.NilError(t, r.err)
+	assert.Assert(t, r.body == q.whole(), "%d bytes are not the wanted ones", len(r.body))
+	for _, f := range []standin.Fault{standin.FaultCut, standin.FaultChunk} {
+		next(d, f)
+		r := send(context.Background(), e, q)
+		clear(d)
+		assert.Assert(t, r.err != nil || r.outcome() == "failed", "fault %s: a broken answer of %d bytes looked whole", f, len(r.body))
+	}
+}
+
+// Guards against a straggling target that makes reads slow although other targets are idle.
+func TestHedge(t *testing.T) {
+	d := faulty(t)
+	e := d.Entries[0]
+	q := request{
+		method: "GET",
+		path:   "/stock/1",
+		caller: "web",
+	}
+	for range 300 {
+		assert.Equal(t, send(context.Background(), e, q).outcome(), "answered")
+	}
+	for range 20 {
+		d.Targets["stock-2"].Target.Next(standin.FaultFreeze)
+		start := time.Now()
+		r := send(context.Background(), e, q)
+		assert.Equal(t, r.outcome(), "answered", "reason %s", r.reason())
+		assert.Equal(t, r.body, q.whole())
+		assert.Assert(t, time.Since(start) < 500*time.Millisecond, "a read waited %s for a frozen target", time.Since(start))
+		for range 20 {
+			send(context.Background(), e, q)
+		}
+	}
+	assert.Assert(t, metric(t, e, `skylarkbeam_hedge_wins_total`) != "0")
+}
