--- a/claim/counters.go
+++ b/claim/counters.go
@@ -9,6 +9,7 @@
 	fenced       = metrics.NewCounter("skylarkbeam_claim_fenced_total")
 	freed        = metrics.NewCounter("skylarkbeam_claim_freed_total")
 	lapsed       = metrics.NewCounter("skylarkbeam_claim_lapsed_total")
+	outages      = metrics.NewCounter("skylarkbeam_claim_outages_total")
 
 	granted     = metrics.NewCounter(`skylarkbeam_claims_total{decision="granted"}`)
 	done        = metrics.NewCounter(`skylarkbeam_claims_total{decision="done"}`)
--- a/claim/outage_test.go
+++ b/claim/outage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -182,7 +183,7 @@
 	})
 }
 
-// Guards against a slow table that is taken for one that is down.
+// Guards against a slow table that is taken for one that is down, also by a group that is retried after a conflict.
 func TestSlowTable(t *testing.T) {
 	simulate(t, func(w *world) {
 		a, b := w.open("a", mechanisms{}), w.open("b", mechanisms{})
@@ -191,10 +192,17 @@
 		w.faults(platform.Faults{
 			Delay: 200 * time.Millisecond,
 		})
-		for range 10 {
+		before := outages.Get()
+		for i := range 10 {
 			assert.DeepEqual(t, tally(takeAll(a, []string{"k1"})), map[string]int{"busy b": 1})
 			mustGrant(t, take(a, "k2")).Release()
 			w.sleep(time.Second)
+			go take(a, fmt.Sprint("first", i))
+			w.sleep(time.Millisecond)
+			// These share a group, whose second transaction ends after its calls have given up.
+			assert.DeepEqual(t, tally(takeAll(a, []string{"k1", "k4"})), map[string]int{"unavailable": 2})
+			w.sleep(2 * time.Second)
 		}
+		assert.Equal(t, outages.Get(), before)
 	})
 }
--- a/claim/resolve.go
+++ b/claim/resolve.go
@@ -103,6 +103,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.down {
+		outages.Inc()
 		l.options.Log.Warn("the table is down; claims are refused", zap.String("entry", l.options.Entry))
 	}
 	l.down = true
