Keep the last changes of state of an entry and show them in status

Cause: an entry logged what it did, but an operator who asks it got only the present state. Change: a log core keeps the last 256 events; status prints them with the counters that are not zero.

--- a/cmd/skylarkbeam/processes_test.go
+++ b/cmd/skylarkbeam/processes_test.go
@@ -68,6 +68,14 @@
 // startProcesses starts the platform, 30 targets and 6 entries, and applies the settings with extra ones merged last.
 // The last flag of a kind counts, so targetFlags override those that the targets get anyway.
 func startProcesses(t testing.TB, extra string, targetFlags ...string) *processes {
+	t.Helper()
+	folder, err := setting.LoadDir("../../examples/beaconwatch")
+	assert.NilError(t, err)
+	return startSettings(t, folder.Settings, extra, targetFlags...)
+}
+
+// startSettings starts the processes that the settings describe.
+func startSettings(t testing.TB, settings *setting.Settings, extra string, targetFlags ...string) *processes {
 	t.Helper()
 	dir, err := binaries()
 	assert.NilError(t, err)
@@ -81,9 +89,7 @@
 	}
 	lines := p.start("standin-platform", "-listen", "127.0.0.1:0")
 	p.platform = strings.TrimPrefix(<-lines, "listening on ")
-	folder, err := setting.LoadDir("../../examples/beaconwatch")
-	assert.NilError(t, err)
-	for name, s := range folder.Settings.Services {
+	for name, s := range settings.Services {
 		args := []string{"-service", name, "-slots", "2", "-cold", "1s", "-work", "4ms"}
 		args = append(args, targetFlags...)
 		for target := range s.Targets {
@@ -95,10 +101,10 @@
 			p.targets[target] = address
 		}
 	}
-	for name, e := range folder.Settings.Entries {
+	for name, e := range settings.Entries {
 		p.entries = append(p.entries, p.startEntry(name, e.Domain))
 	}
-	p.apply(folder.Settings, extra)
+	p.apply(settings, extra)
 	p.waitReady()
 	return p
 }
@@ -217,7 +223,7 @@
 	p.until("all targets are warm everywhere", func() bool {
 		for _, e := range p.entries {
 			s := p.status(e)
-			if s == nil || !s.Contact || len(s.Phases) != 30 {
+			if s == nil || !s.Contact || len(s.Phases) != len(p.targets) {
 				return false
 			}
 			for _, phase := range s.Phases {
--- a/cmd/skylarkbeam/status.go
+++ b/cmd/skylarkbeam/status.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -16,17 +18,24 @@
 const statusUsage = `status shows what an entry knows and does.
 
 Usage:
-  skylarkbeam status [-entry IP:PORT]
+  skylarkbeam status [-entry IP:PORT] [-events N]
+
+It prints the accepted state and who changed it, the members, the targets with their
+owners, the counters of refusals and retries by reason, and the last events: each change
+of state that the entry saw or made, and why.
 
 Flags:
   -entry IP:PORT   control address of any entry (127.0.0.1:7201)
+  -events N        number of events (20)
 
 Examples:
   skylarkbeam status -entry 127.0.0.1:7203
+  skylarkbeam status -events 256
 `
 
 func newStatus(s streams) *ffcli.Command {
 	var o operator
+	var events int
 	command := newCommand(s, "status", "show what an entry knows and does", statusUsage,
 		func(ctx context.Context, args []string) error {
 			if len(args) > 0 {
@@ -39,14 +48,15 @@
 			if err != nil {
 				return err
 			}
-			printStatus(s.Out, status)
+			printStatus(s.Out, status, events)
 			return nil
 		})
 	command.FlagSet.StringVar(&o.entry, "entry", "127.0.0.1:7201", "")
+	command.FlagSet.IntVar(&events, "events", 20, "")
 	return command
 }
 
-func printStatus(out io.Writer, s *entry.Status) {
+func printStatus(out io.Writer, s *entry.Status, events int) {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintf(w, "entry\t%s in %s: %s\n", s.Entry, s.Domain, condition(s))
 	fmt.Fprintf(w, "state\tversion %d by %s at %s: %s\n", s.Version, s.Who, s.When, s.What)
@@ -65,6 +75,12 @@
 	for _, t := range s.Tasks {
 		fmt.Fprintf(w, "task\t%s every %s\n", t.Name, t.Interval)
 	}
+	for _, name := range slices.Sorted(maps.Keys(s.Counts)) {
+		fmt.Fprintf(w, "count\t%s: %d\n", name, s.Counts[name])
+	}
+	for _, e := range s.Events[max(len(s.Events)-events, 0):] {
+		fmt.Fprintf(w, "event\t%s %s\n", e.Time.UTC().Format(time.RFC3339), e.Text)
+	}
 	w.Flush()
 }
 
--- a/entry/background.go
+++ b/entry/background.go
@@ -28,6 +28,11 @@
 			interval: 100 * time.Millisecond,
 			run:      e.expire,
 		},
+		{
+			name:     "watch contact",
+			interval: 250 * time.Millisecond,
+			run:      e.watchContact,
+		},
 		{
 			name:     "trim connections",
 			interval: 5 * time.Second,
@@ -132,3 +137,16 @@
 		}
 	}
 }
+
+// watchContact logs when the entry stops and resumes sending. The decision itself is made at each call.
+func (e *Entry) watchContact() {
+	contact := e.fleet.Contact(e.timers.Now())
+	if e.hadContact.Swap(contact) == contact {
+		return
+	}
+	if contact {
+		e.log.Info("contact with the platform or a majority of the members; calls are served")
+		return
+	}
+	e.log.Warn("no contact with the platform and a majority of the members; new calls are refused as isolated")
+}
--- a/entry/control.go
+++ b/entry/control.go
@@ -92,6 +92,10 @@
 	Members []member `json:"members"`
 	Tasks   []task   `json:"tasks"`
 	Phases  []phase  `json:"phases"`
+	// Counts are the counters of refusals, retries and outcomes that are not zero.
+	Counts map[string]uint64 `json:"counts"`
+	// Events are the last changes of state, the oldest first.
+	Events []Event `json:"events"`
 }
 
 type member struct {
@@ -158,6 +162,8 @@
 		})
 	}
 	s.Phases = e.phases()
+	s.Counts = e.counters.nonzero()
+	s.Events = e.journal.list()
 	return s
 }
 
--- a/entry/counters.go
+++ b/entry/counters.go
@@ -79,6 +79,26 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("skylarkbeam_retries_total{reason=%q}", r)).Inc()
 }
 
+// nonzero returns the counters by reason that have counted something.
+func (c *Counters) nonzero() map[string]uint64 {
+	counts := map[string]uint64{}
+	add := func(kind, name string, counter *metrics.Counter) {
+		if n := counter.Get(); n > 0 {
+			counts[kind+" "+name] = n
+		}
+	}
+	for reason, counter := range c.refusals {
+		add("refused", string(reason), counter)
+	}
+	for reason, counter := range c.retries {
+		add("retried", string(reason), counter)
+	}
+	for name, counter := range c.outcomes {
+		add("outcome", name, counter)
+	}
+	return counts
+}
+
 // Gauge registers a value that is computed when the metrics are read.
 func (c *Counters) Gauge(name string, value func() float64) {
 	c.set.NewGauge(name, value)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -44,6 +44,7 @@
 	opts     Options
 	timers   *timer.Service
 	log      *zap.Logger
+	journal  *journal
 	counters *Counters
 	fleet    *fleet.Fleet
 	peers    *fleet.Client
@@ -62,19 +63,22 @@
 	callerServer  *http.Server
 	controlServer *http.Server
 
-	leaving  atomic.Bool
-	inflight atomic.Int64
-	done     chan struct{}
-	stopOnce sync.Once
-	tasks    sync.WaitGroup
+	leaving atomic.Bool
+	// hadContact is what watchContact saw last.
+	hadContact atomic.Bool
+	inflight   atomic.Int64
+	done       chan struct{}
+	stopOnce   sync.Once
+	tasks      sync.WaitGroup
 }
 
 // New puts an entry together from its parts. Start makes it serve.
-func New(opts Options, timers *timer.Service, counters *Counters, l *listeners, peers *fleet.Client, f *fleet.Fleet, ledger *claim.Ledger, table *route.Table) *Entry {
+func New(opts Options, timers *timer.Service, log *zap.Logger, j *journal, counters *Counters, l *listeners, peers *fleet.Client, f *fleet.Fleet, ledger *claim.Ledger, table *route.Table) *Entry {
 	e := &Entry{
 		opts:      opts,
 		timers:    timers,
-		log:       opts.Logger.With(zap.String("entry", opts.Name)),
+		log:       log.With(zap.String("entry", opts.Name)),
+		journal:   j,
 		counters:  counters,
 		listeners: l,
 		fleet:     f,
@@ -114,11 +118,13 @@
 	case nil:
 	case route.Fell:
 		e.counters.falls.Inc()
-		e.log.Info("target is cold", zap.String("target", ev.Target), zap.String("instance", ev.Instance))
+		e.log.Info("target has a new instance, which is cold; only its owner sends to it",
+			zap.String("target", ev.Target), zap.String("instance", ev.Instance), zap.String("owner", e.fleet.Owner(ev.Target)))
 		e.fleet.Sighting(ev.Target, ev.Instance)
 	case route.Warmed:
 		e.counters.warmed.Inc()
-		e.log.Info("target is warm", zap.String("target", ev.Target), zap.String("instance", ev.Instance))
+		e.log.Info("target has finished its cold start; all entries may send to it",
+			zap.String("target", ev.Target), zap.String("instance", ev.Instance))
 		e.fleet.Announce(ev.Target, ev.Instance)
 	}
 }
--- a/entry/provide.go
+++ b/entry/provide.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"skylarkbeam/claim"
 	"skylarkbeam/fleet"
@@ -36,11 +37,20 @@
 	c.entry.table.SetWarm(c.entry.timers.Now(), target, instance)
 }
 
+func newJournal() *journal {
+	return &journal{}
+}
+
+// newLogger returns a logger whose lines also go to the journal.
+func newLogger(opts Options, j *journal) *zap.Logger {
+	return zap.New(zapcore.NewTee(opts.Logger.Core(), newJournalCore(j)))
+}
+
 func newPeers(counters *Counters) *fleet.Client {
 	return fleet.NewClient(counters.set)
 }
 
-func newFleet(opts Options, timers *timer.Service, counters *Counters, l *listeners, peers *fleet.Client, c *callbacks) *fleet.Fleet {
+func newFleet(opts Options, timers *timer.Service, log *zap.Logger, counters *Counters, l *listeners, peers *fleet.Client, c *callbacks) *fleet.Fleet {
 	return fleet.Open(fleet.Options{
 		Platform: opts.Platform,
 		Timers:   timers,
@@ -56,7 +66,7 @@
 		Seen:     c.seen,
 		Warmed:   c.warmed,
 		Metrics:  counters.set,
-		Logger:   opts.Logger.With(zap.String("entry", opts.Name)),
+		Logger:   log,
 	})
 }
 
@@ -83,8 +93,8 @@
 }
 
 // connect finishes the assembly: from here on the fleet's callbacks reach the entry.
-func connect(opts Options, timers *timer.Service, counters *Counters, l *listeners, peers *fleet.Client, f *fleet.Fleet, ledger *claim.Ledger, table *route.Table, c *callbacks) *Entry {
-	c.entry = New(opts, timers, counters, l, peers, f, ledger, table)
+func connect(opts Options, timers *timer.Service, log *zap.Logger, j *journal, counters *Counters, l *listeners, peers *fleet.Client, f *fleet.Fleet, ledger *claim.Ledger, table *route.Table, c *callbacks) *Entry {
+	c.entry = New(opts, timers, log, j, counters, l, peers, f, ledger, table)
 	close(c.ready)
 	return c.entry
 }
--- a/entry/view.go
+++ b/entry/view.go
@@ -100,7 +100,6 @@
 		}
 	}
 	e.adjustAll(now)
-	e.log.Info("state in force", zap.Uint64("version", state.Version), zap.String("who", state.Who), zap.String("what", state.What))
 }
 
 func firstPositive(values ...int) int {
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -14,6 +14,8 @@
 		timer.New,
 		NewCounters,
 		listen,
+		newJournal,
+		newLogger,
 		newPeers,
 		newCallbacks,
 		newFleet,
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -15,6 +15,8 @@
 // Assemble opens the listeners and returns an entry that is not yet serving. The error is that of a listener.
 func Assemble(opts Options) (*Entry, error) {
 	timerService := timer.New()
+	entryJournal := newJournal()
+	logger := newLogger(opts, entryJournal)
 	counters := NewCounters()
 	entryListeners, err := listen(opts)
 	if err != nil {
@@ -22,9 +24,9 @@
 	}
 	client := newPeers(counters)
 	entryCallbacks := newCallbacks()
-	fleet := newFleet(opts, timerService, counters, entryListeners, client, entryCallbacks)
+	fleet := newFleet(opts, timerService, logger, counters, entryListeners, client, entryCallbacks)
 	ledger := newLedger(opts, timerService)
 	table := newTable()
-	entry := connect(opts, timerService, counters, entryListeners, client, fleet, ledger, table, entryCallbacks)
+	entry := connect(opts, timerService, logger, entryJournal, counters, entryListeners, client, fleet, ledger, table, entryCallbacks)
 	return entry, nil
 }
