--- a/claim/pace.go
+++ b/claim/pace.go
@@ -6,9 +6,12 @@
 	// minSpacing keeps one entry at 50 transactions a second, so that six entries stay at the platform's 300 writes.
 	minSpacing = 20 * time.Millisecond
 	maxSpacing = 160 * time.Millisecond
+	// maxDelay is less than waitLimit, so that no call is refused only because of the retries before it.
+	maxDelay = maxSpacing
 )
 
-// pace spaces the transactions of a ledger. A transaction that goes at once, as a retry does, delays the later ones.
+// pace spaces the transactions of a ledger. A transaction that goes at once, as a retry does, delays the later ones, up
+// to maxDelay.
 type pace struct {
 	next    time.Time
 	spacing time.Duration
@@ -19,6 +22,9 @@
 		p.next = now
 	}
 	p.next = p.next.Add(p.spacing)
+	if latest := now.Add(maxDelay); p.next.After(latest) {
+		p.next = latest
+	}
 }
 
 func (p *pace) throttled() { p.spacing = min(2*p.spacing, maxSpacing) }
--- a/claim/resolve.go
+++ b/claim/resolve.go
@@ -9,7 +9,8 @@
 	"skylarkbeam/platform"
 )
 
-// retryPause is the pause between two reads that fail although the table is not down, as when it is throttled.
+// retryPause is the pause before a request is repeated that failed although the table is not down, as when it is
+// throttled.
 const retryPause = 20 * time.Millisecond
 
 // resolve finds out whether the pending group is in the table. If ctx ends first, the calls of the group are refused
--- a/claim/run.go
+++ b/claim/run.go
@@ -174,6 +174,7 @@
 			if platform.KindOf(err) != platform.Lost {
 				return false
 			}
+			sleep(ctx, retryPause)
 			continue
 		}
 		l.adopt(result)
@@ -288,6 +289,10 @@
 		lapsed.Inc()
 		return
 	}
+	if r.Version == 0 {
+		w.reply(unavailable()) // The row has gone since the check.
+		return
+	}
 	w.reply(readRow(r).decide(w.row.Digest))
 }
 
