--- a/fleet/change.go
+++ b/fleet/change.go
@@ -151,7 +151,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var receipt Receipt
+	var receipt Mark
 	if row, err := decode(t.rows, receiptKey, &receipt); err != nil || row != 0 {
 		return f.force(ctx, receipt.Version), err
 	}
@@ -194,7 +194,7 @@
 	})
 	tx.Puts = append(tx.Puts, platform.Put{
 		Key: receiptKey,
-		Value: encode(Receipt{
+		Value: encode(Mark{
 			Version: next.Version,
 		}),
 		Expiry: f.now().Add(receiptExpiry),
@@ -250,19 +250,10 @@
 
 // quorum asks all peers and tells whether at least half of the members answered.
 func (f *Fleet) quorum(ctx context.Context, t table) bool {
-	start := f.now()
-	f.round(ctx)
+	answered := f.round(ctx)
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	answered := map[string]bool{}
-	if f.registered {
-		answered[f.incarnation] = true
-	}
-	for incarnation, at := range f.hearings {
-		if !at.Before(start) {
-			answered[incarnation] = true
-		}
-	}
+	answered[f.incarnation] = f.registered
 	return t.roster.half(answered)
 }
 
--- a/fleet/contact.go
+++ b/fleet/contact.go
@@ -24,7 +24,8 @@
 }
 
 // Contact tells whether the entry may send new work: it has confirmed the head with the table within the last 4 s, or
-// has heard from a strict majority of the members within that time. It is decided at the moment of the call.
+// has heard from a strict majority of the members within that time. It is decided at the moment of the call. A caller
+// takes State after Contact, not before, because the confirmation is of the state at the time of the call.
 func (f *Fleet) Contact(now time.Time) bool {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -31,11 +31,10 @@
 	// acked is the number of the last warm fact that the peer confirmed, seen are sightings that it has not confirmed.
 	acked uint64
 	seen  map[string]string
-	// watched is when its beats were first looked at, beaten when one was new, gone when it was first found gone.
+	// watched is when its beats were first looked at, beaten when one was new.
 	watched time.Time
 	beaten  time.Time
 	beatRow uint64
-	gone    time.Time
 }
 
 func newPeer(incarnation string, now time.Time) *peer {
@@ -46,6 +45,17 @@
 	}
 }
 
+// tenth is the unit of Message.Quiet.
+const tenth = 100 * time.Millisecond
+
+// silence returns how long before the message its sender heard a peer, at most.
+func (m *Message) silence(name string) time.Duration {
+	if tenths, ok := m.Quiet[name]; ok {
+		return time.Duration(tenths) * tenth
+	}
+	return lateTime
+}
+
 // address is where to send to; the name is empty while no roster is known.
 type address struct {
 	name    string
@@ -98,19 +108,27 @@
 	}
 }
 
-// round exchanges with all peers and waits for the answers.
-func (f *Fleet) round(ctx context.Context) {
+// round exchanges with all peers, waits for the answers and returns the incarnations that answered.
+func (f *Fleet) round(ctx context.Context) map[string]bool {
 	var all sync.WaitGroup
+	var mu sync.Mutex
+	answered := map[string]bool{}
 	for _, to := range f.addresses(false) {
-		all.Go(func() { f.exchange(ctx, to) })
+		all.Go(func() {
+			incarnation, ok := f.exchange(ctx, to)
+			mu.Lock()
+			defer mu.Unlock()
+			answered[incarnation] = ok
+		})
 	}
 	all.Wait()
+	return answered
 }
 
 // exchange sends a message to a peer. The answer counts as heard only when this entry runs at least the versions that
 // it names, and from the time at which the request was started: an answer or a request that waited in a buffer while
 // this process was paused says nothing about the present.
-func (f *Fleet) exchange(ctx context.Context, to address) {
+func (f *Fleet) exchange(ctx context.Context, to address) (incarnation string, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	start := f.now()
@@ -122,7 +140,7 @@
 	}
 	if err != nil {
 		f.log.Debug("exchange failed", zap.String("peer", to.name), zap.Error(err))
-		return
+		return "", false
 	}
 	f.absorb(reply)
 	f.mu.Lock()
@@ -137,7 +155,7 @@
 	}
 	p := f.peers[reply.Entry]
 	if p == nil || p.incarnation != reply.Incarnation || !start.After(p.heard) {
-		return
+		return reply.Incarnation, true
 	}
 	p.heard = start
 	p.reply = *reply
@@ -148,6 +166,7 @@
 			delete(p.seen, sighting.Target)
 		}
 	}
+	return reply.Incarnation, true
 }
 
 // catchUp fetches what the sender of a message has and this entry lacks.
@@ -186,13 +205,13 @@
 		Incarnation: f.incarnation,
 		Version:     f.State().Version,
 		Roster:      f.roster.Version,
-		Heard:       map[string]int{},
+		Quiet:       map[string]int{},
 		Digest:      f.warm.digest(),
 		Leaving:     f.leaving.Load(),
 	}
 	for other, p := range f.peers {
-		if tenths := now.Sub(p.heard) / (100 * time.Millisecond); !p.heard.IsZero() && tenths < 100 {
-			m.Heard[other] = int(tenths)
+		if silence := now.Sub(p.heard); silence >= lateTime {
+			m.Quiet[other] = int(min(silence/tenth, 99))
 		}
 	}
 	p := f.peers[name]
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -28,6 +28,9 @@
 	contactTime = 4 * time.Second
 	// leaseTime is the lifetime of an ownership lease, from the start of the read that grants it.
 	leaseTime = 4 * time.Second
+	// lateTime is the silence from which on a message names a peer as quiet. Exchanges of the last second and a half are
+	// the rule and not worth the bytes.
+	lateTime = 1500 * time.Millisecond
 	// waitTime is how long a new owner waits. It exceeds leaseTime by 1 s, which allows for clocks whose rates differ by
 	// up to 20%.
 	waitTime = 5 * time.Second
@@ -35,7 +38,7 @@
 	quietTime = 2 * time.Second
 	// goneTime is how long an entry goes unheard by everybody before it is marked gone.
 	goneTime = 6 * time.Second
-	// vanishTime is how long a member must have been gone before its absence from the list of VMs counts as its end. The
+	// vanishTime is how long a member must have been absent before its VM's absence from the list counts as its end. The
 	// list lags, so a VM that has just started may not be listed yet.
 	vanishTime = time.Minute
 	// listInterval is how often the list of VMs is read while it can settle something.
@@ -64,7 +67,7 @@
 	quorum bool
 	// revert lets older versions replace newer ones.
 	revert bool
-	// settle drops the prior members at once, instead of when half of them know.
+	// hasty drops the prior members at once, instead of when half of them know.
 	hasty bool
 }
 
@@ -122,6 +125,8 @@
 	peers      map[string]*peer
 	hearings   map[string]time.Time
 	latest     table
+	known      rosterRow
+	absent     map[string]time.Time
 	listed     time.Time
 	scanned    time.Time
 	ended      bool
@@ -162,6 +167,7 @@
 		changed:     make(chan struct{}),
 		peers:       map[string]*peer{},
 		hearings:    map[string]time.Time{},
+		absent:      map[string]time.Time{},
 		ctx:         ctx,
 		cancel:      cancel,
 		kick:        make(chan struct{}, 1),
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,488 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkbeam/platform"
+)
+
+// variant is a run with a mechanism on or off; the fault shows only when it is off.
+type variant struct {
+	name   string
+	change func(l *limits)
+	fault  bool
+}
+
+// compare runs a scenario with a mechanism and as a control without it. The scenario reports whether the fault occurred.
+func compare(t *testing.T, names string, off func(l *limits), scenario func(t *testing.T, w *world) (fault bool)) {
+	tests := []variant{
+		{
+			name:   "on",
+			change: func(*limits) {},
+			fault:  false,
+		},
+		{
+			name:   "off",
+			change: off,
+			fault:  true,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := usual()
+			tt.change(&l)
+			simulate(t, l, names, func(t *testing.T, w *world) {
+				assert.Equal(t, tt.fault, scenario(t, w))
+			})
+		})
+	}
+}
+
+// Guards against a fleet that does not form: six entries start at once, register, settle, own each target exactly once
+// and run a change everywhere.
+func TestForm(t *testing.T) {
+	simulate(t, usual(), "abcdef", func(t *testing.T, w *world) {
+		a := w.nodes["a"]
+		assert.Equal(t, len(a.fleet.Members()), 6)
+		assert.Equal(t, len(a.roster().Prior), 0)
+		for _, target := range targets(20) {
+			owners := 0
+			w.each(func(n *node) {
+				if n.owns(target) {
+					owners++
+				}
+			})
+			assert.Equal(t, owners, 1, target)
+		}
+		d := accepted(t, a.drain("cairns", 0))
+		assert.Assert(t, d.Force)
+		assert.DeepEqual(t, d.Behind, []string{})
+		w.each(func(n *node) {
+			assert.Assert(t, n.drained("cairns") && n.contact(), n.name)
+		})
+		for _, m := range a.fleet.Members() {
+			assert.Equal(t, m.Version, d.Version, m.Name)
+		}
+	})
+}
+
+// Guards against two operators who both believe that their change was made on the state they saw. The control removes
+// the checks from the writes.
+func TestOperatorsRace(t *testing.T) {
+	simulate(t, usual(), "abc", func(t *testing.T, w *world) {
+		for _, unchecked := range []bool{false, true} {
+			w.unchecked.Store(unchecked)
+			base := w.nodes["a"].fleet.State().Base
+			decisions := make(chan Decision, 2)
+			for _, name := range []string{"a", "b"} {
+				go func() { decisions <- w.nodes[name].drain("by-"+name, base) }()
+			}
+			wins, conflicts := 0, 0
+			for range 2 {
+				switch d := (<-decisions).(type) {
+				case *Accepted:
+					wins++
+				case *Conflict:
+					conflicts++
+					winner := d.Who[len("operator "):]
+					assert.Equal(t, d.What, "drain by-"+winner)
+				}
+			}
+			if unchecked {
+				assert.Equal(t, wins, 2)
+				continue
+			}
+			assert.Equal(t, wins, 1)
+			assert.Equal(t, conflicts, 1)
+			accepted(t, w.nodes["c"].fleet.Restore(context.Background(), Change{
+				ID:   "undo",
+				Base: w.nodes["c"].fleet.State().Base,
+			}, []string{"by-a", "by-b"}, nil))
+		}
+	})
+}
+
+// Guards against a change that is made twice, lost or reported wrongly when the table's answer is lost.
+func TestLostAnswer(t *testing.T) {
+	tests := []struct {
+		name    string
+		point   platform.Point
+		cut     bool // the table is out of reach after the loss until the context ends
+		version uint64
+	}{
+		{
+			name:    "took effect",
+			point:   platform.PointAfter,
+			version: 1,
+		},
+		{
+			// Version 1 is the neutral write.
+			name:    "did not take effect",
+			point:   platform.PointBefore,
+			version: 2,
+		},
+		{
+			name:    "took effect, no answer in time",
+			point:   platform.PointAfter,
+			cut:     true,
+			version: 1,
+		},
+		{
+			name:    "did not take effect, no answer in time",
+			point:   platform.PointBefore,
+			cut:     true,
+			version: 1,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			simulate(t, usual(), "abc", func(t *testing.T, w *world) {
+				a := w.nodes["a"]
+				w.lose(tt.point, 0)
+				if tt.cut {
+					time.AfterFunc(20*time.Millisecond, func() { a.cut(true, 0) })
+					_, ok := a.drain("cairns", 0).(*Undecided)
+					assert.Assert(t, ok)
+					a.cut(false, 0)
+				}
+				assert.Equal(t, accepted(t, a.drain("cairns", 0)).Version, tt.version)
+				// Asking again tells the same and makes no second change.
+				assert.Equal(t, accepted(t, w.nodes["b"].drain("cairns", 0)).Version, tt.version)
+			})
+		})
+	}
+}
+
+// Guards against a write that takes effect after it was read back as absent and the operator was told that the change
+// was refused.
+func TestLateWrite(t *testing.T) {
+	compare(t, "abc", func(l *limits) { l.neutral = false }, func(t *testing.T, w *world) bool {
+		a := w.nodes["a"]
+		w.lose(platform.PointLate, 4*time.Second)
+		time.AfterFunc(20*time.Millisecond, func() { w.each(func(n *node) { n.cut(false, n.alone()) }) })
+		_, refused := a.drain("cairns", 0).(*Refused)
+		assert.Assert(t, refused)
+		time.Sleep(6 * time.Second)
+		return a.drained("cairns")
+	})
+}
+
+// Guards against a late answer of the table that replaces a newer version learned from a peer.
+func TestVersionNeverGoesBack(t *testing.T) {
+	compare(t, "ab", func(l *limits) { l.revert = true }, func(t *testing.T, w *world) bool {
+		a, b := w.nodes["a"], w.nodes["b"]
+		// The answer that b waits for is older than the change that a accepts.
+		b.late.Store(int64(900 * time.Millisecond))
+		time.Sleep(1300 * time.Millisecond)
+		back := false
+		go a.drain("cairns", 0)
+		for highest := uint64(0); w.timers.Now().Second() < 30; time.Sleep(10 * time.Millisecond) {
+			version := b.fleet.State().Version
+			back = back || version < highest
+			highest = max(highest, version)
+		}
+		assert.Assert(t, b.drained("cairns"))
+		return back
+	})
+}
+
+// Guards against an accepted change that is lost when all entries restart, and against a restarted entry that sends
+// work before it knows the state.
+func TestRestartOfAll(t *testing.T) {
+	simulate(t, usual(), "abc", func(t *testing.T, w *world) {
+		accepted(t, w.nodes["a"].drain("cairns", 0))
+		w.down(true)
+		w.each(func(n *node) { n.kill() })
+		for _, name := range []string{"a", "b", "c"} {
+			w.start(name, false)
+		}
+		time.Sleep(10 * time.Second)
+		w.each(func(n *node) { assert.Assert(t, !n.contact(), n.name) })
+		w.down(false)
+		time.Sleep(10 * time.Second)
+		w.each(func(n *node) { assert.Assert(t, n.contact() && n.drained("cairns"), n.name) })
+		accepted(t, w.nodes["b"].drain("perth", 1))
+	})
+}
+
+// Guards against an entry that cannot start while the table is down though its peers know the state.
+func TestStartInOutage(t *testing.T) {
+	simulate(t, usual(), "abcd", func(t *testing.T, w *world) {
+		accepted(t, w.nodes["a"].drain("cairns", 0))
+		w.down(true)
+		w.nodes["d"].kill()
+		d := w.start("d", false)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, d.contact() && d.drained("cairns"))
+		assert.Assert(t, !d.fleet.Probes(w.timers.Now()))
+		// Two of four members are not a majority, and the unregistered process has no vote.
+		w.nodes["a"].kill()
+		time.Sleep(6 * time.Second)
+		assert.Assert(t, !d.contact())
+	})
+}
+
+// Guards against a change that is reported as accepted, vanishes from all entries' sight in an outage right after, and
+// is ignored by them: the entry that accepts it has no peers and dies.
+func TestOutageAfterAccept(t *testing.T) {
+	compare(t, "abc", func(l *limits) { l.quorum = false }, func(t *testing.T, w *world) bool {
+		a := w.nodes["a"]
+		a.cut(false, a.alone())
+		w.nodes["b"].cut(true, 0)
+		w.nodes["c"].cut(true, 0)
+		d, ok := a.drain("cairns", 0).(*Accepted)
+		a.kill()
+		time.Sleep(contactTime)
+		b := w.nodes["b"]
+		return ok && !d.Force && b.contact() && !b.drained("cairns")
+	})
+}
+
+// Guards against work sent into a drained failure domain 4 s after the change was in force, by an entry that is
+// partitioned or was paused. An entry that is cut off from everything refuses work instead.
+func TestDrainReachesAll(t *testing.T) {
+	tests := []struct {
+		name    string
+		fault   func(n *node)
+		contact bool
+		heals   bool
+	}{
+		{
+			name:    "partitioned from the platform",
+			fault:   func(n *node) { n.cut(true, 0) },
+			contact: true,
+		},
+		{
+			name:    "partitioned from the peers",
+			fault:   func(n *node) { n.cut(false, n.alone()) },
+			contact: true,
+		},
+		{
+			name:  "partitioned from both",
+			fault: func(n *node) { n.cut(true, n.alone()) },
+		},
+		{
+			name:  "paused and awake again",
+			fault: func(n *node) { n.pause() },
+			heals: true,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			sends := func(w *world) bool {
+				c := w.nodes["c"]
+				tt.fault(c)
+				assert.Assert(t, accepted(t, w.nodes["a"].drain("cairns", 0)).Force)
+				time.Sleep(contactTime)
+				c.wake()
+				contact := c.contact()
+				wrong := contact && !c.drained("cairns")
+				if !wrong {
+					assert.Equal(t, tt.contact, contact)
+				}
+				if tt.heals {
+					time.Sleep(time.Second)
+					assert.Assert(t, c.contact() && c.drained("cairns"))
+				}
+				return wrong
+			}
+			simulate(t, usual(), "abcd", func(t *testing.T, w *world) { assert.Assert(t, !sends(w)) })
+			if !tt.contact {
+				l := usual()
+				l.contact = time.Hour
+				simulate(t, l, "abcd", func(t *testing.T, w *world) { assert.Assert(t, sends(w)) })
+			}
+		})
+	}
+}
+
+// Guards against a change accepted by a minority while the majority, cut off from the table, goes on with the old
+// state. The control forgets the former members before half of them know.
+func TestMinorityWithTable(t *testing.T) {
+	compare(t, "abcde", func(l *limits) { l.hasty = true }, func(t *testing.T, w *world) bool {
+		for _, name := range []string{"a", "b", "c"} {
+			w.nodes[name].cut(true, west)
+		}
+		time.Sleep(15 * time.Second)
+		d, ok := w.nodes["d"].drain("cairns", 0).(*Accepted)
+		time.Sleep(contactTime)
+		a := w.nodes["a"]
+		assert.Assert(t, a.contact())
+		return ok && d.Force && !a.drained("cairns")
+	})
+}
+
+// Guards against a fleet that accepts no change any more after most of its VMs were lost. The control leaves the lost
+// VMs in the platform's list.
+func TestVanished(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		simulate(t, usual(), "abcde", func(t *testing.T, w *world) {
+			var vms []platform.VM
+			for name, n := range w.nodes {
+				if name > "b" {
+					n.kill()
+				}
+				if name <= "b" || listed {
+					vms = append(vms, platform.VM{
+						Name:    name,
+						Address: n.control.Addr(),
+					})
+				}
+			}
+			w.memory.SetVMs(vms)
+			time.Sleep(90 * time.Second)
+			_, ok := w.nodes["a"].drain("cairns", 0).(*Accepted)
+			assert.Equal(t, !listed, ok)
+		})
+	}
+}
+
+// Guards against cold targets that stay without an owner after a kill, and against an owner that goes on after a pause
+// or without the table.
+func TestOwnership(t *testing.T) {
+	owned := func(w *world, n *node) string {
+		i := slices.IndexFunc(targets(50), n.owns)
+		return targets(50)[i]
+	}
+	tests := []struct {
+		name  string
+		fault func(n *node)
+		moves bool
+	}{
+		{
+			name:  "kill",
+			fault: func(n *node) { n.kill() },
+			moves: true,
+		},
+		{
+			name:  "pause",
+			fault: func(n *node) { n.pause() },
+			moves: true,
+		},
+		{
+			name:  "leave",
+			fault: func(n *node) { n.fleet.Leave() },
+			moves: true,
+		},
+		{
+			name:  "partition from the table",
+			fault: func(n *node) { n.cut(true, 0) },
+		},
+		{
+			name:  "partition from both",
+			fault: func(n *node) { n.cut(true, n.alone()) },
+			moves: true,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			simulate(t, usual(), "abc", func(t *testing.T, w *world) {
+				a, b, c := w.nodes["a"], w.nodes["b"], w.nodes["c"]
+				target, kept := owned(w, a), owned(w, b)
+				tt.fault(a)
+				start := w.timers.Now()
+				moved := func() bool { return b.owns(target) || c.owns(target) }
+				for !moved() && w.timers.Now().Sub(start) < 20*time.Second {
+					assert.Assert(t, b.owns(kept), "an owner that stays the same lost its target")
+					time.Sleep(50 * time.Millisecond)
+				}
+				assert.Equal(t, tt.moves, moved())
+				t.Logf("new owner after %v", w.timers.Now().Sub(start))
+				assert.Assert(t, w.timers.Now().Sub(start) <= goneTime+waitTime+2*pollInterval || !tt.moves)
+				a.wake()
+				assert.Assert(t, !a.owns(target))
+			})
+		})
+	}
+}
+
+// Guards against entries that are marked gone in turn because some others cannot hear them, though they are alive.
+func TestNoFlapping(t *testing.T) {
+	compare(t, "abcd", func(l *limits) { l.reported = false }, func(t *testing.T, w *world) bool {
+		c := w.nodes["c"]
+		c.cut(false, c.alone())
+		view := c.roster().View
+		time.Sleep(time.Minute)
+		return w.nodes["a"].roster().View != view
+	})
+}
+
+// Guards against two processes of one name that both go on, and against probes by the new one while the old one may
+// still send some. The control has no second process.
+func TestSameName(t *testing.T) {
+	for _, second := range []bool{true, false} {
+		simulate(t, usual(), "abc", func(t *testing.T, w *world) {
+			old := w.nodes["c"]
+			old.pause()
+			time.Sleep(10 * time.Second)
+			if second {
+				c := w.start("c", true)
+				time.Sleep(3 * time.Second)
+				assert.Assert(t, !c.fleet.Probes(w.timers.Now()))
+				time.Sleep(3 * time.Second)
+				assert.Assert(t, c.contact() && c.fleet.Probes(w.timers.Now()))
+			}
+			old.wake()
+			assert.Assert(t, !old.contact())
+			time.Sleep(3 * time.Second)
+			assert.Equal(t, !second, old.contact())
+			assert.Equal(t, second, old.fleet.Err() != nil)
+		})
+	}
+}
+
+// Guards against a successor that waits after its predecessor left cleanly, and one that does not after a crash.
+func TestLeave(t *testing.T) {
+	for _, clean := range []bool{true, false} {
+		simulate(t, usual(), "abc", func(t *testing.T, w *world) {
+			c := w.nodes["c"]
+			c.fleet.Leave()
+			time.Sleep(100 * time.Millisecond)
+			assert.Equal(t, w.nodes["a"].fleet.Members()[2].State, RecordStateLeaving)
+			if clean {
+				c.dead = true
+				assert.NilError(t, c.fleet.Close(context.Background()))
+			}
+			c.kill()
+			next := w.start("c", false)
+			time.Sleep(2 * time.Second)
+			assert.Equal(t, clean, next.fleet.Probes(w.timers.Now()))
+		})
+	}
+}
+
+// Guards against warm facts that do not reach an entry: one that restarts, one that is cut off from its peers, and one
+// that is cut off from the table.
+func TestWarm(t *testing.T) {
+	simulate(t, usual(), "abcd", func(t *testing.T, w *world) {
+		a, b, c := w.nodes["a"], w.nodes["b"], w.nodes["c"]
+		b.cut(false, b.alone())
+		c.cut(true, 0)
+		for _, target := range targets(100) {
+			a.fleet.Announce(target, "first")
+		}
+		a.fleet.Announce("target-0", "second")
+		time.Sleep(rescanInterval + 10*time.Second)
+		w.nodes["d"].kill()
+		w.start("d", false)
+		time.Sleep(2 * time.Second)
+		w.each(func(n *node) {
+			assert.Equal(t, n.fleet.Warm("target-0"), "second", n.name)
+			assert.Equal(t, n.fleet.Warm("target-99"), "first", n.name)
+			assert.Equal(t, n.fleet.Warm("other"), "")
+		})
+		b.cut(false, 0)
+		time.Sleep(2 * time.Second)
+		owner := w.nodes[a.fleet.Owner("target-0")]
+		w.each(func(n *node) { n.fleet.Sighting("target-0", "third-"+n.name) })
+		time.Sleep(2 * time.Second)
+		owner.mu.Lock()
+		defer owner.mu.Unlock()
+		assert.Equal(t, len(owner.seen), 3)
+	})
+}
--- /dev/null
+++ b/fleet/http_test.go
@@ -0,0 +1,199 @@
+package fleet
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	restful "github.com/emicklei/go-restful/v3"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"skylarkbeam/platform"
+	"skylarkbeam/timer"
+)
+
+// listen serves a handler on loopback.
+func listen(t *testing.T, handler http.Handler, wrap func(net.Listener) net.Listener) netip.AddrPort {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &http.Server{
+		Handler: handler,
+	}
+	go server.Serve(wrap(listener))
+	t.Cleanup(func() { server.Close() })
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// servePlatform starts a platform on loopback and returns a function that connects to it.
+func servePlatform(t *testing.T) func(tableBytes *Client) platform.Platform {
+	handler := platform.NewHandler(platform.NewMemory(timer.New()))
+	address := listen(t, handler, func(l net.Listener) net.Listener { return l })
+	return func(tableBytes *Client) platform.Platform {
+		return platform.NewClient(platform.ClientOptions{
+			Address: address,
+			Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return tableBytes.count(conn), nil
+			},
+		})
+	}
+}
+
+// serve starts an entry with real connections on loopback.
+func serve(t *testing.T, name string, p platform.Platform, set *metrics.Set) *Fleet {
+	client := NewClient(set)
+	container := restful.NewContainer()
+	control := listen(t, container, client.Listener)
+	f := Open(Options{
+		Platform: p,
+		Timers:   timer.New(),
+		Name:     name,
+		Domain:   "cairns",
+		Caller:   control,
+		Control:  control,
+		Peers:    client,
+		Metrics:  set,
+	})
+	container.Add(f.Service())
+	t.Cleanup(func() {
+		assert.NilError(t, f.Close(context.Background()))
+		client.Close()
+	})
+	return f
+}
+
+// Guards against messages that do not survive real HTTP: three entries on loopback form a fleet and spread settings.
+func TestHTTP(t *testing.T) {
+	connect := servePlatform(t)
+	var all []*Fleet
+	for _, name := range []string{"a", "b", "c"} {
+		all = append(all, serve(t, name, connect(NewClient(nil)), metrics.NewSet()))
+	}
+	within := poll.WithTimeout(20 * time.Second)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, f := range all {
+			if len(f.Members()) != 3 || !f.Contact(time.Now()) {
+				return poll.Continue("%s knows %d members", f.opt.Name, len(f.Members()))
+			}
+		}
+		return poll.Success()
+	}, within)
+	settings := []byte(strings.Repeat("{}\n", 1000))
+	d := accepted(t, all[0].Apply(context.Background(), Change{
+		ID:  "one",
+		Who: "operator",
+	}, settings))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, f := range all {
+			if f.State().Version != d.Version || string(f.State().Settings) != string(settings) {
+				return poll.Continue("%s runs version %d", f.opt.Name, f.State().Version)
+			}
+		}
+		return poll.Success()
+	}, within)
+}
+
+var measure = flag.Duration("measure", 0, "measure the cost of control for this time in each case")
+
+// TestMeasure prints what control costs; docs/measurements-fleet.md has the results.
+func TestMeasure(t *testing.T) {
+	if *measure == 0 {
+		t.Skip("run with -measure=20s")
+	}
+	tests := []struct {
+		entries, facts int
+	}{
+		{entries: 3},
+		{entries: 6},
+		{entries: 12},
+		{entries: 6, facts: 600},
+		{entries: 6, facts: 1200},
+	}
+	fmt.Println("entries facts phase | B/s: sent to peers, to table, received from peers, from table | messages/s reads/s writes/s CPU% heap-KB, all per node")
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.entries, tt.facts), func(t *testing.T) {
+			connect, tableBytes := servePlatform(t), metrics.NewSet()
+			set := metrics.NewSet()
+			before := heap()
+			var all []*Fleet
+			for i := range tt.entries {
+				all = append(all, serve(t, fmt.Sprintf("cairns-%d", i), connect(NewClient(tableBytes)), set))
+			}
+			time.Sleep(4 * time.Second)
+			for _, target := range targets(tt.facts) {
+				all[0].Announce(target, newIncarnation())
+			}
+			if tt.facts > 0 {
+				report(tt.entries, tt.facts, "spread", set, tableBytes, before)
+			}
+			start := time.Now()
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				for _, f := range all {
+					if f.warm.digest() != all[0].warm.digest() {
+						return poll.Continue("%s lacks facts", f.opt.Name)
+					}
+				}
+				return poll.Success()
+			}, poll.WithTimeout(5*time.Minute))
+			time.Sleep(3 * time.Second)
+			fmt.Printf("same facts after another %v\n", time.Since(start).Round(time.Second))
+			report(tt.entries, tt.facts, "steady", set, tableBytes, before)
+		})
+	}
+}
+
+// report measures for a while and prints the rates per node.
+func report(entries, facts int, phase string, set, tableBytes *metrics.Set, before uint64) {
+	bytes := []string{
+		`skylarkbeam_fleet_bytes_total{direction="sent"}`, `skylarkbeam_fleet_bytes_total{direction="received"}`,
+	}
+	names := []string{
+		`skylarkbeam_fleet_messages_total`, `skylarkbeam_fleet_table_total{kind="read"}`,
+		`skylarkbeam_fleet_table_total{kind="write"}`,
+	}
+	sample := func() (values []float64) {
+		for _, name := range bytes {
+			values = append(values, float64(set.GetOrCreateCounter(name).Get()), float64(tableBytes.GetOrCreateCounter(name).Get()))
+		}
+		for _, name := range names {
+			values = append(values, float64(set.GetOrCreateCounter(name).Get()))
+		}
+		return append(values, cpu().Seconds()*100)
+	}
+	first := sample()
+	time.Sleep(*measure)
+	second := sample()
+	fmt.Printf("%d %d %s |", entries, facts, phase)
+	for i := range first {
+		fmt.Printf(" %.2f", (second[i]-first[i])/measure.Seconds()/float64(entries))
+	}
+	fmt.Printf(" %d\n", (int64(heap())-int64(before))/1024/int64(entries))
+}
+
+func cpu() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -58,6 +58,13 @@
 	Target string `json:"target"`
 }
 
+// A version: that which a change became, in the row state/change/ID, and that of
+// the roster, in the row fleet/version.
+type Mark struct {
+	// Version corresponds to the JSON schema field "version".
+	Version uint64 `json:"version"`
+}
+
 // What entries send each other, as request and as answer.
 type Message struct {
 	// Digest of the sender's warm facts.
@@ -66,15 +73,16 @@
 	// Entry corresponds to the JSON schema field "entry".
 	Entry string `json:"entry"`
 
-	// Tenths of a second since the sender last heard each peer, at most 99.
-	Heard map[string]int `json:"heard"`
-
 	// Incarnation corresponds to the JSON schema field "incarnation".
 	Incarnation string `json:"incarnation"`
 
 	// The sender is shutting down.
 	Leaving bool `json:"leaving,omitempty,omitzero"`
 
+	// Tenths of a second since the sender last heard those peers that it did not hear
+	// lately, at most 99.
+	Quiet map[string]int `json:"quiet,omitempty,omitzero"`
+
 	// Version of the roster that the sender knows.
 	Roster uint64 `json:"roster"`
 
@@ -88,12 +96,6 @@
 	Warm []Fact `json:"warm,omitempty,omitzero"`
 }
 
-// The row state/change/ID, which tells the version that a change became.
-type Receipt struct {
-	// Version corresponds to the JSON schema field "version".
-	Version uint64 `json:"version"`
-}
-
 // One member.
 type Record struct {
 	// Address for callers.
@@ -123,9 +125,9 @@
 	// Members corresponds to the JSON schema field "members".
 	Members map[string]Record `json:"members"`
 
-	// Incarnations of the last settled roster whose quorums still count; empty if the
-	// present one is settled.
-	Prior []string `json:"prior,omitempty,omitzero"`
+	// Incarnations of the last settled roster whose quorums still count, with the
+	// addresses of their VMs; empty if the present one is settled.
+	Prior map[string]netip.Addr `json:"prior,omitempty,omitzero"`
 
 	// Grows by one with each write of the row.
 	Version uint64 `json:"version"`
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -2,7 +2,7 @@
 
 import (
 	"maps"
-	"slices"
+	"net/netip"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -18,35 +18,37 @@
 	return active
 }
 
-// counted returns the incarnations that count in quorums, sorted: all members that are not gone.
-func (r Roster) counted() []string {
-	counted := make([]string, 0, len(r.Members))
+// votes are incarnations that count in quorums, with the addresses of their VMs.
+type votes = map[string]netip.Addr
+
+// counted returns the votes of all members that are not gone.
+func (r Roster) counted() votes {
+	counted := votes{}
 	for _, record := range r.Members {
 		if record.State != RecordStateGone {
-			counted = append(counted, record.Incarnation)
+			counted[record.Incarnation] = record.Control.Addr()
 		}
 	}
-	slices.Sort(counted)
 	return counted
 }
 
 // majority tells whether the incarnations are more than half of the members and, while the roster is unsettled, of the
 // prior ones.
 func (r Roster) majority(heard map[string]bool) bool {
-	more := func(members []string) bool { return 2*count(members, heard) > len(members) }
+	more := func(members votes) bool { return 2*count(members, heard) > len(members) }
 	return more(r.counted()) && (len(r.Prior) == 0 || more(r.Prior))
 }
 
 // half tells whether the incarnations are at least half of the members and, while the roster is unsettled, of the
 // prior ones. Any half and any majority of the same set have a member in common.
 func (r Roster) half(heard map[string]bool) bool {
-	enough := func(members []string) bool { return 2*count(members, heard) >= len(members) }
+	enough := func(members votes) bool { return 2*count(members, heard) >= len(members) }
 	return enough(r.counted()) && enough(r.Prior)
 }
 
-func count(members []string, heard map[string]bool) int {
+func count(members votes, heard map[string]bool) int {
 	n := 0
-	for _, incarnation := range members {
+	for incarnation := range members {
 		if heard[incarnation] {
 			n++
 		}
@@ -61,7 +63,7 @@
 		Version: r.Version + 1,
 		View:    r.View,
 		Members: maps.Clone(r.Members),
-		Prior:   slices.Clone(r.Prior),
+		Prior:   maps.Clone(r.Prior),
 	}
 	if next.Members == nil {
 		next.Members = map[string]Record{}
@@ -79,17 +81,13 @@
 // without returns the roster after an incarnation has certainly ended. Its vote is dropped, or passes to its successor
 // at the same address if there is one: nobody can hear the ended process any more, so no majority contains it.
 func (r Roster) without(incarnation, successor string) Roster {
-	prior := make([]string, 0, len(r.Prior))
-	for _, member := range r.Prior {
-		switch {
-		case member != incarnation:
-			prior = append(prior, member)
-		case successor != "":
-			prior = append(prior, successor)
+	if vm, ok := r.Prior[incarnation]; ok {
+		r.Prior = maps.Clone(r.Prior)
+		delete(r.Prior, incarnation)
+		if successor != "" {
+			r.Prior[successor] = vm
 		}
 	}
-	slices.Sort(prior)
-	r.Prior = slices.Compact(prior)
 	return r.simplify()
 }
 
@@ -100,8 +98,19 @@
 	return next
 }
 
+// absent returns the votes of the prior members that are no longer members or are gone.
+func (r Roster) absent() votes {
+	counted, absent := r.counted(), votes{}
+	for incarnation, vm := range r.Prior {
+		if _, ok := counted[incarnation]; !ok {
+			absent[incarnation] = vm
+		}
+	}
+	return absent
+}
+
 func (r Roster) simplify() Roster {
-	if slices.Equal(r.Prior, r.counted()) {
+	if maps.Equal(r.Prior, r.counted()) {
 		r.Prior = nil
 	}
 	return r
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -20,6 +20,7 @@
 	logPrefix     = "state/log/"
 	changePrefix  = "state/change/"
 	rosterKey     = "fleet"
+	markKey       = "fleet/version"
 	beatPrefix    = "beat/"
 	warmPrefix    = "warm/"
 	objectPrefix  = "settings/"
@@ -78,12 +79,12 @@
 
 // table is what one read of the table showed, with the row versions that a write based on it must check.
 type table struct {
-	start     time.Time
-	document  Document
-	headRow   uint64
-	roster    Roster
-	rosterRow uint64
-	rows      map[string]platform.Row
+	start    time.Time
+	document Document
+	headRow  uint64
+	roster   Roster
+	markRow  uint64
+	rows     map[string]platform.Row
 }
 
 // checks makes a write fail if the head or the roster has changed since the read.
@@ -94,29 +95,39 @@
 			Version: t.headRow,
 		},
 		{
-			Key:     rosterKey,
-			Version: t.rosterRow,
+			Key:     markKey,
+			Version: t.markRow,
 		},
 	}
 }
 
-// read reads the head, the roster and further rows, and puts in force what is new.
+// read reads the head, the roster and further rows, and puts in force what is new. The roster itself is read only when
+// its mark, which is written with it, has changed: it is the largest row by far.
 func (f *Fleet) read(ctx context.Context, keys ...string) (table, error) {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	t := table{
 		start: f.now(),
 	}
-	f.counters.reads.Inc()
-	rows, err := f.opt.Platform.Get(ctx, append([]string{headKey, rosterKey}, keys...))
+	f.mu.RLock()
+	known := f.known
+	f.mu.RUnlock()
+	keys = append([]string{headKey, markKey}, keys...)
+	rows, err := f.get(ctx, keys)
+	if err == nil && rows[markKey].Version != known.row {
+		rows, err = f.get(ctx, append(keys, rosterKey))
+	}
 	if err != nil {
 		return t, errors.Wrap(err, "read the head")
 	}
 	t.rows = rows
+	t.markRow = rows[markKey].Version
 	if t.headRow, err = decode(rows, headKey, &t.document); err != nil {
 		return t, err
 	}
-	if t.rosterRow, err = decode(rows, rosterKey, &t.roster); err != nil {
+	if t.markRow == known.row {
+		t.roster = known.roster
+	} else if t.roster, err = decodeRoster(rows); err != nil {
 		return t, err
 	}
 	settings, err := f.settings(ctx, t.document.Object)
@@ -126,6 +137,10 @@
 	f.install(t.document, settings, t.roster)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.known = rosterRow{
+		row:    t.markRow,
+		roster: t.roster,
+	}
 	if t.start.After(f.confirmed) {
 		f.confirmed = t.start
 	}
@@ -136,6 +151,33 @@
 	return t, nil
 }
 
+// rosterRow is a roster that was read, with the version of its mark.
+type rosterRow struct {
+	row    uint64
+	roster Roster
+}
+
+func (f *Fleet) get(ctx context.Context, keys []string) (map[string]platform.Row, error) {
+	f.counters.reads.Inc()
+	return f.opt.Platform.Get(ctx, keys)
+}
+
+// decodeRoster returns the roster if it and its mark are of one write.
+func decodeRoster(rows map[string]platform.Row) (Roster, error) {
+	var roster Roster
+	var mark Mark
+	if _, err := decode(rows, markKey, &mark); err != nil {
+		return roster, err
+	}
+	if _, err := decode(rows, rosterKey, &roster); err != nil {
+		return roster, err
+	}
+	if mark.Version != roster.Version {
+		return roster, errors.Newf("the roster has version %d, its mark %d", roster.Version, mark.Version)
+	}
+	return roster, nil
+}
+
 func decode(rows map[string]platform.Row, key string, into any) (uint64, error) {
 	row, ok := rows[key]
 	if !ok {
--- a/fleet/upkeep.go
+++ b/fleet/upkeep.go
@@ -65,6 +65,12 @@
 				Key:   rosterKey,
 				Value: encode(next),
 			},
+			{
+				Key: markKey,
+				Value: encode(Mark{
+					Version: next.Version,
+				}),
+			},
 		},
 	})
 	if err != nil {
@@ -159,7 +165,6 @@
 		if p == nil || record.State == RecordStateGone || record.Incarnation != p.incarnation {
 			continue
 		}
-		p.gone = time.Time{}
 		if now.Sub(f.lastSign(name, p)) < f.limits.gone {
 			continue
 		}
@@ -169,7 +174,6 @@
 		}
 		record.State = RecordStateGone
 		gone[name] = record
-		p.gone = now
 	}
 	return gone
 }
@@ -187,10 +191,8 @@
 		last = p.beaten
 	}
 	for _, other := range f.peers {
-		if tenths, ok := other.reply.Heard[name]; ok {
-			if at := other.heard.Add(-time.Duration(tenths) * 100 * time.Millisecond); at.After(last) {
-				last = at
-			}
+		if at := other.heard.Add(-other.reply.silence(name)); at.After(last) {
+			last = at
 		}
 	}
 	return last
@@ -212,51 +214,52 @@
 	return f.limits.hasty || roster.half(knows)
 }
 
-// vanished drops the votes of members that have been gone for vanishTime and whose VM no longer exists. Without it, a
-// fleet that lost more than half of its entries at once could accept no change before they returned.
+// vanished drops the votes of absent members whose VM no longer exists. Without it, a fleet that lost more than half of
+// its entries at once could accept no change before they returned.
 func (f *Fleet) vanished(now time.Time, roster Roster) (Roster, bool) {
-	var candidates []string
-	for name, record := range roster.Members {
-		if record.State != RecordStateGone {
-			continue
-		}
-		p := f.peers[name]
-		if p == nil {
-			continue
+	absent, due := roster.absent(), false
+	for incarnation := range f.absent {
+		if _, ok := absent[incarnation]; !ok {
+			delete(f.absent, incarnation)
 		}
-		if p.gone.IsZero() {
-			p.gone = now
-		}
-		if now.Sub(p.gone) >= vanishTime && now.Sub(f.lastSign(name, p)) >= vanishTime {
-			candidates = append(candidates, name)
+	}
+	for incarnation := range absent {
+		if f.absent[incarnation].IsZero() {
+			f.absent[incarnation] = now
 		}
+		due = due || now.Sub(f.absent[incarnation]) >= vanishTime
 	}
-	if len(candidates) == 0 || now.Sub(f.listed) < listInterval {
+	if !due || now.Sub(f.listed) < listInterval {
 		return roster, false
 	}
 	f.listed = now
+	exists := f.vms()
+	next, found := roster.edit(func(map[string]Record) {}), false
+	for incarnation, vm := range absent {
+		if len(exists) > 0 && !exists[vm] && now.Sub(f.absent[incarnation]) >= vanishTime {
+			next = next.without(incarnation, "")
+			found = true
+		}
+	}
+	return next, found
+}
+
+// vms returns the addresses in the list of VMs, nothing if it is not available. The caller holds mu, which is released
+// meanwhile.
+func (f *Fleet) vms() map[netip.Addr]bool {
 	f.mu.Unlock()
+	defer f.mu.Lock()
 	ctx, cancel := context.WithTimeout(f.ctx, tableTimeout)
-	vms, err := f.opt.Platform.VMs().List(ctx)
-	cancel()
-	f.mu.Lock()
-	if err != nil || len(vms) == 0 {
-		return roster, false
+	defer cancel()
+	list, err := f.opt.Platform.VMs().List(ctx)
+	if err != nil {
+		f.log.Debug("listing the VMs failed", zap.Error(err))
 	}
 	exists := map[netip.Addr]bool{}
-	for _, vm := range vms {
+	for _, vm := range list {
 		exists[vm.Address] = true
 	}
-	next, found := roster.edit(func(map[string]Record) {}), false
-	for _, name := range candidates {
-		record := roster.Members[name]
-		if !exists[record.Control.Addr()] {
-			delete(next.Members, name)
-			next = next.without(record.Incarnation, "")
-			found = true
-		}
-	}
-	return next, found
+	return exists
 }
 
 // beatKeys returns the beats of members that this entry has not heard for quietTime.
@@ -310,9 +313,7 @@
 		if f.roster.Members[name].State == RecordStateGone {
 			continue
 		}
-		tenths, ok := p.reply.Heard[f.opt.Name]
-		unheard := !ok || time.Duration(tenths)*100*time.Millisecond >= quietTime
-		needed = needed || unheard || now.Sub(p.heard) >= quietTime
+		needed = needed || p.reply.silence(f.opt.Name) >= quietTime || now.Sub(p.heard) >= quietTime
 	}
 	needed = needed && f.registered && !f.ended
 	f.mu.RUnlock()
--- /dev/null
+++ b/fleet/world_test.go
@@ -0,0 +1,351 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"skylarkbeam/platform"
+	"skylarkbeam/timer"
+)
+
+// world is a fleet in memory whose network, processes and platform fail on demand. It runs in a synctest bubble.
+type world struct {
+	memory *platform.Memory
+	timers *timer.Service
+	limits limits
+	// unchecked removes the checks from all writes.
+	unchecked atomic.Bool
+
+	mu    sync.Mutex
+	nodes map[string]*node
+	hosts map[netip.AddrPort]*node
+	port  uint16
+}
+
+// node is one process. It implements platform.Platform and Peers for its Fleet.
+type node struct {
+	*platform.Memory
+	w       *world
+	name    string
+	fleet   *Fleet
+	control netip.AddrPort
+
+	mu      sync.Mutex
+	gate    chan struct{} // closed while the process runs
+	noTable bool
+	side    int          // processes on different sides of a partition do not reach each other
+	late    atomic.Int64 // how long answers to reads are under way
+	dead    bool
+	seen    []string
+}
+
+func simulate(t *testing.T, l limits, names string, run func(t *testing.T, w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(l)
+		defer w.close()
+		for _, name := range names {
+			w.start(string(name), false)
+		}
+		time.Sleep(12 * time.Second)
+		run(t, w)
+	})
+}
+
+func newWorld(l limits) *world {
+	timers := timer.New()
+	return &world{
+		memory: platform.NewMemory(timers),
+		timers: timers,
+		limits: l,
+		nodes:  map[string]*node{},
+		hosts:  map[netip.AddrPort]*node{},
+	}
+}
+
+// start starts a process under a name, at the former address or at a new one. A former process lives on if it was not
+// killed.
+func (w *world) start(name string, moved bool) *node {
+	w.mu.Lock()
+	former := w.nodes[name]
+	n := &node{
+		Memory: w.memory,
+		w:      w,
+		name:   name,
+		gate:   make(chan struct{}),
+	}
+	close(n.gate)
+	if former != nil && !moved {
+		n.control = former.control
+	} else {
+		w.port++
+		n.control = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(w.port)}), w.port)
+	}
+	w.nodes[name], w.hosts[n.control] = n, n
+	var seeds []netip.AddrPort
+	for control := range w.hosts {
+		seeds = append(seeds, control)
+	}
+	w.mu.Unlock()
+	fleet := open(Options{
+		Platform: n,
+		Timers:   w.timers,
+		Name:     name,
+		Domain:   "cairns",
+		Caller:   n.control,
+		Control:  n.control,
+		Peers:    n,
+		Seeds:    seeds,
+		Seen:     n.see,
+	}, w.limits)
+	n.mu.Lock()
+	n.fleet = fleet
+	n.mu.Unlock()
+	return n
+}
+
+func (w *world) close() {
+	for _, n := range w.hosts {
+		n.wake()
+		n.kill()
+	}
+}
+
+// each calls a function for each process that runs, in the order of their names.
+func (w *world) each(do func(n *node)) {
+	hosts := slices.SortedFunc(func(yield func(*node) bool) {
+		for _, n := range w.hosts {
+			if !yield(n) {
+				return
+			}
+		}
+	}, func(a, b *node) int { return a.control.Compare(b.control) })
+	for _, n := range hosts {
+		if !n.dead && !n.paused() {
+			do(n)
+		}
+	}
+}
+
+func (n *node) see(target, instance string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.seen = append(n.seen, target+"="+instance)
+}
+
+func (n *node) kill() {
+	n.mu.Lock()
+	n.dead = true
+	n.mu.Unlock()
+	n.fleet.stop()
+}
+
+func (n *node) pause() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.pausedLocked() {
+		n.gate = make(chan struct{})
+	}
+}
+
+func (n *node) wake() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.pausedLocked() {
+		close(n.gate)
+	}
+}
+
+func (n *node) paused() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.pausedLocked()
+}
+
+func (n *node) pausedLocked() bool {
+	select {
+	case <-n.gate:
+		return false
+	default:
+		return true
+	}
+}
+
+// cut partitions the process from the table, and from the processes on other sides.
+func (n *node) cut(table bool, side int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.noTable, n.side = table, side
+}
+
+// alone is a side that no other process is on.
+func (n *node) alone() int { return int(n.control.Port()) }
+
+// running blocks while the process is paused; its own deadlines do not help a paused process.
+func (n *node) running() {
+	n.mu.Lock()
+	gate := n.gate
+	n.mu.Unlock()
+	<-gate
+}
+
+// reach blocks until the deadline if the table is cut off, as a partition does.
+func (n *node) reach(ctx context.Context) error {
+	n.running()
+	n.mu.Lock()
+	cut := n.noTable
+	n.mu.Unlock()
+	if !cut {
+		return nil
+	}
+	<-ctx.Done()
+	n.running()
+	return ctx.Err()
+}
+
+func (n *node) Get(ctx context.Context, keys []string) (map[string]platform.Row, error) {
+	defer n.running()
+	if err := n.reach(ctx); err != nil {
+		return nil, err
+	}
+	rows, err := n.Memory.Get(ctx, keys)
+	time.Sleep(time.Duration(n.late.Load()))
+	return rows, err
+}
+
+func (n *node) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+	defer n.running()
+	if err := n.reach(ctx); err != nil {
+		return nil, err
+	}
+	return n.Memory.Scan(ctx, prefix)
+}
+
+func (n *node) Commit(ctx context.Context, tx platform.Transaction) (platform.Result, error) {
+	defer n.running()
+	if err := n.reach(ctx); err != nil {
+		return nil, err
+	}
+	if n.w.unchecked.Load() {
+		tx.Checks = nil
+	}
+	return n.Memory.Commit(ctx, tx)
+}
+
+// connect finds the process at an address. It fails at once if none listens there and blocks until the deadline if it
+// is partitioned or paused.
+func (n *node) connect(ctx context.Context, to netip.AddrPort) (*node, error) {
+	n.running()
+	n.w.mu.Lock()
+	peer := n.w.hosts[to]
+	n.w.mu.Unlock()
+	if peer == nil {
+		return nil, errors.New("connection refused")
+	}
+	peer.mu.Lock()
+	gate, dead, side := peer.gate, peer.dead, peer.side
+	ready := peer.fleet != nil
+	peer.mu.Unlock()
+	n.mu.Lock()
+	cut := side != n.side
+	n.mu.Unlock()
+	if dead || !ready {
+		return nil, errors.New("connection refused")
+	}
+	if cut {
+		gate = nil
+	}
+	select {
+	case <-gate:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	time.Sleep(time.Millisecond)
+	return peer, nil
+}
+
+func (n *node) Send(ctx context.Context, to netip.AddrPort, message *Message) (*Message, error) {
+	defer n.running()
+	peer, err := n.connect(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	return peer.fleet.Receive(ctx, message)
+}
+
+func (n *node) Fetch(ctx context.Context, to netip.AddrPort, object string) (*Snapshot, error) {
+	defer n.running()
+	peer, err := n.connect(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	return peer.fleet.Snapshot(object), nil
+}
+
+func (n *node) contact() bool { return n.fleet.Contact(n.w.timers.Now()) }
+
+func (n *node) owns(target string) bool {
+	_, ok := n.fleet.Owns(n.w.timers.Now(), target)
+	return ok
+}
+
+// drain drains a failure domain through this process.
+func (n *node) drain(id string, base uint64) Decision {
+	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+	defer cancel()
+	return n.fleet.Drain(ctx, Change{
+		ID:   id,
+		Base: base,
+		Who:  "operator " + n.name,
+	}, []string{id}, nil)
+}
+
+func (n *node) drained(domain string) bool {
+	return slices.Contains(n.fleet.State().Domains, domain)
+}
+
+func accepted(t *testing.T, d Decision) *Accepted {
+	t.Helper()
+	a, ok := d.(*Accepted)
+	assert.Assert(t, ok, "have %T %+v", d, d)
+	return a
+}
+
+func (w *world) lose(point platform.Point, late time.Duration) {
+	err := w.memory.SetFaults(platform.Faults{
+		Lose: platform.Loss{
+			Next:  1,
+			Point: point,
+			Late:  late,
+		},
+	})
+	if err != nil {
+		panic(err)
+	}
+}
+
+func (w *world) down(down bool) {
+	if err := w.memory.SetFaults(platform.Faults{Down: down}); err != nil {
+		panic(err)
+	}
+}
+
+func targets(n int) []string {
+	names := make([]string, n)
+	for i := range names {
+		names[i] = fmt.Sprintf("target-%d", i)
+	}
+	return names
+}
+
+// roster returns the roster that a process knows.
+func (n *node) roster() Roster { return n.fleet.Snapshot("").Roster }
