Give the cold targets of a detached entry to others

An entry that its peers hear but that does not reach the table kept its cold targets without being able to renew a lease, for as long as the partition lasted. It now says so in its messages, and an entry with the table takes it out of the ownership, not out of the quorums.

--- a/fleet/contact.go
+++ b/fleet/contact.go
@@ -89,6 +89,8 @@
 	Control     netip.AddrPort
 	// State is active, leaving or gone.
 	State RecordState
+	// Detached says that the member does not reach the table and owns no target.
+	Detached bool
 	// Version is the version of the state that the member ran when it last gave a sign.
 	Version uint64
 	// Heard is when this entry last heard the member itself, zero if never.
@@ -109,6 +111,7 @@
 			Caller:      record.Caller,
 			Control:     record.Control,
 			State:       record.State,
+			Detached:    record.Detached,
 		}
 		leaving := false
 		if name == f.opt.Name {
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -218,6 +218,7 @@
 		Quiet:       map[string]int{},
 		Digest:      f.warm.digest(),
 		Leaving:     f.leaving.Load(),
+		Detached:    now.Sub(f.confirmed) >= leaseTime,
 	}
 	for other, p := range f.peers {
 		if silence := now.Sub(p.heard); silence >= lateTime {
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -67,6 +67,9 @@
 
 // What entries send each other, as request and as answer.
 type Message struct {
+	// The sender has not reached the table for the time of a lease.
+	Detached bool `json:"detached,omitempty,omitzero"`
+
 	// Digest of the sender's warm facts.
 	Digest string `json:"digest"`
 
@@ -104,6 +107,9 @@
 	// Address for peers and operators.
 	Control netip.AddrPort `json:"control"`
 
+	// The member does not reach the table, so it can own no target.
+	Detached bool `json:"detached,omitempty,omitzero"`
+
 	// Domain corresponds to the JSON schema field "domain".
 	Domain string `json:"domain"`
 
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -7,11 +7,11 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// active returns the incarnations of the active members by name.
+// active returns the incarnations of the members that can own targets, by name.
 func (r Roster) active() map[string]string {
 	active := map[string]string{}
 	for name, record := range r.Members {
-		if record.State == RecordStateActive {
+		if record.State == RecordStateActive && !record.Detached {
 			active[name] = record.Incarnation
 		}
 	}
--- a/fleet/upkeep.go
+++ b/fleet/upkeep.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -116,19 +117,15 @@
 	case !mine && want == RecordStateActive:
 		f.former = f.former || ok
 		return f.join(t.roster, own), "register"
-	case mine && own.State != want:
+	case mine && (own.State != want || own.Detached):
 		record := own
-		record.State = want
+		record.State, record.Detached = want, false
 		return t.roster.edit(func(members map[string]Record) { members[f.opt.Name] = record }), string(want)
 	case !mine:
 		return next, ""
 	}
-	if gone := f.verdicts(now, t.roster); len(gone) > 0 {
-		return t.roster.edit(func(members map[string]Record) {
-			for name, record := range gone {
-				members[name] = record
-			}
-		}), "gone"
+	if verdicts := f.verdicts(now, t.roster); len(verdicts) > 0 {
+		return t.roster.edit(func(members map[string]Record) { maps.Copy(members, verdicts) }), "verdict"
 	}
 	if f.settleable(t.roster) {
 		return t.roster.settled(), "settle"
@@ -157,14 +154,19 @@
 	return next
 }
 
-// verdicts returns the records of members that nobody has heard for goneTime, neither directly nor through the table.
+// verdicts returns new records for members that nobody has heard for goneTime, neither directly nor through the table,
+// and for members that say that they do not reach the table. The latter stay members and only own no targets.
 func (f *Fleet) verdicts(now time.Time, roster Roster) map[string]Record {
-	gone := map[string]Record{}
+	verdicts := map[string]Record{}
 	for name, record := range roster.Members {
 		p := f.peers[name]
 		if p == nil || record.State == RecordStateGone || record.Incarnation != p.incarnation {
 			continue
 		}
+		if p.reply.Detached && !record.Detached && now.Sub(p.heard) < quietTime {
+			record.Detached = true
+			verdicts[name] = record
+		}
 		if now.Sub(f.lastSign(name, p)) < f.limits.gone {
 			continue
 		}
@@ -173,9 +175,9 @@
 			continue
 		}
 		record.State = RecordStateGone
-		gone[name] = record
+		verdicts[name] = record
 	}
-	return gone
+	return verdicts
 }
 
 // lastSign returns when any entry last heard the peer, or when its beat last changed.
