--- a/fleet/contact.go
+++ b/fleet/contact.go
@@ -24,7 +24,8 @@
 }
 
 // Contact tells whether the entry may send new work: it has confirmed the head with the table within the last 4 s, or
-// has heard from a strict majority of the members within that time. It is decided at the moment of the call.
+// has heard from a strict majority of the members within that time. It is decided at the moment of the call. A caller
+// takes State after Contact, not before, because the confirmation is of the state at the time of the call.
 func (f *Fleet) Contact(now time.Time) bool {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
@@ -88,6 +89,8 @@
 	Control     netip.AddrPort
 	// State is active, leaving or gone.
 	State RecordState
+	// Detached says that the member does not reach the table and owns no target.
+	Detached bool
 	// Version is the version of the state that the member ran when it last gave a sign.
 	Version uint64
 	// Heard is when this entry last heard the member itself, zero if never.
@@ -108,6 +111,7 @@
 			Caller:      record.Caller,
 			Control:     record.Control,
 			State:       record.State,
+			Detached:    record.Detached,
 		}
 		leaving := false
 		if name == f.opt.Name {
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -14,8 +14,9 @@
 type Peers interface {
 	// Send delivers a message and returns the answer.
 	Send(ctx context.Context, to netip.AddrPort, message *Message) (*Message, error)
-	// Fetch returns the state and the roster of another entry. The settings are left out if they have the given name.
-	Fetch(ctx context.Context, to netip.AddrPort, object string) (*Snapshot, error)
+	// Fetch returns the state and the roster of another entry. The settings are left out if they have the given name. The
+	// warm facts are included if they are asked for.
+	Fetch(ctx context.Context, to netip.AddrPort, object string, warm bool) (*Snapshot, error)
 }
 
 // peer is what this entry knows of another member's present incarnation.
@@ -28,14 +29,16 @@
 	// leaving is the peer's own word.
 	leaving bool
 	busy    bool
-	// acked is the number of the last warm fact that the peer confirmed, seen are sightings that it has not confirmed.
-	acked uint64
-	seen  map[string]string
-	// watched is when its beats were first looked at, beaten when one was new, gone when it was first found gone.
+	// own and relayed are the numbers of the last warm facts of either kind that the peer confirmed, steady is since when
+	// its digest is the same, and seen are sightings that it has not confirmed.
+	own     uint64
+	relayed uint64
+	steady  time.Time
+	seen    map[string]string
+	// watched is when its beats were first looked at, beaten when one was new.
 	watched time.Time
 	beaten  time.Time
 	beatRow uint64
-	gone    time.Time
 }
 
 func newPeer(incarnation string, now time.Time) *peer {
@@ -46,6 +49,17 @@
 	}
 }
 
+// tenth is the unit of Message.Quiet.
+const tenth = 100 * time.Millisecond
+
+// silence returns how long before the message its sender heard a peer, at most.
+func (m *Message) silence(name string) time.Duration {
+	if tenths, ok := m.Quiet[name]; ok {
+		return time.Duration(tenths) * tenth
+	}
+	return lateTime
+}
+
 // address is where to send to; the name is empty while no roster is known.
 type address struct {
 	name    string
@@ -98,23 +112,31 @@
 	}
 }
 
-// round exchanges with all peers and waits for the answers.
-func (f *Fleet) round(ctx context.Context) {
+// round exchanges with all peers, waits for the answers and returns the incarnations that answered.
+func (f *Fleet) round(ctx context.Context) map[string]bool {
 	var all sync.WaitGroup
+	var mu sync.Mutex
+	answered := map[string]bool{}
 	for _, to := range f.addresses(false) {
-		all.Go(func() { f.exchange(ctx, to) })
+		all.Go(func() {
+			incarnation, ok := f.exchange(ctx, to)
+			mu.Lock()
+			defer mu.Unlock()
+			answered[incarnation] = ok
+		})
 	}
 	all.Wait()
+	return answered
 }
 
 // exchange sends a message to a peer. The answer counts as heard only when this entry runs at least the versions that
 // it names, and from the time at which the request was started: an answer or a request that waited in a buffer while
 // this process was paused says nothing about the present.
-func (f *Fleet) exchange(ctx context.Context, to address) {
+func (f *Fleet) exchange(ctx context.Context, to address) (incarnation string, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	start := f.now()
-	message, last := f.compose(to.name)
+	message, confirm := f.compose(to.name)
 	f.counters.messages.Inc()
 	reply, err := f.opt.Peers.Send(ctx, to.control, message)
 	if err == nil {
@@ -122,7 +144,7 @@
 	}
 	if err != nil {
 		f.log.Debug("exchange failed", zap.String("peer", to.name), zap.Error(err))
-		return
+		return "", false
 	}
 	f.absorb(reply)
 	f.mu.Lock()
@@ -137,32 +159,39 @@
 	}
 	p := f.peers[reply.Entry]
 	if p == nil || p.incarnation != reply.Incarnation || !start.After(p.heard) {
-		return
+		return reply.Incarnation, true
 	}
 	p.heard = start
+	if p.steady.IsZero() || p.reply.Digest != reply.Digest {
+		p.steady = start
+	}
 	p.reply = *reply
 	p.leaving = p.leaving || reply.Leaving
-	p.acked = max(p.acked, last)
+	confirm(p)
 	for _, sighting := range message.Seen {
 		if p.seen[sighting.Target] == sighting.Instance {
 			delete(p.seen, sighting.Target)
 		}
 	}
+	return reply.Incarnation, true
 }
 
 // catchUp fetches what the sender of a message has and this entry lacks.
 func (f *Fleet) catchUp(ctx context.Context, control netip.AddrPort, m *Message) error {
 	f.mu.RLock()
 	behind := m.Version > f.State().Version || m.Roster > f.roster.Version
+	// A process that starts while the table is down gets the warm facts at once, not in small messages.
+	warm := !f.ready && f.scanned.IsZero()
 	f.mu.RUnlock()
 	if !behind {
 		return nil
 	}
 	current := f.State()
-	snap, err := f.opt.Peers.Fetch(ctx, control, current.document.Object)
+	snap, err := f.opt.Peers.Fetch(ctx, control, current.document.Object, warm)
 	if err != nil {
 		return errors.Wrap(err, "fetch the state")
 	}
+	f.learn(snap.Warm, m.Entry)
 	settings := snap.Settings
 	switch {
 	case snap.Document.Object == current.document.Object:
@@ -176,8 +205,8 @@
 	return nil
 }
 
-// compose returns a message for a peer and the number of the last warm fact that the peer knows once it has it.
-func (f *Fleet) compose(name string) (message *Message, last uint64) {
+// compose returns a message for a peer, and what to note when the peer has answered it.
+func (f *Fleet) compose(name string) (message *Message, confirm func(p *peer)) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	now := f.now()
@@ -186,22 +215,31 @@
 		Incarnation: f.incarnation,
 		Version:     f.State().Version,
 		Roster:      f.roster.Version,
-		Heard:       map[string]int{},
+		Quiet:       map[string]int{},
 		Digest:      f.warm.digest(),
 		Leaving:     f.leaving.Load(),
+		Detached:    now.Sub(f.confirmed) >= leaseTime,
 	}
 	for other, p := range f.peers {
-		if tenths := now.Sub(p.heard) / (100 * time.Millisecond); !p.heard.IsZero() && tenths < 100 {
-			m.Heard[other] = int(tenths)
+		if silence := now.Sub(p.heard); silence >= lateTime {
+			m.Quiet[other] = int(min(silence/tenth, 99))
 		}
 	}
+	confirm = func(*peer) {}
 	p := f.peers[name]
 	if p == nil {
-		return m, 0
+		return m, confirm
 	}
-	// The digest of the last answer tells whether there is anything to send.
-	if !p.heard.IsZero() {
-		m.Warm, last = f.warm.since(p.acked, name, p.reply.Digest)
+	limit := max(1, maxFacts/len(f.peers))
+	switch {
+	case p.heard.IsZero():
+		// The digest of its first answer will tell whether there is anything to send.
+	case now.Sub(p.steady) < relayTime:
+		list, last := f.warm.since(p.own, name, p.reply.Digest, false, limit)
+		m.Warm, confirm = list, func(p *peer) { p.own = max(p.own, last) }
+	default:
+		list, last := f.warm.since(p.relayed, name, p.reply.Digest, true, limit)
+		m.Warm, confirm = list, func(p *peer) { p.relayed = max(p.relayed, last) }
 	}
 	for target, instance := range p.seen {
 		m.Seen = append(m.Seen, Fact{
@@ -209,14 +247,12 @@
 			Instance: instance,
 		})
 	}
-	return m, last
+	return m, confirm
 }
 
 // absorb takes over the facts of a message.
 func (f *Fleet) absorb(m *Message) {
-	for _, fresh := range f.warm.merge(m.Warm, m.Entry) {
-		f.warmed(fresh)
-	}
+	f.learn(m.Warm, m.Entry)
 	if f.opt.Seen != nil {
 		for _, sighting := range m.Seen {
 			f.opt.Seen(sighting.Target, sighting.Instance)
@@ -224,6 +260,13 @@
 	}
 }
 
+// learn merges warm facts from a peer, or from the table if the name is empty.
+func (f *Fleet) learn(list []Fact, from string) {
+	for _, fresh := range f.warm.merge(list, from) {
+		f.warmed(fresh)
+	}
+}
+
 func (f *Fleet) warmed(fresh Fact) {
 	if f.opt.Warmed != nil {
 		f.opt.Warmed(fresh.Target, fresh.Instance)
@@ -255,6 +298,3 @@
 	reply, _ := f.compose("")
 	return reply, nil
 }
-
-// Snapshot returns the state and the roster for a peer, without the settings if they have the given name.
-func (f *Fleet) Snapshot(object string) *Snapshot { return f.snapshot(object) }
