--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -113,7 +113,7 @@
 		h.result <- nil
 		return
 	}
-	if now := e.timers.Now(); !e.fleet.Contact(now) {
+	if now := e.timers.Now(); !e.contact(now) {
 		permit.Done(now, route.Result{
 			Kind: route.Canceled,
 		})
@@ -163,6 +163,15 @@
 // permit ends with the attempt, that of a streamed answer with its end.
 func (e *Entry) attempt(ctx context.Context, c *call, permit *route.Permit) any {
 	start := e.timers.Now()
+	if !e.contact(start) {
+		// The process may have been paused since the call was let in, most likely while it waited for its claim.
+		permit.Done(start, route.Result{
+			Kind: route.Canceled,
+		})
+		return &outcome.NotRun{
+			Reason: outcome.Isolated,
+		}
+	}
 	deadline := c.deadline
 	if !permit.Until.IsZero() && permit.Until.Before(deadline) {
 		deadline = permit.Until
@@ -180,7 +189,7 @@
 		}
 	}
 	e.counters.dispatch.Inc()
-	o := p.Send(ctx, c.message(deadline.Sub(start)))
+	o := p.Send(ctx, c.message(permit.Instance, deadline.Sub(start)))
 	return e.receive(ctx, c, o, func(kind route.Kind, report outcome.Report, silent bool) {
 		now := e.timers.Now()
 		e.notify(permit.Done(now, route.Result{
@@ -192,8 +201,9 @@
 	})
 }
 
-// message returns the call in the form that is sent to a target or to another entry.
-func (c *call) message(timeout time.Duration) *target.Call {
+// message returns the call in the form that is sent to a target or to another entry. The instance is the one that the
+// call must reach, empty for any.
+func (c *call) message(instance string, timeout time.Duration) *target.Call {
 	return &target.Call{
 		Method:     c.request.Method,
 		Path:       c.request.URL.RequestURI(),
@@ -201,6 +211,7 @@
 		Header:     c.request.Header,
 		Body:       c.body,
 		Idempotent: c.idempotent,
+		Instance:   instance,
 		Timeout:    timeout,
 	}
 }
