--- a/cmd/skylarkbeam/forwarder_test.go
+++ b/cmd/skylarkbeam/forwarder_test.go
@@ -23,7 +23,7 @@
 	conns    map[net.Conn]bool
 }
 
-func startForwarder(t *testing.T, upstream string) *forwarder {
+func startForwarder(t testing.TB, upstream string) *forwarder {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	f := &forwarder{
--- a/cmd/skylarkbeam/processes_test.go
+++ b/cmd/skylarkbeam/processes_test.go
@@ -54,7 +54,7 @@
 
 // processes is a deployment of examples/beaconwatch as separate processes, on ports that the system chose.
 type processes struct {
-	t        *testing.T
+	t        testing.TB
 	dir      string
 	platform string
 	targets  map[string]string
@@ -79,9 +79,11 @@
 
 // setup is what a test changes about the deployment.
 type setup struct {
+	// settings describe the deployment; those of examples/beaconwatch if nil.
+	settings *setting.Settings
 	// extra is a settings file that is merged last.
 	extra string
-	// targets are flags of the target stand-ins.
+	// targets are flags of the target stand-ins. The last flag of a kind counts.
 	targets []string
 	// forward puts a forwarder in front of the platform and of the control address of each entry.
 	forward bool
@@ -93,15 +95,20 @@
 const quick = `{"services":{"availability":{"cold":{"time":"300ms"}},"reservations":{"cold":{"time":"300ms"}},"documents":{"cold":{"time":"300ms"}}}}`
 
 // startProcesses starts the platform, 30 targets and 6 entries, and applies the settings with extra ones merged last.
-func startProcesses(t *testing.T, extra string) *processes {
+func startProcesses(t testing.TB, extra string) *processes {
 	t.Helper()
 	return startSetup(t, setup{
 		extra: extra,
 	})
 }
 
-func startSetup(t *testing.T, s setup) *processes {
+func startSetup(t testing.TB, s setup) *processes {
 	t.Helper()
+	if s.settings == nil {
+		folder, err := setting.LoadDir("../../examples/beaconwatch")
+		assert.NilError(t, err)
+		s.settings = folder.Settings
+	}
 	deployments <- struct{}{}
 	t.Cleanup(func() { <-deployments })
 	dir, err := binaries()
@@ -117,25 +124,23 @@
 	}
 	lines := p.start("standin-platform", "-listen", "127.0.0.1:0")
 	p.platform = strings.TrimPrefix(<-lines, "listening on ")
-	folder, err := setting.LoadDir("../../examples/beaconwatch")
-	assert.NilError(t, err)
-	p.settings = folder.Settings
-	for name, s := range folder.Settings.Services {
+	p.settings = s.settings
+	for name, service := range s.settings.Services {
 		args := []string{"-service", name, "-slots", "2", "-cold", "1s", "-work", "4ms"}
-		args = append(args, p.setup.targets...)
-		for target := range s.Targets {
+		args = append(args, s.targets...)
+		for target := range service.Targets {
 			args = append(args, target+"=127.0.0.1:0")
 		}
 		lines := p.start("standin-target", args...)
-		for range s.Targets {
+		for range service.Targets {
 			target, address, _ := strings.Cut(<-lines, " ")
 			p.targets[target] = address
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(folder.Settings.Entries)) {
-		p.entries = append(p.entries, p.startEntry(name, folder.Settings.Entries[name].Domain))
+	for _, name := range slices.Sorted(maps.Keys(s.settings.Entries)) {
+		p.entries = append(p.entries, p.startEntry(name, s.settings.Entries[name].Domain))
 	}
-	p.apply(folder.Settings, s.extra)
+	p.apply(s.settings, s.extra)
 	p.waitReady()
 	return p
 }
@@ -268,7 +273,7 @@
 	p.until("all targets are warm everywhere", func() bool {
 		for _, e := range p.entries {
 			s := p.status(e)
-			if s == nil || !s.Contact || len(s.Phases) != 30 {
+			if s == nil || !s.Contact || len(s.Phases) != len(p.targets) {
 				return false
 			}
 			for _, phase := range s.Phases {
--- a/entry/control.go
+++ b/entry/control.go
@@ -92,6 +92,10 @@
 	Members []member `json:"members"`
 	Tasks   []task   `json:"tasks"`
 	Phases  []phase  `json:"phases"`
+	// Counts are the counters of refusals, retries and outcomes that are not zero.
+	Counts map[string]uint64 `json:"counts"`
+	// Events are the last changes of state, the oldest first.
+	Events []Event `json:"events"`
 }
 
 type member struct {
@@ -158,6 +162,8 @@
 		})
 	}
 	s.Phases = e.phases()
+	s.Counts = e.counters.nonzero()
+	s.Events = e.journal.list()
 	return s
 }
 
@@ -217,9 +223,14 @@
 	Reason  string   `json:"reason,omitempty"`
 }
 
+// Apply changes the accepted settings, as the command does.
+func (e *Entry) Apply(ctx context.Context, c fleet.Change, settings []byte) fleet.Decision {
+	return e.fleet.Apply(ctx, c, settings)
+}
+
 func (e *Entry) serveApply(req *restful.Request, resp *restful.Response) {
 	e.change(req, resp, func(ctx context.Context, c *Change) fleet.Decision {
-		return e.fleet.Apply(ctx, c.change(), c.Settings)
+		return e.Apply(ctx, c.change(), c.Settings)
 	})
 }
 
--- a/entry/view.go
+++ b/entry/view.go
@@ -31,6 +31,7 @@
 	settings *setting.Settings
 	services map[string]*service
 	pools    map[string]*pool
+	paths    setting.Paths
 }
 
 // service is one service at this entry.
@@ -82,6 +83,7 @@
 		settings: settings,
 		services: map[string]*service{},
 		pools:    map[string]*pool{},
+		paths:    settings.Paths(),
 	}
 	var targets []route.Target
 	for name, spec := range settings.Services {
@@ -112,7 +114,6 @@
 		}
 	}
 	e.adjustAll(now)
-	e.log.Info("state in force", zap.Uint64("version", state.Version), zap.String("who", state.Who), zap.String("what", state.What))
 }
 
 func firstPositive(values ...int) int {
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -58,23 +58,34 @@
 	Target string `json:"target"`
 }
 
+// A version: that which a change became, in the row state/change/ID, and that of
+// the roster, in the row fleet/version.
+type Mark struct {
+	// Version corresponds to the JSON schema field "version".
+	Version uint64 `json:"version"`
+}
+
 // What entries send each other, as request and as answer.
 type Message struct {
+	// The sender has not reached the table for the time of a lease.
+	Detached bool `json:"detached,omitempty,omitzero"`
+
 	// Digest of the sender's warm facts.
 	Digest string `json:"digest"`
 
 	// Entry corresponds to the JSON schema field "entry".
 	Entry string `json:"entry"`
 
-	// Tenths of a second since the sender last heard each peer, at most 99.
-	Heard map[string]int `json:"heard"`
-
 	// Incarnation corresponds to the JSON schema field "incarnation".
 	Incarnation string `json:"incarnation"`
 
 	// The sender is shutting down.
 	Leaving bool `json:"leaving,omitempty,omitzero"`
 
+	// Tenths of a second since the sender last heard those peers that it did not hear
+	// lately, at most 99.
+	Quiet map[string]int `json:"quiet,omitempty,omitzero"`
+
 	// Version of the roster that the sender knows.
 	Roster uint64 `json:"roster"`
 
@@ -88,12 +99,6 @@
 	Warm []Fact `json:"warm,omitempty,omitzero"`
 }
 
-// The row state/change/ID, which tells the version that a change became.
-type Receipt struct {
-	// Version corresponds to the JSON schema field "version".
-	Version uint64 `json:"version"`
-}
-
 // One member.
 type Record struct {
 	// Address for callers.
@@ -102,6 +107,9 @@
 	// Address for peers and operators.
 	Control netip.AddrPort `json:"control"`
 
+	// The member does not reach the table, so it can own no target.
+	Detached bool `json:"detached,omitempty,omitzero"`
+
 	// Domain corresponds to the JSON schema field "domain".
 	Domain string `json:"domain"`
 
@@ -123,9 +131,9 @@
 	// Members corresponds to the JSON schema field "members".
 	Members map[string]Record `json:"members"`
 
-	// Incarnations of the last settled roster whose quorums still count; empty if the
-	// present one is settled.
-	Prior []string `json:"prior,omitempty,omitzero"`
+	// Incarnations of the last settled roster whose quorums still count, with the
+	// addresses of their VMs; empty if the present one is settled.
+	Prior map[string]netip.Addr `json:"prior,omitempty,omitzero"`
 
 	// Grows by one with each write of the row.
 	Version uint64 `json:"version"`
@@ -144,4 +152,7 @@
 
 	// The settings in base64; empty if the asking entry has them.
 	Settings []byte `json:"settings"`
+
+	// All warm facts, if they were asked for.
+	Warm []Fact `json:"warm,omitempty,omitzero"`
 }
