Select another target without charge if nothing was sent

At the return of a failure domain whose targets had restarted, a call whose connection check met a new instance was refused as not run, because the budget for repeats was used up. An attempt that ended before anything was sent, on a new instance or for want of a probe, no longer draws on that budget; there are at most 3 of them in a call.

--- a/entry/call.go
+++ b/entry/call.go
@@ -22,6 +22,9 @@
 	maxBody = 4 << 20
 	// retryLater is what a refused caller is told if nothing better is known.
 	retryLater = time.Second
+	// maxUnsent bounds the attempts of a call that end before anything is sent. With a third of the targets restarted at
+	// once, the chance that all four attempts meet one of them is below 2%.
+	maxUnsent = 3
 	// pollCapacity is how often a call that was admitted looks for a target while all are taken.
 	pollCapacity = time.Millisecond
 )
@@ -306,7 +309,7 @@
 			Reason: reason,
 		}
 	}
-	for {
+	for unsent := 0; ; {
 		result := e.race(ctx, c, permit)
 		var again outcome.Reason
 		switch o := result.(type) {
@@ -320,7 +323,12 @@
 			}
 			again = o.Reason
 		}
-		permit = e.repeat(ctx, c)
+		if uncharged(again) && unsent < maxUnsent {
+			unsent++
+			permit, _ = e.pick(ctx, c)
+		} else {
+			permit = e.repeat(ctx, c)
+		}
 		if permit == nil {
 			return result
 		}
@@ -328,6 +336,13 @@
 	}
 }
 
+// uncharged tells whether an attempt ended before anything of the call was sent, for a reason that is no failure of the
+// target: it has restarted, or its probe budget allowed no connection check. The next attempt then costs the targets
+// nothing more and does not draw on the budget for repeats, which a return of many targets at once would exhaust.
+func uncharged(reason outcome.Reason) bool {
+	return reason == outcome.Instance || reason == outcome.Budget
+}
+
 // pick selects the target for the first attempt. While all targets are taken it waits, because the admission has found
 // that the call can still be in time.
 func (e *Entry) pick(ctx context.Context, c *call) (*route.Permit, outcome.Reason) {
