Charge no target for the limits of the entry

An attempt that the probe budget, a full pool, the deadline or the caller had ended counted as a failure of the target, so a replaced entry, which may not probe for 5 s, ejected targets that were in order. Found with TestColdStart: 1576 repeats for want of a probe at the replaced entry, which then left out a warm target for more than 20 s.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -222,8 +222,12 @@
 	switch o := o.(type) {
 	case *outcome.NotRun:
 		kind := route.Unsent
-		if o.Reason == outcome.Shed {
+		switch o.Reason {
+		case outcome.Shed:
 			kind = route.Shed
+		case outcome.Budget, outcome.Queue, outcome.Deadline, outcome.Leaving, outcome.Invalid, outcome.Canceled:
+			// The entry's own limits ended the attempt. Charging the target would eject it.
+			kind = route.Canceled
 		}
 		done(kind, o.Report, false)
 		return o
