Tune selection, window and shares by the simulation

The window grew and shrank in steps, so entries took each other's slots (one of six refused 30% of its large caller, three less than 5%): it is now proportional to the demand of the entry, with each caller counted up to its share.

--- a/bench/target.go
+++ b/bench/target.go
@@ -13,8 +13,7 @@
 const (
 	// queueSlots is the length of a target's queue in multiples of its slots; beyond it the target sheds.
 	queueSlots = 3
-	// coldTime is how long a cold start lasts, coldFactor how much slower calls are in it.
-	coldTime   = time.Second
+	// coldFactor is how much slower calls are in a cold start.
 	coldFactor = 2.0
 	// restartTime is how long a target that falls answers nothing.
 	restartTime = 200 * time.Millisecond
@@ -29,6 +28,7 @@
 	rand  *rand.Rand
 
 	life     int
+	instance string
 	up       bool
 	coldness time.Duration // end of the cold start
 	running  []*attempt
@@ -47,8 +47,10 @@
 	report outcome.Report
 }
 
-func (t *target) instance() string {
-	return fmt.Sprintf("t%d.%d", t.index, t.life)
+// live begins a process of the target.
+func (t *target) live(life int) {
+	t.life = life
+	t.instance = fmt.Sprintf("t%d.%d", t.index, life)
 }
 
 func (t *target) cold() bool {
@@ -63,7 +65,7 @@
 		a.reply(reply{
 			kind: dead,
 		})
-	case a.instance != "" && a.instance != t.instance():
+	case a.instance != "" && a.instance != t.instance:
 		a.reply(reply{
 			kind:   otherInstance,
 			report: t.report(),
@@ -74,7 +76,7 @@
 			a.reply(reply{
 				kind: failed,
 				report: outcome.Report{
-					Instance: t.instance(),
+					Instance: t.instance,
 					Phase:    outcome.PhaseWarm,
 					Slots:    t.sim.config.Shape.Slots,
 				},
@@ -151,7 +153,7 @@
 // report returns what the target says of itself.
 func (t *target) report() outcome.Report {
 	r := outcome.Report{
-		Instance: t.instance(),
+		Instance: t.instance,
 		Phase:    outcome.PhaseWarm,
 		Active:   len(t.running),
 		Slots:    t.sim.config.Shape.Slots,
@@ -183,7 +185,7 @@
 		return
 	}
 	t.up = false
-	t.life++
+	t.live(t.life + 1)
 	broken := slices.Concat(t.running, t.queue)
 	t.running, t.queue = nil, nil
 	for _, a := range broken {
@@ -193,7 +195,7 @@
 	}
 	t.sim.after(restartTime, func() {
 		t.up = true
-		t.coldness = t.sim.now + coldTime
+		t.coldness = t.sim.now + t.sim.config.ColdTime
 	})
 }
 
--- a/route/service.go
+++ b/route/service.go
@@ -21,6 +21,8 @@
 	rampFloor = 0.05
 	// latencyMean is the weight of a new sample in the average latency of a service.
 	latencyMean = 0.02
+	// baseRise is the part of its distance to the average by which the base latency rises with each sample.
+	baseRise = 0.00002
 )
 
 // service is the state shared by the targets of one service, and their lock.
@@ -32,15 +34,17 @@
 	mu        sync.Mutex
 	rand      *rand.Rand
 	targets   []*target
-	slots     int
 	inflight  int
 	latency   float64 // average of successes, nanoseconds; 0 if unknown
+	base      float64 // latency without queues: its minimum, which rises slowly to follow lasting changes
 	latencies latencies
 	budget    budget
 
-	window   float64
-	windowed time.Time
-	queued   float64
+	// queued is the average number of calls that queue at a target, for each slot.
+	queued float64
+	// usual is the average number of calls that other entries have at a target, for each slot.
+	usual float64
+	trust trust
 }
 
 func newService(t *Table, name string, now time.Time, seed uint64) *service {
@@ -64,6 +68,10 @@
 		s.latency = float64(d)
 	}
 	s.latency += (float64(d) - s.latency) * latencyMean
+	if s.latencies.added < latencyMinimum || s.latency < s.base {
+		s.base = s.latency
+	}
+	s.base += (s.latency - s.base) * baseRise
 }
 
 // choice is the best candidate so far, and why others were not candidates.
@@ -79,14 +87,13 @@
 // pick selects a target and starts an attempt. With spare, only a target with free capacity is selected.
 func (s *service) pick(now time.Time, q Query, spare bool) (*Permit, outcome.Reason) {
 	var c choice
-	s.choose(now, &c, q.Tried, spare, true)
+	s.choose(now, &c, q, spare, true)
 	if c.target == nil {
 		// Nothing passed the random gates and the ejections, or all targets were tried.
-		tried := q.Tried
 		if !spare {
-			tried = nil
+			q.Tried = nil
 		}
-		s.choose(now, &c, tried, spare, false)
+		s.choose(now, &c, q, spare, false)
 	}
 	if c.target != nil {
 		return s.start(now, c), ""
@@ -102,7 +109,7 @@
 
 // choose compares the targets. With gated, targets that are ejected or being joined are left out or considered by
 // chance.
-func (s *service) choose(now time.Time, c *choice, tried []string, spare, gated bool) {
+func (s *service) choose(now time.Time, c *choice, q Query, spare, gated bool) {
 	n := len(s.targets)
 	if n == 0 {
 		return
@@ -126,10 +133,10 @@
 		c.operating = true
 		warm := t.isWarm()
 		c.warm = c.warm || warm
-		if slices.Contains(tried, t.Name) || ejecting && now.Before(t.ejected) {
+		if slices.Contains(q.Tried, t.Name) || ejecting && t.barred(now, q.Idempotent) {
 			continue
 		}
-		if !s.consider(now, c, t, warm, spare, gated) {
+		if !s.consider(now, c, t, q.Idempotent, spare, gated) {
 			continue
 		}
 		if count--; count == 0 {
@@ -163,9 +170,9 @@
 }
 
 // consider makes the target the choice if it may take a call and has the best score. It returns false if it may not.
-func (s *service) consider(now time.Time, c *choice, t *target, warm, spare, gated bool) bool {
+func (s *service) consider(now time.Time, c *choice, t *target, idempotent, spare, gated bool) bool {
 	var until time.Time
-	if warm {
+	if t.isWarm() {
 		if t.inflight >= max(int(t.limit), 1) {
 			return false
 		}
@@ -186,7 +193,7 @@
 	if spare && load >= float64(t.Slots) {
 		return false
 	}
-	score := t.score(now, load)
+	score := t.score(now, load, idempotent)
 	if c.target == nil || score < c.score {
 		c.target, c.score, c.until = t, score, until
 	}
@@ -238,26 +245,30 @@
 	return until, true
 }
 
-// load estimates the calls at the target: this entry's own, and those of other entries as last reported. A report loses
-// its value within the time of a call, and is replaced by the average of the reports.
+// load estimates the calls at the target: this entry's own, and those of other entries. Of a report, only the deviation
+// from the target's usual report counts, because a target can always report too little; that it is slow shows in its
+// latency. The deviation loses its value within the time of a call.
 func (t *target) load(now time.Time) float64 {
 	load := float64(t.inflight)
 	if t.reported.IsZero() {
-		return load
+		return load + t.service.usual*float64(t.Slots)
 	}
 	x := 0.0
 	if t.service.latency > 0 {
 		x = float64(now.Sub(t.reported)) / t.service.latency
 	}
-	return load + t.usual + (t.others-t.usual)/(1+x+x*x)
+	return max(load+t.service.usual*float64(t.Slots)+t.service.trust.level()*(t.others-t.usual)/(1+x+x*x), 0)
 }
 
 // score is the time that a call is expected to take; the lowest is best.
-func (t *target) score(now time.Time, load float64) float64 {
+func (t *target) score(now time.Time, load float64, idempotent bool) float64 {
 	s := t.service
 	slow := 1.0
 	if s.latency > 0 {
 		d := t.currentLatency(now)
+		if !idempotent {
+			d = t.careful(now)
+		}
 		if t.inflight > 0 {
 			// Calls that hang show a slow target before they end.
 			age := float64(now.Sub(s.epoch)) - float64(t.started)/float64(t.inflight)
--- a/route/table.go
+++ b/route/table.go
@@ -186,7 +186,7 @@
 type Query struct {
 	// Tried names the targets that already had an attempt of this call.
 	Tried []string
-	// Idempotent calls may be hedged.
+	// Idempotent calls may be hedged, and try targets that were slow or failed before others do.
 	Idempotent bool
 }
 
@@ -250,14 +250,15 @@
 	return s.latencies.quantile(0.95)
 }
 
-// Capacity returns how many calls this entry should have in flight at the targets of the service. It adapts to the load
-// that the other entries cause and is at least 1.
-func (t *Table) Capacity(now time.Time, service string) float64 {
+// Capacity returns how many calls this entry should have in flight at the targets of the service, and the slots of all
+// targets that work. Demand is the number of slots that the callers of this entry want and are owed. The window adapts
+// to the load that the other entries cause and is at least 1.
+func (t *Table) Capacity(now time.Time, service string, demand float64) (window, total float64) {
 	s := t.view.Load().services[service]
 	if s == nil {
-		return 1
+		return 1, 1
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.capacity(now)
+	return s.capacity(now, demand)
 }
--- a/route/target.go
+++ b/route/target.go
@@ -14,6 +14,8 @@
 	// latencyFade is the time in which half of a latency above the usual is forgotten without new samples, so that a
 	// target that was slow is tried again.
 	latencyFade = 3 * time.Second
+	// usualWeight is the weight of a new report in the usual load of a target.
+	usualWeight = 0.1
 	// failureWeight is the weight of a new result in the failure rate of a target.
 	failureWeight = 0.2
 	// ejectRate is the failure rate above which a target is ejected: four failures in a row from a clean state.
@@ -21,6 +23,9 @@
 	// ejectTime is the duration of the first ejection; each further one doubles it up to ejectLimit.
 	ejectTime  = 500 * time.Millisecond
 	ejectLimit = 30 * time.Second
+	// careTime is how long a target that was slow or failed is tried only with idempotent calls, which can be hedged
+	// and repeated.
+	careTime = 10 * time.Second
 	// rampTime is the time in which an entry takes up its whole use of a target that became warm or returned.
 	rampTime = 2 * time.Second
 	// coldGrace is the time after a target became warm in which its reports may still say cold, because they are stale.
@@ -182,11 +187,15 @@
 	if r.Slots <= 0 {
 		return
 	}
+	slots := float64(t.Slots)
+	t.service.trust.add(float64(t.inflight)/slots, float64(r.Active+r.Queued)/slots)
 	t.others = max(float64(r.Active+r.Queued-t.inflight), 0)
 	if t.reported.IsZero() {
 		t.usual = t.others
 	}
-	t.usual += (t.others - t.usual) * 0.1
+	t.usual += (t.others - t.usual) * usualWeight
+	s := t.service
+	s.usual += (t.others/slots - s.usual) * latencyMean
 	t.reported = now
 }
 
@@ -199,7 +208,7 @@
 	e := t.identify(now, p.start, r.Report)
 	if r.Report.Instance != "" && r.Report.Instance == t.instance && r.Kind != Unsent {
 		t.setLoad(now, r.Report)
-		s.setQueue(now, r.Report)
+		s.setQueue(r.Report)
 	}
 	switch r.Kind {
 	case Succeeded:
@@ -218,7 +227,7 @@
 	case Shed:
 		t.limit = max(t.limit*0.7, 1)
 		t.sample(now, max(float64(r.Latency), s.latency))
-		s.shed(now)
+		s.shed()
 	case Unsent:
 		if r.Report.Instance == "" {
 			t.fail(now, r.Latency)
@@ -262,6 +271,22 @@
 	t.latencyAt = now
 }
 
+// careful returns the latency for a call that cannot be hedged: what was slow counts as slow for longer.
+func (t *target) careful(now time.Time) float64 {
+	if now.Sub(t.latencyAt) < careTime {
+		return max(t.latency, t.currentLatency(now))
+	}
+	return t.currentLatency(now)
+}
+
+// barred tells whether the target is ejected for such a call. After an ejection idempotent calls try it first.
+func (t *target) barred(now time.Time, idempotent bool) bool {
+	if idempotent || t.failures < failureWeight/2 {
+		return now.Before(t.ejected)
+	}
+	return now.Before(t.ejected.Add(careTime))
+}
+
 // currentLatency returns the average latency, faded to the usual one of the service for the time without samples.
 func (t *target) currentLatency(now time.Time) float64 {
 	usual := t.service.latency
--- a/route/window.go
+++ b/route/window.go
@@ -7,22 +7,25 @@
 )
 
 const (
-	// windowShare is how many calls an entry may always have in flight, in multiples of its equal part of the slots.
-	// More than 1, because the entries place their calls without knowing of each other, so some slots stay free while
-	// calls queue elsewhere.
-	windowShare = 1.25
-	// windowCut is the factor by which the window shrinks when targets queue or shed.
-	windowCut = 0.9
-	// queueLimit is the average number of queued calls for each slot above which the window shrinks.
-	queueLimit = 0.5
+	// windowFloor is the throughput that an entry may always have, in multiples of its equal part of the slots.
+	windowFloor = 1
+	// queueTarget is the average number of queued calls for each slot at which the windows of all entries add up to the
+	// demand. With less, slots stay free while calls queue at other targets, because the entries place their calls
+	// without knowing of each other.
+	queueTarget = 1.0
 	// queueWeight is the weight of a new report in the average queue.
 	queueWeight = 0.05
+	// queueFloor keeps the window finite while nothing queues.
+	queueFloor = 0.02
+	// shedQueue is the queue that a refusal for lack of capacity stands for, in calls for each slot.
+	shedQueue = 3.0
 )
 
-// capacity returns the window: the calls that this entry should have in flight. It shrinks while the targets queue,
-// and grows by one within a round of answers while this entry uses it up, so that entries with more callers take what
-// others leave.
-func (s *service) capacity(now time.Time) float64 {
+// capacity returns the window: the calls that this entry should have in flight. It is proportional to the demand of
+// this entry and shrinks while the targets queue. All entries see about the same queues, so their windows are
+// proportional to their demand. A window that grows and shrinks in steps instead let some entries take the slots of
+// others: at 110% of capacity one of six entries refused 30% of its calls while three refused less than 5%.
+func (s *service) capacity(now time.Time, demand float64) (window, total float64) {
 	slots, bearable := 0, 0
 	for _, t := range s.targets {
 		if t.Drained || t.leaving {
@@ -34,44 +37,35 @@
 			bearable += t.Bear
 		}
 	}
-	s.slots = slots
-	low, high := s.bounds()
-	s.window = min(max(s.window, low), high)
-	return max(s.window+float64(bearable), 1)
+	total = float64(slots)
+	queue := s.queue()
+	// A call stays longer while targets queue, so the same calls a second take a larger window.
+	low := total * windowFloor / float64(s.table.entries.Load()) * (1 + queue)
+	// The demand was measured with the time that calls queue at the targets.
+	window = demand / (1 + queue) * queueTarget / max(queue, queueFloor)
+	window = max(min(window, total), low)
+	return max(window+float64(bearable), 1), total + float64(bearable)
 }
 
-func (s *service) bounds() (low, high float64) {
-	high = float64(s.slots)
-	low = min(high*windowShare/float64(s.table.entries.Load()), high)
-	return low, high
-}
-
-// setQueue adapts the window to a report.
-func (s *service) setQueue(now time.Time, r outcome.Report) {
-	if r.Slots <= 0 {
-		return
-	}
-	s.queued += (float64(r.Queued)/float64(r.Slots) - s.queued) * queueWeight
-	low, high := s.bounds()
-	switch {
-	case s.queued > queueLimit:
-		s.cut(now)
-	case float64(s.inflight+1) >= s.window:
-		s.window += 1 / max(s.window, 1)
+// queue returns the average number of calls that queue at a target, for each slot. As far as reports cannot be trusted it
+// is derived from the latency: reports that were 500 ms old made the windows swing between their bounds, which cost a
+// tenth of the goodput at 110% of capacity.
+func (s *service) queue() float64 {
+	trust := s.trust.level()
+	if s.base == 0 {
+		return s.queued
 	}
-	s.window = min(max(s.window, low), high)
+	return trust*s.queued + (1-trust)*(s.latency/s.base-1)
 }
 
-// shed shrinks the window after a target refused a call for lack of capacity.
-func (s *service) shed(now time.Time) {
-	s.cut(now)
+// setQueue takes the queue of a target from a report.
+func (s *service) setQueue(r outcome.Report) {
+	if r.Slots > 0 {
+		s.queued += (float64(r.Queued)/float64(r.Slots) - s.queued) * queueWeight
+	}
 }
 
-// cut shrinks the window at most once in the time of a few calls, because the effect is not seen earlier.
-func (s *service) cut(now time.Time) {
-	if float64(now.Sub(s.windowed)) < 4*s.latency {
-		return
-	}
-	s.windowed = now
-	s.window *= windowCut
+// shed notes that a target refused a call for lack of capacity.
+func (s *service) shed() {
+	s.queued += max(shedQueue-s.queued, 0) * queueWeight
 }
--- a/share/caller.go
+++ b/share/caller.go
@@ -12,7 +12,9 @@
 	running int
 	waiting *list.List // of *Ticket
 	// use is the average number of running calls over the window, up to the time settled.
-	use     float64
+	use float64
+	// offered is the average number of calls that arrive in a second.
+	offered float64
 	settled time.Time
 }
 
@@ -23,7 +25,9 @@
 		return
 	}
 	n := float64(c.running)
-	c.use = n + (c.use-n)*math.Exp(-d.Seconds()/window.Seconds())
+	fade := math.Exp(-d.Seconds() / window.Seconds())
+	c.use = n + (c.use-n)*fade
+	c.offered *= fade
 	c.settled = now
 }
 
@@ -31,3 +35,9 @@
 func (c *caller) oldest() uint64 {
 	return c.waiting.Front().Value.(*Ticket).number
 }
+
+// work returns the use as a number of calls in the window, including what the running calls will still use. Usual is the
+// usual time of a call in seconds.
+func (c *caller) work(usual float64) float64 {
+	return c.use*window.Seconds()/usual + float64(c.running)
+}
--- a/share/scheduler.go
+++ b/share/scheduler.go
@@ -11,7 +11,7 @@
 //	s := share.New(share.Options{
 //		Share: func(caller string) float64 { return shares[caller] },
 //	})
-//	s.SetCapacity(time.Now(), 20)
+//	s.SetCapacity(time.Now(), 4, 20)
 //	ticket, refusal := s.Admit(ctx, caller, deadline)
 //	if refusal != nil {
 //		return refuse(refusal.Reason, refusal.RetryAfter)
@@ -32,11 +32,16 @@
 )
 
 const (
-	// window is the time constant of the average use. It is long against a call and short against what a person
-	// notices.
-	window = 500 * time.Millisecond
+	// window is the time constant of the average use. With 500 ms, a caller at 90% of its share went beyond it often
+	// enough to lose 1.5% of its calls at 110% of capacity; with 1 s it loses 0.6%.
+	window = time.Second
 	// queueLimit is the default length of a caller's queue. It bounds memory; the deadline bounds the wait.
 	queueLimit = 1024
+	// owedPart and sparePart are the parts of the spare time before its deadline that a call within and beyond its
+	// caller's share may wait. The rest is kept for estimates that are too low. Beyond the share, short queues lose no
+	// throughput: at 110% of capacity, 0.25 and 0.4 gave the same goodput, but a p99 of 97 instead of 122 ms.
+	owedPart  = 0.5
+	sparePart = 0.25
 	// shareFloor is the share of a caller to whom none is owed.
 	shareFloor = 0.001
 	// retryFloor and retryCeiling bound the estimate in refusals.
@@ -73,6 +78,7 @@
 
 	mu       sync.Mutex
 	capacity float64
+	total    float64
 	running  int
 	waiting  int
 	tickets  uint64
@@ -103,17 +109,19 @@
 		queue:    o.Queue,
 		now:      o.Now,
 		capacity: 1,
+		total:    1,
 		work:     o.Work.Seconds(),
 		callers:  map[string]*caller{},
 	}
 }
 
-// SetCapacity sets the number of calls that may run at once, at least one. It returns the waiting tickets that it
-// started or refused.
-func (s *Scheduler) SetCapacity(now time.Time, slots float64) []*Ticket {
+// SetCapacity sets the number of calls that may run at once from this entry, at least one, and the capacity of the whole
+// service. It returns the waiting tickets that it started or refused.
+func (s *Scheduler) SetCapacity(now time.Time, slots, total float64) []*Ticket {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.capacity = max(slots, 1)
+	s.total = max(total, s.capacity)
 	return s.next(now)
 }
 
@@ -124,6 +132,7 @@
 	defer s.mu.Unlock()
 	c := s.caller(now, name)
 	c.settle(now)
+	c.offered += 1 / window.Seconds()
 	if s.free() {
 		if refusal := s.late(now, c, deadline, 0); refusal != nil {
 			return nil, refusal
@@ -187,8 +196,21 @@
 	return t.result()
 }
 
+// Demand returns the number of slots that the callers want, each counted up to its share of the total capacity of the
+// service. A flood by one caller thus raises the demand by no more than its share.
+func (s *Scheduler) Demand(now time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	demand := 0.0
+	for _, c := range s.callers {
+		c.settle(now)
+		demand += min(c.offered*s.work, c.share*s.total)
+	}
+	return demand
+}
+
 func (s *Scheduler) free() bool {
-	return float64(s.running) < max(math.Floor(s.capacity), 1)
+	return float64(s.running) < max(math.Ceil(s.capacity), 1)
 }
 
 // next starts waiting calls in the order of their callers' use for their share, and refuses those that are too late. It
@@ -227,25 +249,28 @@
 // ratio is the use of a caller, including what its running calls will still use, for its share of the capacity. Below 1
 // the caller is within its share.
 func (s *Scheduler) ratio(c *caller) float64 {
-	ahead := float64(c.running) * s.work / window.Seconds()
-	return (c.use + ahead) / (c.share * s.capacity)
+	return c.work(s.work) * s.work / window.Seconds() / (c.share * s.capacity)
 }
 
 func (s *Scheduler) inTime(now, deadline time.Time) bool {
-	return !now.Add(seconds(s.work)).After(deadline)
+	return !now.Add(seconds(s.usual())).After(deadline)
+}
+
+// usual is the time in seconds in which all but a few calls end.
+func (s *Scheduler) usual() float64 {
+	return s.work + 2*s.deviation
 }
 
-// late refuses a call that would not be answered by its deadline after waiting for the given seconds. The deviation is
-// added because a call that takes longer than usual must be in time as well.
+// late refuses a call that would not be answered by its deadline, or would spend too much of its time waiting.
 func (s *Scheduler) late(now time.Time, c *caller, deadline time.Time, wait float64) *Refusal {
-	end := now.Add(seconds(wait + s.work + 2*s.deviation))
+	reason, part := outcome.Deadline, owedPart
+	if wait > 0 && s.ratio(c) >= 1 {
+		reason, part = outcome.Share, sparePart
+	}
+	end := now.Add(seconds(wait/part + s.usual()))
 	if !end.After(deadline) {
 		return nil
 	}
-	reason := outcome.Deadline
-	if wait > 0 && s.ratio(c) >= 1 {
-		reason = outcome.Share
-	}
 	return &Refusal{
 		Reason:     reason,
 		RetryAfter: min(max(end.Sub(deadline), retryFloor), retryCeiling),
@@ -254,7 +279,7 @@
 
 // refuse refuses a call that would have to wait too long or finds its caller's queue full.
 func (s *Scheduler) refuse(now time.Time, c *caller, deadline time.Time) *Refusal {
-	wait := s.wait(c)
+	wait := s.wait(now, c)
 	if c.waiting.Len() >= s.queue {
 		reason := outcome.Queue
 		if s.ratio(c) >= 1 {
@@ -268,19 +293,20 @@
 	return s.late(now, c, deadline, wait)
 }
 
-// wait estimates the seconds until a new call of the caller starts. The caller is served at least at the rate of its
-// part of the shares of all callers that wait; a caller within its share at the rate of that share.
-func (s *Scheduler) wait(c *caller) float64 {
-	shares := c.share
+// wait estimates the seconds until a new call of the caller starts: the time to serve the calls that wait and go before
+// it. Of another caller those go before it that do not bring that caller's use for its share above the one that this
+// caller reaches with the new call.
+func (s *Scheduler) wait(now time.Time, c *caller) float64 {
+	before := float64(c.waiting.Len())
+	level := (c.work(s.work) + before) / c.share
 	for _, other := range s.queued {
-		if other != c {
-			shares += other.share
+		if other == c {
+			continue
 		}
+		other.settle(now)
+		before += min(max(level*other.share-other.work(s.work), 0), float64(other.waiting.Len()))
 	}
-	slots := s.capacity * c.share / shares
-	// The first call of a caller within its share waits for one slot of all; behind it, the caller's own rate counts.
-	first := s.work / s.capacity
-	return first + float64(c.waiting.Len())*s.work/max(slots, 0.01)
+	return (1 + before) * s.work / s.capacity
 }
 
 func (s *Scheduler) run(now time.Time, t *Ticket) {
@@ -321,7 +347,7 @@
 	t.state = refused
 	t.refusal = &Refusal{
 		Reason:     reason,
-		RetryAfter: min(max(seconds(s.wait(t.caller)), retryFloor), retryCeiling),
+		RetryAfter: min(max(seconds(s.wait(now, t.caller)), retryFloor), retryCeiling),
 	}
 	close(t.settled)
 }
