Test cold starts, ejection and budgets of the table

The tests showed two faults. A target that had been ejected was not tried again while there was little load (1 of 2000 calls after 30 s), because its failure rate never faded and equal scores were decided by a trace: the rate now fades within 10 s and scores vary by a tenth at random. A report of a process that was gone could bring its instance back as another entry's sighting: SetFallen ignores it.

--- a/bench/ownership.go
+++ b/bench/ownership.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"skylarkbeam/outcome"
 	"skylarkbeam/route"
 )
 
@@ -103,11 +102,7 @@
 			}
 			switch event := event.(type) {
 			case route.Fell:
-				// Only the owner needs it, and the others ignore an instance that they have seen.
-				e.table.Observe(s.time(), event.Target, outcome.Report{
-					Instance: event.Instance,
-					Phase:    outcome.PhaseCold,
-				})
+				e.table.SetFallen(s.time(), event.Target, event.Instance)
 			case route.Warmed:
 				e.table.SetWarm(s.time(), event.Target, event.Instance)
 			}
--- /dev/null
+++ b/route/cold_test.go
@@ -0,0 +1,182 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkbeam/outcome"
+)
+
+// leased returns an Owner with a lease from one time to another.
+func leased(from, until time.Time) Owner {
+	return func(now time.Time, _ string) (time.Time, bool) {
+		return until, !now.Before(from) && now.Before(until)
+	}
+}
+
+func coldTable(owner Owner) *Table {
+	table := New(Options{
+		Entries: 6,
+	})
+	table.SetTargets(epoch, specs(1))
+	table.SetOwner(owner)
+	return table
+}
+
+// Guards against two owners at once: the old one's calls end with its lease, the new one waits. In the control the new
+// owner does not wait, and the target that bears one call gets two.
+func TestOwnerChange(t *testing.T) {
+	const lease, wait = 4 * time.Second, 5 * time.Second
+	tests := []struct {
+		name string
+		wait time.Duration
+		want int
+	}{
+		{"wait", wait, 1},
+		{"no wait", 0, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			tables := []*Table{
+				coldTable(leased(epoch, epoch.Add(lease))),
+				coldTable(leased(epoch.Add(time.Second+test.wait), epoch.Add(time.Minute))),
+			}
+			most := 0
+			var open []*Permit
+			for now := epoch; now.Before(epoch.Add(10 * time.Second)); now = now.Add(50 * time.Millisecond) {
+				kept := open[:0]
+				for _, p := range open {
+					if now.Before(p.Until) {
+						kept = append(kept, p)
+						continue
+					}
+					p.Done(now, Result{
+						Kind: Canceled,
+					})
+				}
+				open = kept
+				for _, table := range tables {
+					if p, _ := table.Pick(now, "stock", Query{}); p != nil {
+						assert.Assert(t, p.Cold && p.Until.After(now))
+						open = append(open, p)
+					}
+				}
+				most = max(most, len(open))
+			}
+			assert.Equal(t, test.want, most)
+		})
+	}
+}
+
+// Guards against a cold start that ends before its time, or while the target still says that it is cold, or that is not
+// timed anew for a new instance.
+func TestWarming(t *testing.T) {
+	table := coldTable(leased(epoch, epoch.Add(time.Hour)))
+	steps := []struct {
+		after    time.Duration
+		instance string
+		phase    outcome.Phase
+		want     Event
+	}{
+		{0, "a", outcome.PhaseWarm, Fell{"t0", "a"}},
+		{time.Millisecond, "a", outcome.PhaseWarm, nil},
+		{500 * time.Millisecond, "b", outcome.PhaseWarm, Fell{"t0", "b"}},
+		{time.Millisecond, "b", outcome.PhaseCold, nil},
+		{999 * time.Millisecond, "b", outcome.PhaseWarm, nil},
+		{2 * time.Millisecond, "b", outcome.PhaseCold, nil},
+		{time.Millisecond, "b", outcome.PhaseUnknown, Warmed{"t0", "b"}},
+		{4 * time.Second, "b", outcome.PhaseCold, Fell{"t0", "b"}},
+		{time.Millisecond, "b", outcome.PhaseCold, nil},
+		{2 * time.Second, "b", outcome.PhaseUnknown, Warmed{"t0", "b"}},
+	}
+	now := epoch
+	for i, step := range steps {
+		now = now.Add(step.after)
+		p, reason := table.Pick(now, "stock", Query{})
+		assert.Assert(t, p != nil, "step %d: %v", i, reason)
+		now = now.Add(time.Microsecond)
+		have := p.Done(now, Result{
+			Latency: time.Microsecond,
+			Report: outcome.Report{
+				Instance: step.instance,
+				Phase:    step.phase,
+			},
+		})
+		assert.Equal(t, step.want, have, "step %d", i)
+	}
+}
+
+// Guards against late news: a report of a process that is gone, or another entry's sighting of it, must not make the
+// current instance cold, and a fact that arrives before the instance is seen must count.
+func TestInstances(t *testing.T) {
+	table := coldTable(leased(epoch, epoch))
+	now := epoch
+	table.SetWarm(now, "t0", "a")
+	old, _ := table.Pick(now.Add(rampTime), "stock", Query{})
+	assert.Equal(t, "a", old.Instance)
+	now = now.Add(2 * rampTime)
+	assert.Equal(t, Fell{"t0", "b"}, table.Observe(now, "t0", outcome.Report{
+		Instance: "b",
+	}))
+	_, reason := table.Pick(now, "stock", Query{})
+	assert.Equal(t, outcome.Cold, reason)
+	table.SetWarm(now, "t0", "b")
+	assert.Equal(t, nil, old.Done(now, Result{
+		Report: outcome.Report{
+			Instance: "a",
+		},
+	}))
+	table.SetFallen(now, "t0", "a")
+	table.SetWarm(now, "t0", "a")
+	p, _ := table.Pick(now, "stock", Query{})
+	assert.Equal(t, "b", p.Instance)
+	table.SetWarm(now, "t0", "c")
+	p, _ = table.Pick(now.Add(rampTime), "stock", Query{})
+	assert.Equal(t, "c", p.Instance)
+	table.SetFallen(now, "t0", "d")
+	_, reason = table.Pick(now, "stock", Query{})
+	assert.Equal(t, outcome.Cold, reason)
+}
+
+// Guards against all entries at once taking up a target that became warm, and against a target that drains getting work
+// because a load read that lags says that it is warm.
+func TestJoinAndDrain(t *testing.T) {
+	table := New(Options{})
+	table.SetTargets(epoch, specs(2))
+	table.SetWarm(epoch, "t1", "x")
+	now := epoch.Add(time.Minute)
+	table.SetWarm(now, "t0", "a")
+	used := func(after time.Duration) int {
+		n := 0
+		for range 1000 {
+			p, _ := table.Pick(now.Add(after), "stock", Query{})
+			if p.Target == "t0" {
+				n++
+			}
+			p.Done(now.Add(after), Result{
+				Latency: time.Millisecond,
+			})
+		}
+		return n
+	}
+	early, late := used(0), used(rampTime)
+	assert.Assert(t, early > 0 && early < 150, "early %d", early)
+	assert.Assert(t, late > 350, "late %d", late)
+	table.Observe(now.Add(10*time.Second), "t0", outcome.Report{
+		Instance: "a",
+		Phase:    outcome.PhaseDraining,
+	})
+	assert.Equal(t, 0, used(11*time.Second))
+	table.Observe(now.Add(12*time.Second), "t0", outcome.Report{
+		Instance: "a",
+		Phase:    outcome.PhaseWarm,
+	})
+	assert.Equal(t, 0, used(13*time.Second))
+	table.Observe(now.Add(30*time.Second), "t0", outcome.Report{
+		Instance: "a",
+		Phase:    outcome.PhaseWarm,
+	})
+	assert.Assert(t, used(60*time.Second) > 0)
+}
--- a/route/permit.go
+++ b/route/permit.go
@@ -48,8 +48,6 @@
 	Latency time.Duration
 	// Report is what the target said, the zero Report if nothing.
 	Report outcome.Report
-	// Silent means that the attempt ended for lack of any byte from the target.
-	Silent bool
 }
 
 // Done ends the attempt. It panics if the attempt has already ended.
--- a/route/service.go
+++ b/route/service.go
@@ -15,8 +15,14 @@
 	// slowFactor is how much slower than usual a target may be before it counts as slow. The average of a few samples
 	// varies by about a quarter without any cause.
 	slowFactor = 1.4
+	// scoreNoise is the part by which scores vary at random. Without it a target that is worse by a trace gets no call
+	// at all while there is little load.
+	scoreNoise = 0.1
 	// coldChance is the chance that a cold target that this entry owns is considered for a call.
 	coldChance = 0.5
+	// leaseCalls is how much of a lease must be left, in usual latencies, for a call to a cold target. A call that the
+	// end of the lease cuts off is work in vain.
+	leaseCalls = 3.0
 	// rampFloor is the least chance that a target is considered while it is joined.
 	rampFloor = 0.05
 	// latencyMean is the weight of a new sample in the average latency of a service.
@@ -39,6 +45,7 @@
 	base      float64 // latency without queues: its minimum, which rises slowly to follow lasting changes
 	latencies latencies
 	budget    budget
+	ejecting  time.Time // the end of the last ejection
 
 	// queued is the average number of calls that queue at a target, for each slot.
 	queued float64
@@ -79,6 +86,7 @@
 	target *target
 	score  float64
 	until  time.Time
+	trust  float64
 
 	operating bool // a target is neither drained nor leaving
 	warm      bool // a target is warm
@@ -86,7 +94,9 @@
 
 // pick selects a target and starts an attempt. With spare, only a target with free capacity is selected.
 func (s *service) pick(now time.Time, q Query, spare bool) (*Permit, outcome.Reason) {
-	var c choice
+	c := choice{
+		trust: s.trust.level(),
+	}
 	s.choose(now, &c, q, spare, true)
 	if c.target == nil {
 		// Nothing passed the random gates and the ejections, or all targets were tried.
@@ -114,7 +124,7 @@
 	if n == 0 {
 		return
 	}
-	ejecting := gated && s.mayEject(now)
+	ejecting := gated && now.Before(s.ejecting.Add(careTime)) && s.mayEject(now)
 	count, at := min(n, scanLimit), 0
 	if n > 1 {
 		at = s.rand.IntN(n)
@@ -127,7 +137,7 @@
 	for i := 0; i < n; i++ {
 		t := s.targets[at]
 		at = (at + stride) % n
-		if t.Drained || t.leaving {
+		if !t.operating() {
 			continue
 		}
 		c.operating = true
@@ -173,14 +183,14 @@
 func (s *service) consider(now time.Time, c *choice, t *target, idempotent, spare, gated bool) bool {
 	var until time.Time
 	if t.isWarm() {
-		if t.inflight >= max(int(t.limit), 1) {
+		if t.inflight >= t.allowed() {
 			return false
 		}
 		if gated && !t.ramped(now, s.rand) {
 			return false
 		}
 	} else {
-		if t.inflight >= t.Bear || gated && s.rand.Float64() > coldChance {
+		if t.inflight >= t.allowed() || gated && s.rand.Float64() > coldChance {
 			return false
 		}
 		var owned bool
@@ -189,11 +199,11 @@
 			return false
 		}
 	}
-	load := t.load(now)
+	load := t.load(now, c.trust)
 	if spare && load >= float64(t.Slots) {
 		return false
 	}
-	score := t.score(now, load, idempotent)
+	score := t.score(now, load, idempotent) * (1 + scoreNoise*s.rand.Float64())
 	if c.target == nil || score < c.score {
 		c.target, c.score, c.until = t, score, until
 	}
@@ -216,6 +226,14 @@
 	}
 }
 
+// allowed returns how many calls this entry may have in flight at the target.
+func (t *target) allowed() int {
+	if t.isWarm() {
+		return max(int(t.limit), 1)
+	}
+	return t.Bear
+}
+
 // ramped tells whether a target that is being joined is considered this time.
 func (t *target) ramped(now time.Time, r *rand.Rand) bool {
 	if t.ramp.IsZero() {
@@ -233,7 +251,7 @@
 // owner may have seen the target fall in between.
 func (t *target) own(now time.Time) (time.Time, bool) {
 	until, owned := (*t.service.table.owner.Load())(now, t.Name)
-	if !owned || !now.Before(until) {
+	if !owned || float64(until.Sub(now)) <= leaseCalls*t.service.latency {
 		return time.Time{}, false
 	}
 	if now.After(t.leased) {
@@ -248,7 +266,7 @@
 // load estimates the calls at the target: this entry's own, and those of other entries. Of a report, only the deviation
 // from the target's usual report counts, because a target can always report too little; that it is slow shows in its
 // latency. The deviation loses its value within the time of a call.
-func (t *target) load(now time.Time) float64 {
+func (t *target) load(now time.Time, trust float64) float64 {
 	load := float64(t.inflight)
 	if t.reported.IsZero() {
 		return load + t.service.usual*float64(t.Slots)
@@ -257,7 +275,7 @@
 	if t.service.latency > 0 {
 		x = float64(now.Sub(t.reported)) / t.service.latency
 	}
-	return max(load+t.service.usual*float64(t.Slots)+t.service.trust.level()*(t.others-t.usual)/(1+x+x*x), 0)
+	return max(load+t.service.usual*float64(t.Slots)+trust*(t.others-t.usual)/(1+x+x*x), 0)
 }
 
 // score is the time that a call is expected to take; the lowest is best.
@@ -276,5 +294,5 @@
 		}
 		slow = max(d/(s.latency*slowFactor), 1)
 	}
-	return slow * (1 + load/float64(t.Slots)) / (1 - min(t.failures, 0.9))
+	return slow * (1 + load/float64(t.Slots)) / (1 - min(t.currentFailures(now), 0.9))
 }
--- a/route/table.go
+++ b/route/table.go
@@ -32,6 +32,8 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -155,6 +157,66 @@
 	x.setWarm(now, instance)
 }
 
+// SetFallen records that another entry has seen this instance of the target, so that the owner learns of a fall. An
+// instance that this entry has already seen replaced is ignored.
+func (t *Table) SetFallen(now time.Time, name, instance string) {
+	x := t.view.Load().targets[name]
+	if x == nil || instance == "" {
+		return
+	}
+	x.service.mu.Lock()
+	defer x.service.mu.Unlock()
+	if !slices.Contains(x.past[:], instance) {
+		x.identify(now, now, outcome.Report{
+			Instance: instance,
+		})
+	}
+}
+
+// Status is the state of a target as this entry sees it.
+type Status struct {
+	Target   string
+	Service  string
+	Instance string
+	// Warm means that the instance is known to be warm, Operating that the target may get new work at all.
+	Warm      bool
+	Operating bool
+	// Ejected is when the target is tried again after failures; zero if it is not ejected.
+	Ejected  time.Time
+	Inflight int
+	Limit    int
+	Latency  time.Duration
+}
+
+// Status returns the state of all targets, sorted by name.
+func (t *Table) Status(now time.Time) []Status {
+	var list []Status
+	for _, x := range t.view.Load().targets {
+		x.service.mu.Lock()
+		list = append(list, x.status(now))
+		x.service.mu.Unlock()
+	}
+	slices.SortFunc(list, func(a, b Status) int { return strings.Compare(a.Target, b.Target) })
+	return list
+}
+
+func (t *target) status(now time.Time) Status {
+	s := Status{
+		Target:    t.Name,
+		Service:   t.Service,
+		Instance:  t.instance,
+		Warm:      t.isWarm(),
+		Operating: t.operating(),
+		Inflight:  t.inflight,
+		Limit:     t.allowed(),
+		Latency:   time.Duration(t.currentLatency(now)),
+	}
+	if now.Before(t.ejected) {
+		s.Ejected = t.ejected
+	}
+	return s
+}
+
 // Leaving stops new work for the target until its instance changes.
 func (t *Table) Leaving(name string) {
 	x := t.view.Load().targets[name]
--- a/route/target.go
+++ b/route/target.go
@@ -30,6 +30,9 @@
 	rampTime = 2 * time.Second
 	// coldGrace is the time after a target became warm in which its reports may still say cold, because they are stale.
 	coldGrace = 2 * time.Second
+	// drainMemory is how long a target must not have reported to drain before a report that it is warm counts, because
+	// load reads can lag behind answers.
+	drainMemory = 10 * time.Second
 	// failureCost is the latency, in multiples of the usual one, that a failure is charged at least.
 	failureCost = 3.0
 )
@@ -49,10 +52,13 @@
 	// warm holds the last instances known to be warm, past those known to be gone.
 	warm [4]string
 	past [4]string
-	// relapsed means that a warm instance reports to be cold.
+	// relapsed means that a warm instance reports to be cold. Only its own reports end this, because the fact that it
+	// was warm may be announced again at any time.
 	relapsed bool
 	warmAt   time.Time
 	leaving  bool
+	// draining is the last time at which the instance reported to drain.
+	draining time.Time
 
 	// leased is the end of the last ownership lease. Warming is the time of the first answer under an unbroken
 	// sequence of leases.
@@ -108,9 +114,6 @@
 	if instance != t.instance && !slices.Contains(t.past[:], instance) {
 		t.replace(instance)
 	}
-	if instance == t.instance {
-		t.relapsed = false
-	}
 	if !was && t.isWarm() {
 		t.join(now)
 	}
@@ -132,6 +135,7 @@
 	}
 	t.instance = instance
 	t.leaving = false
+	t.draining = time.Time{}
 	t.relapsed = false
 	t.warming = time.Time{}
 	t.failures = 0
@@ -163,7 +167,7 @@
 	}
 	switch r.Phase {
 	case outcome.PhaseDraining:
-		t.leaving = true
+		t.draining = sent
 	case outcome.PhaseCold:
 		if t.isWarm() && sent.Sub(t.warmAt) > coldGrace {
 			t.relapsed = true
@@ -174,14 +178,28 @@
 			}
 		}
 	case outcome.PhaseWarm:
-		if t.relapsed {
-			t.relapsed = false
-			t.join(now)
-		}
+		t.recover(now, sent)
 	}
 	return e
 }
 
+// recover ends what earlier reports of the same instance said, unless the reports contradict each other.
+func (t *target) recover(now, sent time.Time) {
+	if t.relapsed {
+		t.relapsed = false
+		t.join(now)
+	}
+	if !t.draining.IsZero() && sent.Sub(t.draining) > drainMemory {
+		t.draining = time.Time{}
+		t.join(now)
+	}
+}
+
+// operating tells whether the target may get new work at all.
+func (t *target) operating() bool {
+	return !t.Drained && !t.leaving && t.draining.IsZero()
+}
+
 // setLoad takes the load of the whole target from a report and keeps the part that other entries cause.
 func (t *target) setLoad(now time.Time, r outcome.Report) {
 	if r.Slots <= 0 {
@@ -212,9 +230,9 @@
 	}
 	switch r.Kind {
 	case Succeeded:
+		t.failures = t.currentFailures(now) * (1 - failureWeight)
 		t.sample(now, float64(r.Latency))
 		s.sample(r.Latency)
-		t.failures -= t.failures * failureWeight
 		if t.failures < 0.05 {
 			t.ejections = 0
 		}
@@ -252,7 +270,9 @@
 	if r.Phase == outcome.PhaseCold || now.Sub(t.warming) < t.ColdTime {
 		return nil
 	}
+	t.relapsed = false
 	t.setWarm(now, t.instance)
+	t.join(now)
 	return Warmed{
 		Target:   t.Name,
 		Instance: t.instance,
@@ -297,15 +317,25 @@
 	return usual + (t.latency-usual)/(1+x+x*x)
 }
 
+// currentFailures returns the failure rate, faded for the time without calls, so that the target is tried again.
+func (t *target) currentFailures(now time.Time) float64 {
+	x := max(float64(now.Sub(t.latencyAt))/float64(careTime), 0)
+	return t.failures / (1 + x + x*x)
+}
+
 // fail charges a failure as if it had taken longer than usual, so that failing fast attracts no load.
 func (t *target) fail(now time.Time, d time.Duration) {
-	t.sample(now, max(float64(d), failureCost*t.service.latency))
+	t.failures = t.currentFailures(now)
 	t.failures += (1 - t.failures) * failureWeight
+	t.sample(now, max(float64(d), failureCost*t.service.latency))
 	if t.failures < ejectRate || now.Before(t.ejected) {
 		return
 	}
 	t.ejected = now.Add(min(ejectTime<<min(t.ejections, 10), ejectLimit))
 	t.ejections++
+	if t.ejected.After(t.service.ejecting) {
+		t.service.ejecting = t.ejected
+	}
 	t.ramp = t.ejected
 	// The next ejection after the return takes two failures.
 	t.failures = ejectRate - failureWeight
--- a/route/window.go
+++ b/route/window.go
@@ -28,7 +28,7 @@
 func (s *service) capacity(now time.Time, demand float64) (window, total float64) {
 	slots, bearable := 0, 0
 	for _, t := range s.targets {
-		if t.Drained || t.leaving {
+		if !t.operating() {
 			continue
 		}
 		if t.isWarm() {
