Test the scheduler and blame a burst on its caller

A caller whose own waiting calls exceed its share was refused with reason deadline, because its use was still low: the reason is now share. Property tests check that tickets are conserved, that no caller within its share waits while one beyond gets a slot, and that no call waits past its deadline.

--- a/share/caller.go
+++ b/share/caller.go
@@ -8,6 +8,7 @@
 
 // caller is the state of one caller. The lock of the Scheduler guards it.
 type caller struct {
+	name    string
 	share   float64
 	running int
 	waiting *list.List // of *Ticket
--- a/share/scheduler.go
+++ b/share/scheduler.go
@@ -249,7 +249,17 @@
 // ratio is the use of a caller, including what its running calls will still use, for its share of the capacity. Below 1
 // the caller is within its share.
 func (s *Scheduler) ratio(c *caller) float64 {
-	return c.work(s.work) * s.work / window.Seconds() / (c.share * s.capacity)
+	return s.part(c, c.work(s.work))
+}
+
+// reach is the ratio that the caller reaches when its waiting calls run.
+func (s *Scheduler) reach(c *caller) float64 {
+	return s.part(c, c.work(s.work)+float64(c.waiting.Len()))
+}
+
+// part relates a number of calls in the window to the share of a caller.
+func (s *Scheduler) part(c *caller, calls float64) float64 {
+	return calls * s.work / window.Seconds() / (c.share * s.capacity)
 }
 
 func (s *Scheduler) inTime(now, deadline time.Time) bool {
@@ -264,7 +274,7 @@
 // late refuses a call that would not be answered by its deadline, or would spend too much of its time waiting.
 func (s *Scheduler) late(now time.Time, c *caller, deadline time.Time, wait float64) *Refusal {
 	reason, part := outcome.Deadline, owedPart
-	if wait > 0 && s.ratio(c) >= 1 {
+	if wait > 0 && s.reach(c) >= 1 {
 		reason, part = outcome.Share, sparePart
 	}
 	end := now.Add(seconds(wait/part + s.usual()))
@@ -282,7 +292,7 @@
 	wait := s.wait(now, c)
 	if c.waiting.Len() >= s.queue {
 		reason := outcome.Queue
-		if s.ratio(c) >= 1 {
+		if s.reach(c) >= 1 {
 			reason = outcome.Share
 		}
 		return &Refusal{
@@ -335,7 +345,7 @@
 
 func (s *Scheduler) expire(now time.Time, t *Ticket) {
 	reason := outcome.Deadline
-	if s.ratio(t.caller) >= 1 {
+	if s.reach(t.caller) >= 1 {
 		reason = outcome.Share
 	}
 	s.reject(now, t, reason)
@@ -380,6 +390,7 @@
 	c := s.callers[name]
 	if c == nil {
 		c = &caller{
+			name:    name,
 			waiting: list.New(),
 			settled: now,
 		}
--- a/share/scheduler_test.go
+++ b/share/scheduler_test.go
@@ -2,18 +2,31 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"skylarkbeam/outcome"
 )
 
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newScheduler(capacity float64, shares map[string]float64) *Scheduler {
+	s := New(Options{
+		Share: func(name string) float64 { return shares[name] },
+	})
+	s.SetCapacity(epoch, capacity, capacity)
+	return s
+}
+
 // Guards against an Admit that leaves its place in the queue behind, or waits past the deadline.
 func TestAdmitGivesUp(t *testing.T) {
-	s := New(Options{
-		Share: func(string) float64 { return 1 },
+	s := newScheduler(1, map[string]float64{
+		"a": 1,
 	})
 	first, refusal := s.Admit(context.Background(), "a", time.Now().Add(time.Minute))
 	assert.Assert(t, refusal == nil)
@@ -26,3 +39,249 @@
 	assert.Equal(t, 0, len(first.Done(time.Now(), 0)))
 	assert.Equal(t, 0, s.waiting+s.running)
 }
+
+// Guards against a refusal with a reason that blames the wrong side, or without an estimate of when to come back.
+func TestRefusals(t *testing.T) {
+	shares := map[string]float64{
+		"large": 0.5,
+		"small": 0.1,
+	}
+	tests := []struct {
+		name    string
+		caller  string
+		flood   int // calls of the large caller before
+		left    time.Duration
+		want    outcome.Reason
+		atLeast time.Duration
+	}{
+		{"free", "small", 0, time.Second, "", 0},
+		{"too little time to run", "small", 0, 5 * time.Millisecond, outcome.Deadline, retryFloor},
+		{"small behind a flood", "small", 200, 100 * time.Millisecond, "", 0},
+		{"too little time to wait", "small", 200, 11 * time.Millisecond, outcome.Deadline, retryFloor},
+		{"beyond the share", "large", 200, 100 * time.Millisecond, outcome.Share, retryFloor},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newScheduler(2, shares)
+			for range test.flood {
+				s.Enqueue(epoch, "large", epoch.Add(10*time.Second))
+			}
+			now := epoch.Add(time.Millisecond)
+			_, refusal := s.Enqueue(now, test.caller, now.Add(test.left))
+			if test.want == "" {
+				assert.Assert(t, refusal == nil, "%v", refusal)
+				return
+			}
+			assert.Equal(t, test.want, refusal.Reason)
+			assert.Assert(t, refusal.RetryAfter >= test.atLeast)
+		})
+	}
+}
+
+// Guards against shares that are counted in calls: a caller with long calls gets as many slots for its time as one with
+// short calls, and a share that is not used goes to the others.
+func TestSharesOfTime(t *testing.T) {
+	tests := []struct {
+		name    string
+		callers []string
+		want    float64 // part of the slots' time of the caller "long"
+	}{
+		{"both", []string{"long", "short"}, 0.5},
+		{"alone", []string{"long"}, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newScheduler(4, map[string]float64{
+				"long":  0.4,
+				"short": 0.4,
+			})
+			work := map[string]time.Duration{
+				"long":  20 * time.Millisecond,
+				"short": 2 * time.Millisecond,
+			}
+			held := map[string]time.Duration{}
+			type running struct {
+				ticket *Ticket
+				end    time.Time
+			}
+			var open []running
+			for now := epoch; now.Before(epoch.Add(5 * time.Second)); now = now.Add(time.Millisecond) {
+				for _, name := range test.callers {
+					for s.callers[name] == nil || s.callers[name].waiting.Len() < 10 {
+						ticket, refusal := s.Enqueue(now, name, now.Add(time.Minute))
+						assert.Assert(t, refusal == nil, "%v", refusal)
+						if ticket.Running() {
+							open = append(open, running{ticket, now.Add(work[name])})
+						}
+					}
+				}
+				for i := 0; i < len(open); i++ {
+					if now.Before(open[i].end) {
+						continue
+					}
+					name := open[i].ticket.caller.name
+					held[name] += work[name]
+					for _, next := range open[i].ticket.Done(now, work[name]) {
+						open = append(open, running{next, now.Add(work[next.caller.name])})
+					}
+					open = append(open[:i], open[i+1:]...)
+					i--
+				}
+			}
+			have := held["long"].Seconds() / (held["long"] + held["short"]).Seconds()
+			assert.Assert(t, have > test.want-0.05 && have < test.want+0.05, "want %v, have %v", test.want, have)
+		})
+	}
+}
+
+// Guards against lost tickets, slots beyond the capacity, a caller within its share that waits behind one beyond, and a
+// call that is never settled.
+func TestSchedulerProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shares := map[string]float64{}
+		names := []string{"a", "b", "c", "d"}
+		for _, name := range names {
+			shares[name] = rapid.Float64Range(0, 0.25).Draw(t, "share")
+		}
+		capacity := float64(rapid.IntRange(1, 8).Draw(t, "capacity"))
+		s := newScheduler(capacity, shares)
+		now := epoch
+		open := map[*Ticket]struct{}{}
+		waits := map[*Ticket]struct{}{}
+		settle := func(tickets []*Ticket) {
+			for _, ticket := range tickets {
+				assert.Assert(t, ticket.state != waiting)
+				_, waited := waits[ticket]
+				assert.Assert(t, waited)
+				delete(waits, ticket)
+				if ticket.Running() {
+					open[ticket] = struct{}{}
+				}
+			}
+		}
+		// ordered checks that no waiting caller was within its share, and lower, when another got the slot.
+		ordered := func(tickets []*Ticket, before map[string]float64) {
+			for _, ticket := range tickets {
+				if !ticket.Running() || len(tickets) > 1 {
+					continue
+				}
+				for _, c := range s.queued {
+					if c != ticket.caller && before[c.name] < 1 {
+						assert.Assert(t, before[ticket.caller.name] < 1, "%s went before %s", ticket.caller.name, c.name)
+					}
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"call": func(t *rapid.T) {
+				name := rapid.SampledFrom(names).Draw(t, "caller")
+				left := time.Duration(rapid.IntRange(1, 500).Draw(t, "left")) * time.Millisecond
+				ticket, refusal := s.Enqueue(now, name, now.Add(left))
+				switch {
+				case refusal != nil:
+					assert.Assert(t, refusal.RetryAfter >= retryFloor && refusal.RetryAfter <= retryCeiling)
+				case ticket.Running():
+					open[ticket] = struct{}{}
+				default:
+					waits[ticket] = struct{}{}
+				}
+			},
+			"done": func(t *rapid.T) {
+				var first *Ticket
+				for ticket := range open {
+					if first == nil || ticket.number < first.number {
+						first = ticket
+					}
+				}
+				if first == nil {
+					return
+				}
+				delete(open, first)
+				before := map[string]float64{}
+				for _, c := range s.queued {
+					c.settle(now)
+					before[c.name] = s.ratio(c)
+				}
+				if first.caller.waiting.Len() > 0 {
+					before[first.caller.name] -= s.work / window.Seconds() / (first.caller.share * s.capacity)
+				}
+				settled := first.Done(now, 0)
+				ordered(settled, before)
+				settle(settled)
+			},
+			"capacity": func(t *rapid.T) {
+				capacity = float64(rapid.IntRange(1, 8).Draw(t, "capacity"))
+				settle(s.SetCapacity(now, capacity, capacity))
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 600).Draw(t, "ms")) * time.Millisecond)
+				settle(s.Expire(now))
+				for ticket := range waits {
+					assert.Assert(t, ticket.deadline.After(now), "a call waits past its deadline")
+				}
+			},
+			"": func(t *rapid.T) {
+				assert.Equal(t, len(open), s.running)
+				assert.Equal(t, len(waits), s.waiting)
+				assert.Assert(t, s.waiting == 0 || float64(s.running) >= capacity, "a slot is free while calls wait")
+				for _, c := range s.queued {
+					assert.Assert(t, c.waiting.Len() > 0)
+				}
+			},
+		})
+	})
+}
+
+// Guards against data races and lost wake-ups between concurrent calls.
+func TestConcurrentAdmit(t *testing.T) {
+	s := newScheduler(3, map[string]float64{
+		"c0": 0.3,
+		"c1": 0.3,
+	})
+	var wg sync.WaitGroup
+	for i := range 16 {
+		wg.Go(func() {
+			for n := range 50 {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n%3+1)*5*time.Millisecond)
+				ticket, refusal := s.Admit(ctx, fmt.Sprintf("c%d", i%4), time.Now().Add(100*time.Millisecond))
+				if refusal == nil {
+					time.Sleep(100 * time.Microsecond)
+					ticket.Done(time.Now(), 100*time.Microsecond)
+				}
+				s.Demand(time.Now())
+				cancel()
+			}
+		})
+	}
+	wg.Wait()
+	assert.Equal(t, 0, s.running)
+	assert.Equal(t, 0, s.waiting)
+}
+
+// BenchmarkEnqueue measures one call while all callers have calls waiting.
+func BenchmarkEnqueue(b *testing.B) {
+	for _, callers := range []int{1, 10, 100} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			s := New(Options{
+				Share: func(string) float64 { return 1 / float64(callers) },
+				Work:  time.Millisecond,
+			})
+			s.SetCapacity(epoch, 10, 60)
+			names := make([]string, callers)
+			for i := range names {
+				names[i] = fmt.Sprintf("c%d", i)
+			}
+			now := epoch
+			var open []*Ticket
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(time.Microsecond)
+				if t, refusal := s.Enqueue(now, names[i%callers], now.Add(time.Hour)); refusal == nil && t.Running() {
+					open = append(open, t)
+				}
+				if i >= 10+2*callers {
+					open = append(open[1:], open[0].Done(now, time.Millisecond)...)
+				}
+			}
+		})
+	}
+}
