Share the use of callers between entries

A caller that uses one entry lost half of its calls (44% to 50% answered, share not used up) while the largest caller took more than its share from all entries, because each entry gave it its share again.

--- a/bench/checks_test.go
+++ b/bench/checks_test.go
@@ -88,6 +88,36 @@
 	}
 }
 
+// Guards callers within their share that use one entry only, while the largest takes more than its share from all
+// entries. In the negative control the entries do not exchange what callers use.
+func TestSticky(t *testing.T) {
+	t.Parallel()
+	for _, shape := range shapes {
+		least := func(alone bool) float64 {
+			least := 1.0
+			results := runs(Config{
+				Shape:    shape,
+				Policy:   Route,
+				Scenario: None,
+				Load:     0.9,
+				Flood:    0.5,
+				Sticky:   true,
+				Alone:    alone,
+				Length:   6 * time.Second,
+			}, 2)
+			for i := 1; i < len(Callers); i++ {
+				part := mean(results, func(r *Result) float64 { return r.Goodput(i) })
+				t.Logf("%s %s alone %v: %.4f", shape.Name, Callers[i].Name, alone, part)
+				least = min(least, part)
+			}
+			return least
+		}
+		have, control := least(false), least(true)
+		assert.Check(t, have >= 0.99, "have %v", have)
+		assert.Check(t, control < 0.99, "the control shows no fault: %v", control)
+	}
+}
+
 // Guards against repeats and hedges that add load when there is trouble, in any scenario.
 func TestRepeats(t *testing.T) {
 	t.Parallel()
--- a/bench/config.go
+++ b/bench/config.go
@@ -147,6 +147,11 @@
 	// Length is the measured time, after Warmup.
 	Length time.Duration
 
+	// Sticky callers use one entry each, but for the largest, which uses all.
+	Sticky bool
+	// Alone entries do not exchange what callers use.
+	Alone bool
+
 	Ownership Ownership
 	// Bear is how many calls a cold target can handle. The default is 1.
 	Bear int
--- a/bench/sim.go
+++ b/bench/sim.go
@@ -123,6 +123,22 @@
 	return e
 }
 
+// exchangeUse tells every entry what callers use at the others.
+func (s *sim) exchangeUse() {
+	for _, e := range s.entries {
+		sum := map[string]float64{}
+		for _, other := range s.entries {
+			if other == e || other.dead || other.paused {
+				continue
+			}
+			for name, use := range other.scheduler.Use(s.time()) {
+				sum[name] += use
+			}
+		}
+		s.after(50*time.Millisecond, func() { e.scheduler.SetElsewhere(s.time(), sum) })
+	}
+}
+
 func shareOf(name string) float64 {
 	for _, c := range Callers {
 		if c.Name == name {
@@ -153,6 +169,9 @@
 			e.refresh()
 		}
 	})
+	if !s.config.Alone && s.config.Policy == Route {
+		s.every(exchangeTime, s.exchangeUse)
+	}
 	if s.config.Churn {
 		s.after(2*time.Second, s.churn)
 	}
@@ -187,6 +206,9 @@
 		for ; i < Entries-1 && x >= entryWeights[i]; i++ {
 			x -= entryWeights[i]
 		}
+		if s.config.Sticky && caller > 0 {
+			i = caller % Entries
+		}
 		s.entries[i].arrive(caller)
 		s.load(caller, rate)
 	})
--- a/route/table.go
+++ b/route/table.go
@@ -57,6 +57,9 @@
 	Drained bool
 }
 
+// drainedRetry is when to come back to a service without targets in operation: operators need seconds at least.
+const drainedRetry = 5 * time.Second
+
 // Options configure a Table. Zero values select the defaults.
 type Options struct {
 	// Entries is the number of entries that send to the same targets.
@@ -146,7 +149,8 @@
 }
 
 // SetWarm records the fact that this instance of the target has finished its cold start. Such a fact never becomes
-// false. A target that was cold for this entry is joined gradually.
+// false. A target that was cold for this entry is joined gradually. Facts about targets that SetTargets has not named
+// yet are lost, so all known facts must be set again after targets were added.
 func (t *Table) SetWarm(now time.Time, name, instance string) {
 	x := t.view.Load().targets[name]
 	if x == nil || instance == "" {
@@ -268,6 +272,31 @@
 	return p, reason
 }
 
+// RetryAfter estimates when a call that Pick refused for the reason may find a target; zero if that is not known.
+func (t *Table) RetryAfter(service string, reason outcome.Reason) time.Duration {
+	s := t.view.Load().services[service]
+	if s == nil {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch reason {
+	case outcome.Queue:
+		return time.Duration(s.latency)
+	case outcome.Cold:
+		shortest := time.Duration(0)
+		for _, x := range s.targets {
+			if x.operating() && (shortest == 0 || x.ColdTime < shortest) {
+				shortest = x.ColdTime
+			}
+		}
+		return shortest
+	case outcome.Drained:
+		return drainedRetry
+	}
+	return 0
+}
+
 // Repeat selects another target for a call whose former attempt did not run, or may be run again. It returns nil if the
 // budget or the targets allow no further attempt. A target that was tried is selected only if there is no other.
 func (t *Table) Repeat(now time.Time, service string, q Query) *Permit {
@@ -275,7 +304,8 @@
 }
 
 // Hedge selects another target with free capacity for a second attempt while the first one is still in flight. It
-// returns nil if the call is not idempotent or the budget or the targets do not allow it.
+// returns nil if the call is not idempotent or the budget or the targets do not allow it at the moment; it is worth
+// asking again after another HedgeAfter.
 func (t *Table) Hedge(now time.Time, service string, q Query) *Permit {
 	if !q.Idempotent {
 		return nil
--- a/route/target.go
+++ b/route/target.go
@@ -11,7 +11,7 @@
 	// latencyWeight is the weight of a new sample in the latency average of a target: two samples of a target five
 	// times slower bring the average to 1.9 times the usual.
 	latencyWeight = 0.12
-	// latencyFade is the time in which half of a latency above the usual is forgotten without new samples, so that a
+	// latencyFade is the time in which two thirds of a latency above the usual are forgotten without new samples, so that a
 	// target that was slow is tried again.
 	latencyFade = 3 * time.Second
 	// usualWeight is the weight of a new report in the usual load of a target.
--- a/share/caller.go
+++ b/share/caller.go
@@ -14,6 +14,8 @@
 	waiting *list.List // of *Ticket
 	// use is the average number of running calls over the window, up to the time settled.
 	use float64
+	// elsewhere is the use at other entries.
+	elsewhere float64
 	// offered is the average number of calls that arrive in a second.
 	offered float64
 	settled time.Time
@@ -40,5 +42,5 @@
 // work returns the use as a number of calls in the window, including what the running calls will still use. Usual is the
 // usual time of a call in seconds.
 func (c *caller) work(usual float64) float64 {
-	return c.use*window.Seconds()/usual + float64(c.running)
+	return (c.use+c.elsewhere)*window.Seconds()/usual + float64(c.running)
 }
--- a/share/scheduler.go
+++ b/share/scheduler.go
@@ -79,6 +79,7 @@
 	mu       sync.Mutex
 	capacity float64
 	total    float64
+	shared   bool // the use at other entries is known
 	running  int
 	waiting  int
 	tickets  uint64
@@ -209,6 +210,38 @@
 	return demand
 }
 
+// useFloor is the use below which a caller is left out of Use.
+const useFloor = 0.01
+
+// Use returns the average number of slots that each caller held over the last second, for the other entries.
+func (s *Scheduler) Use(now time.Time) map[string]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	use := map[string]float64{}
+	for name, c := range s.callers {
+		c.settle(now)
+		if c.use >= useFloor {
+			use[name] = c.use
+		}
+	}
+	return use
+}
+
+// SetElsewhere sets the sum of what the callers use at all other entries. From then on shares are those of the whole
+// service: a caller that uses one entry only goes before one that takes more than its share from all entries together.
+// With nil, as when the other entries are not heard, shares are those of this entry's capacity again.
+func (s *Scheduler) SetElsewhere(now time.Time, use map[string]float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shared = use != nil
+	for _, c := range s.callers {
+		c.elsewhere = 0
+	}
+	for name, slots := range use {
+		s.caller(now, name).elsewhere = slots
+	}
+}
+
 func (s *Scheduler) free() bool {
 	return float64(s.running) < max(math.Ceil(s.capacity), 1)
 }
@@ -259,7 +292,11 @@
 
 // part relates a number of calls in the window to the share of a caller.
 func (s *Scheduler) part(c *caller, calls float64) float64 {
-	return calls * s.work / window.Seconds() / (c.share * s.capacity)
+	capacity := s.capacity
+	if s.shared {
+		capacity = s.total
+	}
+	return calls * s.work / window.Seconds() / (c.share * capacity)
 }
 
 func (s *Scheduler) inTime(now, deadline time.Time) bool {
