--- a/bench/policy_test.go
+++ b/bench/policy_test.go
@@ -2,11 +2,10 @@
 
 import (
 	"fmt"
-	"os"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
-	"text/tabwriter"
 	"time"
 )
 
@@ -29,17 +28,21 @@
 }
 
 // spread formats the median of the values with the least and the largest.
-func spread(values []float64, unit string) string {
+func spread(values []float64) string {
 	slices.Sort(values)
-	return fmt.Sprintf("%.1f%s (%.1f-%.1f)", values[len(values)/2], unit, values[0], values[len(values)-1])
+	least, most := values[0], values[len(values)-1]
+	if most-least < 0.05 {
+		return fmt.Sprintf("%.1f", values[len(values)/2])
+	}
+	return fmt.Sprintf("%.1f (%.1f-%.1f)", values[len(values)/2], least, most)
 }
 
 // BenchmarkPolicy prints the comparison of all policies. It is one long run, so use -benchtime 1x.
 func BenchmarkPolicy(b *testing.B) {
 	const seeds = 3
 	for b.Loop() {
-		w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-		fmt.Fprintln(w, "user\tscenario\tload\tpolicy\tp50 ms\tp99 ms\tp99.9 ms\tlarge %\tmedium %\tsmallest %\trepeats %\tprobes/s\tover cold\trefused and given up")
+		fmt.Println("| user | scenario | load | policy | p50 ms | p99 ms | p99.9 ms | large % | medium % | small % | smallest % | repeats % | probes/s | over cold | refused and given up |")
+		fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 		var configs []Config
 		for _, shape := range []Shape{Beaconwatch, Mandacaru} {
 			for _, scenario := range Scenarios {
@@ -61,33 +64,41 @@
 		}
 		results := sweep(configs)
 		for i := 0; i < len(results); i += seeds {
-			row(w, results[i:i+seeds])
+			row(results[i : i+seeds])
 		}
-		w.Flush()
 	}
 }
 
 // row prints the results of the seeds of one configuration.
-func row(w *tabwriter.Writer, results []*Result) {
+func row(results []*Result) {
 	c := results[0].config
-	column := func(unit string, value func(r *Result) float64) string {
+	column := func(value func(r *Result) float64) string {
 		var values []float64
 		for _, r := range results {
 			values = append(values, value(r))
 		}
-		return spread(values, unit)
+		return spread(values)
 	}
 	quantile := func(q float64) string {
-		return column("", func(r *Result) float64 { return float64(r.Quantile(q).Microseconds()) / 1000 })
+		return column(func(r *Result) float64 { return r.Quantile(q).Seconds() * 1000 })
+	}
+	goodput := func(callers ...int) string {
+		return column(func(r *Result) float64 {
+			sum := 0.0
+			for _, i := range callers {
+				sum += 100 * r.Goodput(i)
+			}
+			return sum / float64(len(callers))
+		})
 	}
-	goodput := func(caller int) string {
-		return column("", func(r *Result) float64 { return 100 * r.Goodput(caller) })
+	columns := []string{
+		c.Shape.Name, string(c.Scenario), fmt.Sprintf("%.0f%%", 100*c.Load), string(c.Policy),
+		quantile(50), quantile(99), quantile(99.9),
+		goodput(0), goodput(1, 2, 3), goodput(4), goodput(5),
+		column(func(r *Result) float64 { return 100 * r.Repeats() }),
+		column((*Result).Probes),
+		column(func(r *Result) float64 { return float64(r.violations) }),
+		results[len(results)/2].Refusals(),
 	}
-	fmt.Fprintf(w, "%s\t%s\t%.0f%%\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n",
-		c.Shape.Name, c.Scenario, 100*c.Load, c.Policy, quantile(50), quantile(99), quantile(99.9),
-		goodput(0), goodput(1), goodput(len(Callers)-1),
-		column("", func(r *Result) float64 { return 100 * r.Repeats() }),
-		column("", (*Result).Probes),
-		column("", func(r *Result) float64 { return float64(r.violations) }),
-		results[len(results)/2].Refusals())
+	fmt.Println("| " + strings.Join(columns, " | ") + " |")
 }
