--- a/bench/entry.go
+++ b/bench/entry.go
@@ -266,16 +266,17 @@
 		return
 	}
 	now := e.sim.time()
-	settled := c.ticket.Done(now, latency)
-	settled = append(settled, e.adapt()...)
-	e.settle(settled)
+	e.settle(c.ticket.Done(now, latency))
 }
 
 // adapt passes the capacity of the targets on to the scheduler.
-func (e *entry) adapt() []*share.Ticket {
+func (e *entry) adapt() {
+	if e.dead {
+		return
+	}
 	now := e.sim.time()
 	window, total := e.selector.capacity(now, e.scheduler.Demand(now))
-	return e.scheduler.SetCapacity(now, window, total)
+	e.settle(e.scheduler.SetCapacity(now, window, total))
 }
 
 // expire refuses the waiting calls that are too late.
--- a/bench/sim.go
+++ b/bench/sim.go
@@ -30,6 +30,9 @@
 	"skylarkbeam/share"
 )
 
+// adaptInterval is how often an entry adapts its capacity and refuses calls that wait too long.
+const adaptInterval = 10 * time.Millisecond
+
 // sim is one run.
 type sim struct {
 	loop
@@ -158,9 +161,10 @@
 		}
 		s.load(i, rate)
 	}
-	s.every(5*time.Millisecond, func() {
+	s.every(adaptInterval, func() {
 		for _, e := range s.entries {
 			e.expire()
+			e.adapt()
 		}
 	})
 	s.every(time.Second, func() {
