--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,3 +1,60 @@
+// Package fleet is an entry's part in the fleet of entries: the accepted state, the membership, the rule that says when
+// an entry may send new work, the ownership of cold targets, and the facts about warm targets.
+//
+// The entries share a table that can be down for long, and they talk to each other directly. There is no leader. All
+// that lasts is in the table and changes there by compare-and-swap; the peers only pass on what the table has accepted,
+// and count who is there. docs/membership.md gives the reasons at length.
+//
+// # Usage
+//
+//	f := fleet.Open(fleet.Options{
+//		Platform: platform,
+//		Timers:   timers,
+//		Name:     "cairns-1",
+//		Domain:   "cairns",
+//		Caller:   caller,
+//		Control:  control,
+//		Check:    check,
+//		Peers:    fleet.NewClient(metrics),
+//	})
+//	container.Add(f.Service())
+//
+//	if f.Contact(timers.Now()) {
+//		state := f.State() // after Contact, not before
+//	}
+//	if until, ok := f.Owns(timers.Now(), target); ok {
+//		// The call to the cold target must end at until.
+//	}
+//
+//	switch d := f.Drain(ctx, change, []string{"cairns"}, nil).(type) {
+//	case *fleet.Accepted:
+//	case *fleet.Conflict:
+//	case *fleet.Refused:
+//	case *fleet.Undecided: // ask again with the same change
+//	}
+//
+//	f.Leave()
+//	// Callers go elsewhere; calls in flight end.
+//	f.Close(ctx)
+//
+// # Rules
+//
+// A change is written only by an entry that hears at least half of the members, and is in force once half of them run
+// it. An entry without the table sends work only while it hears more than half of them. The two sets have a member in
+// common, and an answer counts as heard only once its receiver runs the versions that it names. So after the contact
+// time no entry sends work according to an older state.
+//
+// Times of requests count from their start, on this process's own clock, and every question is decided when it is
+// asked. A process that wakes from a pause finds its confirmations and leases too old, whatever is still under way.
+//
+// When the members change, quorums of the last settled members count beside those of the present ones until half of
+// both know the new roster.
+//
+// An unknown result of a write is settled by reading the receipt of the change, and, if it is absent, by a neutral write
+// that advances the head, so that the lost write cannot commit later.
+//
+// A new owner of a cold target waits 5 s from when it learned the view that made it the owner; the leases of the old one
+// end 4 s after the start of a read that was before that view.
 package fleet
 
 import (
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -321,6 +321,26 @@
 	})
 }
 
+// Guards against an entry that goes on with old settings because the object store does not have the new ones. It gets
+// them from a peer, or refuses work if it has none.
+func TestSettingsFromPeer(t *testing.T) {
+	for _, alone := range []bool{false, true} {
+		simulate(t, usual(), "abc", func(t *testing.T, w *world) {
+			c := w.nodes["c"]
+			c.missing.Store(true)
+			if alone {
+				c.cut(false, c.alone())
+			}
+			accepted(t, w.nodes["a"].fleet.Apply(context.Background(), Change{
+				ID: "one",
+			}, []byte("settings")))
+			time.Sleep(contactTime)
+			assert.Equal(t, !alone, c.contact())
+			assert.Equal(t, !alone, string(c.fleet.State().Settings) == "settings")
+		})
+	}
+}
+
 // Guards against a fleet that accepts no change any more after most of its VMs were lost. The control leaves the lost
 // VMs in the platform's list.
 func TestVanished(t *testing.T) {
--- a/fleet/warm.go
+++ b/fleet/warm.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -186,7 +187,9 @@
 		return
 	}
 	f.counters.reads.Inc()
-	rows, err := f.opt.Platform.Scan(f.ctx, warmPrefix)
+	ctx, cancel := context.WithTimeout(f.ctx, tableTimeout)
+	defer cancel()
+	rows, err := f.opt.Platform.Scan(ctx, warmPrefix)
 	if err != nil {
 		f.log.Debug("reading the warm rows failed", zap.Error(err))
 		return
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -45,6 +45,8 @@
 	noTable bool
 	side    int          // processes on different sides of a partition do not reach each other
 	late    atomic.Int64 // how long answers to reads are under way
+	// missing makes the object store say that it has no settings.
+	missing atomic.Bool
 	dead    bool
 	seen    []string
 }
@@ -222,6 +224,23 @@
 	return rows, err
 }
 
+func (n *node) Objects() platform.Objects {
+	if n.missing.Load() {
+		return empty{}
+	}
+	return n.Memory.Objects()
+}
+
+// empty is an object store without objects.
+type empty struct{ platform.Objects }
+
+func (empty) Get(context.Context, string) ([]byte, error) {
+	return nil, &platform.Error{
+		Kind: platform.Missing,
+		Err:  errors.New("no such object"),
+	}
+}
+
 func (n *node) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
 	defer n.running()
 	if err := n.reach(ctx); err != nil {
