--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -149,6 +149,9 @@
 	f.absorb(reply)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.limits.arrival {
+		start = f.now()
+	}
 	if start.After(f.hearings[reply.Incarnation]) {
 		f.hearings[reply.Incarnation] = start
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -124,6 +124,8 @@
 	quorum bool
 	// revert lets older versions replace newer ones.
 	revert bool
+	// arrival counts times from the arrival of an answer instead of the start of the request.
+	arrival bool
 	// hasty drops the prior members at once, instead of when half of them know.
 	hasty bool
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -420,6 +420,47 @@
 	}
 }
 
+// Guards against an answer that was under way while the process was paused and that renews contact and a lease when it
+// wakes, though both have passed to others.
+func TestAnswerDuringPause(t *testing.T) {
+	tests := []struct {
+		name  string
+		table bool
+	}{
+		{
+			name:  "from the table",
+			table: true,
+		},
+		{
+			name: "from the peers",
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			compare(t, "abc", func(l *limits) { l.arrival = true }, func(t *testing.T, w *world) bool {
+				a, b, c := w.nodes["a"], w.nodes["b"], w.nodes["c"]
+				target := targets(50)[slices.IndexFunc(targets(50), c.owns)]
+				if tt.table {
+					c.late.Store(int64(900 * time.Millisecond))
+				} else {
+					c.slowPeers.Store(int64(900 * time.Millisecond))
+				}
+				time.Sleep(1500 * time.Millisecond)
+				c.cut(!tt.table, 0)
+				c.pause()
+				assert.Assert(t, accepted(t, a.drain("cairns", 0)).Force)
+				time.Sleep(goneTime + waitTime + 3*time.Second)
+				assert.Assert(t, a.owns(target) || b.owns(target))
+				c.cut(true, c.alone())
+				c.wake()
+				time.Sleep(10 * time.Millisecond)
+				assert.Equal(t, tt.table && c.contact(), c.owns(target), "contact and lease come from the same read")
+				return c.contact() && !c.drained("cairns")
+			})
+		})
+	}
+}
+
 // Guards against entries that are marked gone in turn because some others cannot hear them, though they are alive.
 func TestNoFlapping(t *testing.T) {
 	compare(t, "abcd", func(l *limits) { l.reported = false }, func(t *testing.T, w *world) bool {
--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -49,7 +49,7 @@
 	one := rapid.Custom(func(t *rapid.T) event {
 		return event{
 			Op: rapid.SampledFrom([]string{
-				"kill", "restart", "move", "leave", "pause", "pause", "wake", "wake", "table", "peers", "both", "west",
+				"kill", "restart", "move", "leave", "pause", "pause", "wake", "wake", "slow", "slow", "table", "peers", "both", "west",
 				"west", "west-table", "west-table", "heal", "heal", "down", "up", "up", "lose", "drain", "drain", "drain", "drain",
 			}).Draw(t, "op"),
 			Node: rapid.IntRange(0, nodes-1).Draw(t, "node"),
@@ -164,6 +164,9 @@
 		// The question comes before anything else can run in the process that wakes.
 		n.wake()
 		o.look()
+	case "slow":
+		// Answers are under way for longer than the entry waits for them, so a pause often catches one.
+		n.late.Store(int64(2500 * time.Millisecond))
 	case "table":
 		n.cut(true, 0)
 	case "peers", "both":
@@ -172,6 +175,7 @@
 		n.cut(e.Op == "west-table", west)
 	case "heal":
 		n.cut(false, 0)
+		n.late.Store(0)
 	case "down", "up":
 		o.w.down(e.Op == "down")
 	case "lose":
@@ -205,6 +209,7 @@
 		w.down(false)
 		for _, n := range w.hosts {
 			n.cut(false, 0)
+			n.late.Store(0)
 			n.wake()
 		}
 		o.sleep(15 * time.Second)
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -141,6 +141,9 @@
 		row:    t.markRow,
 		roster: t.roster,
 	}
+	if f.limits.arrival {
+		t.start = f.now()
+	}
 	if t.start.After(f.confirmed) {
 		f.confirmed = t.start
 	}
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -43,8 +43,10 @@
 	mu      sync.Mutex
 	gate    chan struct{} // closed while the process runs
 	noTable bool
-	side    int          // processes on different sides of a partition do not reach each other
-	late    atomic.Int64 // how long answers to reads are under way
+	side    int // processes on different sides of a partition do not reach each other
+	// late and slowPeers are how long answers of the table and of peers are under way.
+	late      atomic.Int64
+	slowPeers atomic.Int64
 	// missing makes the object store say that it has no settings.
 	missing atomic.Bool
 	dead    bool
@@ -298,7 +300,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return peer.fleet.Receive(ctx, message)
+	reply, err := peer.fleet.Receive(ctx, message)
+	time.Sleep(time.Duration(n.slowPeers.Load()))
+	return reply, err
 }
 
 func (n *node) Fetch(ctx context.Context, to netip.AddrPort, object string, warm bool) (*Snapshot, error) {
