--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -300,9 +300,20 @@
 	if err != nil {
 		return nil, err
 	}
-	reply, err := peer.fleet.Receive(ctx, message)
-	time.Sleep(time.Duration(n.slowPeers.Load()))
-	return reply, err
+	answer := make(chan *Message, 1)
+	go func() {
+		if reply, err := peer.fleet.Receive(ctx, message); err == nil {
+			answer <- reply
+		}
+	}()
+	// The peer may be paused while it handles the message.
+	select {
+	case reply := <-answer:
+		time.Sleep(time.Duration(n.slowPeers.Load()))
+		return reply, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 }
 
 func (n *node) Fetch(ctx context.Context, to netip.AddrPort, object string, warm bool) (*Snapshot, error) {
