Fetch a new state once, not once from each peer

All peers tell of a change within a second, and an entry asked each of them for the state at the same time. It now has one fetch under way; TestOneFetch counts them, with five at once as the control (go test -race -run TestOneFetch ./fleet).

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -181,14 +181,23 @@
 
 // catchUp fetches what the sender of a message has and this entry lacks.
 func (f *Fleet) catchUp(ctx context.Context, control netip.AddrPort, m *Message) error {
-	f.mu.RLock()
-	behind := m.Version > f.State().Version || m.Roster > f.roster.Version
+	if !f.behind(m) {
+		return nil
+	}
+	// All peers tell of a change within a moment. One fetch is enough.
+	select {
+	case f.fetching <- struct{}{}:
+		defer func() { <-f.fetching }()
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "wait for another fetch of the state")
+	}
+	if !f.behind(m) {
+		return nil
+	}
 	// A process that starts while the table is down gets the warm facts at once, not in small messages.
+	f.mu.RLock()
 	warm := !f.ready && f.scanned.IsZero()
 	f.mu.RUnlock()
-	if !behind {
-		return nil
-	}
 	current := f.State()
 	snap, err := f.opt.Peers.Fetch(ctx, control, current.document.Object, warm)
 	if err != nil {
@@ -208,6 +217,12 @@
 	return nil
 }
 
+func (f *Fleet) behind(m *Message) bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return m.Version > f.State().Version || m.Roster > f.roster.Version
+}
+
 // compose returns a message for a peer, and what to note when the peer has answered it.
 func (f *Fleet) compose(name string) (message *Message, confirm func(p *peer)) {
 	f.mu.RLock()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -126,6 +126,8 @@
 	revert bool
 	// arrival counts times from the arrival of an answer instead of the start of the request.
 	arrival bool
+	// fetches is how many fetches of the state may be under way at once.
+	fetches int
 	// hasty drops the prior members at once, instead of when half of them know.
 	hasty bool
 }
@@ -196,8 +198,10 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	kick   chan struct{}
-	tasks  sync.WaitGroup
-	done   chan struct{}
+	// fetching has room for the fetches of the state that may be under way.
+	fetching chan struct{}
+	tasks    sync.WaitGroup
+	done     chan struct{}
 }
 
 // Open starts to take part in the fleet. It returns at once; Contact is false until the state is known.
@@ -230,6 +234,7 @@
 		ctx:         ctx,
 		cancel:      cancel,
 		kick:        make(chan struct{}, 1),
+		fetching:    make(chan struct{}, l.fetches),
 		done:        make(chan struct{}),
 	}
 	f.warm.known = map[string]*fact{}
@@ -253,6 +258,7 @@
 		reported: true,
 		neutral:  true,
 		quorum:   true,
+		fetches:  1,
 	}
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -71,6 +71,22 @@
 	})
 }
 
+// Guards against settings that an entry fetches once from each peer when a change is known to all of them.
+func TestOneFetch(t *testing.T) {
+	compare(t, "abcdef", func(l *limits) { l.fetches = 5 }, func(t *testing.T, w *world) bool {
+		f := w.nodes["f"]
+		f.cut(true, f.alone())
+		accepted(t, w.nodes["a"].drain("cairns", 0))
+		time.Sleep(5 * time.Second)
+		before := w.fetches.Load()
+		w.slowFetch.Store(int64(200 * time.Millisecond))
+		f.cut(true, 0)
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, f.drained("cairns"))
+		return w.fetches.Load()-before > 1
+	})
+}
+
 // Guards against two operators who both believe that their change was made on the state they saw. The control removes
 // the checks from the writes.
 func TestOperatorsRace(t *testing.T) {
@@ -217,6 +233,7 @@
 		for _, target := range targets(100) {
 			w.nodes["a"].fleet.Announce(target, "first")
 		}
+		time.Sleep(20 * time.Second) // 8 facts go to each peer in a round
 		w.down(true)
 		w.nodes["d"].kill()
 		d := w.start("d", false)
@@ -505,7 +522,7 @@
 			time.Sleep(100 * time.Millisecond)
 			assert.Equal(t, w.nodes["a"].fleet.Members()[2].State, RecordStateLeaving)
 			if clean {
-				c.dead = true
+				c.end()
 				assert.NilError(t, c.fleet.Close(context.Background()))
 			}
 			c.kill()
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -25,6 +25,9 @@
 	limits limits
 	// unchecked removes the checks from all writes.
 	unchecked atomic.Bool
+	// fetches counts snapshots sent to peers.
+	fetches   atomic.Int64
+	slowFetch atomic.Int64
 
 	mu    sync.Mutex
 	nodes map[string]*node
@@ -191,6 +194,13 @@
 	n.noTable, n.side = table, side
 }
 
+// end notes that the process has ended by itself.
+func (n *node) end() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dead = true
+}
+
 // alone is a side that no other process is on.
 func (n *node) alone() int { return int(n.control.Port()) }
 
@@ -322,6 +332,8 @@
 	if err != nil {
 		return nil, err
 	}
+	n.w.fetches.Add(1)
+	time.Sleep(time.Duration(n.w.slowFetch.Load()))
 	return peer.fleet.Snapshot(object, warm), nil
 }
 
