--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -25,6 +25,9 @@
 	limits limits
 	// unchecked removes the checks from all writes.
 	unchecked atomic.Bool
+	// fetches counts snapshots sent to peers.
+	fetches   atomic.Int64
+	slowFetch atomic.Int64
 
 	mu    sync.Mutex
 	nodes map[string]*node
@@ -43,8 +46,12 @@
 	mu      sync.Mutex
 	gate    chan struct{} // closed while the process runs
 	noTable bool
-	side    int          // processes on different sides of a partition do not reach each other
-	late    atomic.Int64 // how long answers to reads are under way
+	side    int // processes on different sides of a partition do not reach each other
+	// late and slowPeers are how long answers of the table and of peers are under way.
+	late      atomic.Int64
+	slowPeers atomic.Int64
+	// missing makes the object store say that it has no settings.
+	missing atomic.Bool
 	dead    bool
 	seen    []string
 }
@@ -187,6 +194,13 @@
 	n.noTable, n.side = table, side
 }
 
+// end notes that the process has ended by itself.
+func (n *node) end() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dead = true
+}
+
 // alone is a side that no other process is on.
 func (n *node) alone() int { return int(n.control.Port()) }
 
@@ -222,6 +236,23 @@
 	return rows, err
 }
 
+func (n *node) Objects() platform.Objects {
+	if n.missing.Load() {
+		return empty{}
+	}
+	return n.Memory.Objects()
+}
+
+// empty is an object store without objects.
+type empty struct{ platform.Objects }
+
+func (empty) Get(context.Context, string) ([]byte, error) {
+	return nil, &platform.Error{
+		Kind: platform.Missing,
+		Err:  errors.New("no such object"),
+	}
+}
+
 func (n *node) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
 	defer n.running()
 	if err := n.reach(ctx); err != nil {
@@ -279,7 +310,20 @@
 	if err != nil {
 		return nil, err
 	}
-	return peer.fleet.Receive(ctx, message)
+	answer := make(chan *Message, 1)
+	go func() {
+		if reply, err := peer.fleet.Receive(ctx, message); err == nil {
+			answer <- reply
+		}
+	}()
+	// The peer may be paused while it handles the message.
+	select {
+	case reply := <-answer:
+		time.Sleep(time.Duration(n.slowPeers.Load()))
+		return reply, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 }
 
 func (n *node) Fetch(ctx context.Context, to netip.AddrPort, object string, warm bool) (*Snapshot, error) {
@@ -288,6 +332,8 @@
 	if err != nil {
 		return nil, err
 	}
+	n.w.fetches.Add(1)
+	time.Sleep(time.Duration(n.w.slowFetch.Load()))
 	return peer.fleet.Snapshot(object, warm), nil
 }
 
