--- a/entry/background.go
+++ b/entry/background.go
@@ -30,6 +30,11 @@
 			interval: 100 * time.Millisecond,
 			run:      e.expire,
 		},
+		{
+			name:     "take over use",
+			interval: 500 * time.Millisecond,
+			run:      e.takeUse,
+		},
 		{
 			name:     "watch contact",
 			interval: 250 * time.Millisecond,
@@ -152,3 +157,32 @@
 	}
 	e.log.Warn("no contact with the platform and a majority of the members; new calls are refused as isolated")
 }
+
+// use returns what callers use at this entry, by service and caller.
+func (e *Entry) use() map[string]map[string]float64 {
+	now := e.timers.Now()
+	use := map[string]map[string]float64{}
+	for name, s := range e.view.Load().services {
+		if u := s.scheduler.Use(now); len(u) > 0 {
+			use[name] = u
+		}
+	}
+	return use
+}
+
+// takeUse tells the schedulers what callers use at the other entries, so that a caller that floods through all entries
+// does not get its share from each.
+func (e *Entry) takeUse() {
+	now := e.timers.Now()
+	sum, known := e.fleet.Elsewhere(now)
+	for name, s := range e.view.Load().services {
+		switch {
+		case !known:
+			s.scheduler.SetElsewhere(now, nil)
+		case sum[name] == nil:
+			s.scheduler.SetElsewhere(now, map[string]float64{})
+		default:
+			s.scheduler.SetElsewhere(now, sum[name])
+		}
+	}
+}
--- a/entry/provide.go
+++ b/entry/provide.go
@@ -46,6 +46,16 @@
 	return zap.New(zapcore.NewTee(opts.Logger.Core(), newJournalCore(j)))
 }
 
+// use is empty until the entry is assembled, because the fleet does not wait for it.
+func (c *callbacks) use() map[string]map[string]float64 {
+	select {
+	case <-c.ready:
+		return c.entry.use()
+	default:
+		return nil
+	}
+}
+
 func newPeers(counters *Counters) *fleet.Client {
 	return fleet.NewClient(counters.set)
 }
@@ -69,6 +79,7 @@
 		Serve:    opts.Serve,
 		Seen:     c.seen,
 		Warmed:   c.warmed,
+		Use:      c.use,
 		Metrics:  counters.set,
 		Logger:   log,
 	})
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -39,6 +39,9 @@
 	watched time.Time
 	beaten  time.Time
 	beatRow uint64
+	// use is what callers use at the peer, by its message of the time used.
+	use  map[string]map[string]int
+	used time.Time
 }
 
 func newPeer(incarnation string, now time.Time) *peer {
@@ -98,6 +101,7 @@
 // tick starts an exchange with each peer that has answered the last one. It does not wait, so that a silent peer does
 // not delay the others.
 func (f *Fleet) tick() {
+	f.measureUse()
 	for _, to := range f.addresses(true) {
 		f.tasks.Add(1)
 		go func() {
@@ -248,6 +252,7 @@
 	if p == nil {
 		return m, confirm
 	}
+	m.Use = f.use
 	limit := max(1, maxFacts/len(f.peers))
 	switch {
 	case p.heard.IsZero():
@@ -303,6 +308,7 @@
 		return nil, errors.New("the entry has stopped")
 	}
 	f.absorb(m)
+	f.noteUse(m)
 	if known {
 		if err := f.catchUp(ctx, sender.Control, m); err != nil {
 			f.log.Debug("catching up failed", zap.String("peer", m.Entry), zap.Error(err))
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -158,6 +158,9 @@
 	Seen func(target, instance string)
 	// Warmed is told of each new warm fact; may be nil.
 	Warmed func(target, instance string)
+	// Use returns the average number of slots that callers use at this entry, by service and caller, for the other
+	// entries; may be nil. It is called once in a round of exchanges.
+	Use func() map[string]map[string]float64
 	// Metrics receives the counters and Logger the changes of state; both may be nil.
 	Metrics *metrics.Set
 	Logger  *zap.Logger
@@ -192,6 +195,8 @@
 	scanned    time.Time
 	ended      bool
 	err        error
+	// use is what the messages of the present round tell.
+	use map[string]map[string]int
 
 	warm facts
 
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -92,6 +92,10 @@
 	// New instances of targets that the receiver owns.
 	Seen []Fact `json:"seen,omitempty,omitzero"`
 
+	// Hundredths of a slot that callers use at the sender, by service and caller;
+	// only the largest.
+	Use map[string]map[string]int `json:"use,omitempty,omitzero"`
+
 	// Version of the state that the sender runs.
 	Version uint64 `json:"version"`
 
