Take over the advice of the selection package at the entry

Cause: the window of a service was adapted only after calls, sightings of other entries were passed on as reports, and refusals had a fixed Retry-After. Change: services with calls get their capacity every 10 ms, SetFallen and RetryAfter are used, and a target that bears no call at an entry is not warmed by time.

--- a/entry/background.go
+++ b/entry/background.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"go.uber.org/zap"
-
-	"skylarkbeam/route"
 )
 
 // job is one piece of background work.
@@ -27,8 +25,8 @@
 		},
 		{
 			name:     "adjust capacity",
-			interval: 100 * time.Millisecond,
-			run:      e.expire,
+			interval: adjustInterval,
+			run:      e.adjustAll,
 		},
 		{
 			name:     "take over use",
@@ -93,32 +91,26 @@
 // cold start has ended. A target that has answered within the last second is not probed.
 func (e *Entry) probeCold() {
 	now := e.timers.Now()
-	for name, p := range e.view.Load().pools {
-		if e.table.Phase(now, name) != route.Cold {
+	v := e.view.Load()
+	for _, s := range e.table.Status(now) {
+		p := v.pools[s.Target]
+		if p == nil || s.Warm || !s.Operating {
 			continue
 		}
-		if _, owned := e.fleet.Owns(now, name); !owned {
+		if _, owned := e.fleet.Owns(now, s.Target); !owned {
 			continue
 		}
 		e.tasks.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
-			// A failed probe shows in the target's phase and is repeated.
+			// A failed probe shows in the target's use and is repeated.
 			if report, err := p.Probe(ctx); err == nil {
-				e.notify(e.table.Observe(e.timers.Now(), name, report))
+				e.notify(e.table.Observe(e.timers.Now(), s.Target, report))
 			}
 		})
 	}
 }
 
-func (e *Entry) expire() {
-	now := e.timers.Now()
-	for _, s := range e.view.Load().services {
-		e.adjust(now, s)
-		s.scheduler.Expire(now)
-	}
-}
-
 func (e *Entry) trim() {
 	for _, p := range e.view.Load().pools {
 		p.Trim()
--- a/entry/call.go
+++ b/entry/call.go
@@ -182,6 +182,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
+	c.service.active.Store(true)
 	ticket, refused := c.service.scheduler.Admit(ctx, c.caller, c.deadline)
 	if refused != nil {
 		return notRun(refused.Reason, refused.RetryAfter, "not admitted")
@@ -190,7 +191,7 @@
 	defer func() {
 		now := e.timers.Now()
 		ticket.Done(now, now.Sub(admitted))
-		e.adjust(now, c.service)
+		c.service.active.Store(true)
 	}()
 	if !c.idempotent && !c.relayed {
 		return e.handleOnce(ctx, w, c)
@@ -310,7 +311,8 @@
 	permit, reason := e.pick(ctx, c)
 	if permit == nil {
 		return &outcome.NotRun{
-			Reason: reason,
+			Reason:     reason,
+			RetryAfter: e.table.RetryAfter(c.service.name, reason),
 		}
 	}
 	for {
--- a/entry/control.go
+++ b/entry/control.go
@@ -120,7 +120,7 @@
 	Instance string `json:"instance"`
 	// Phase is what the target said last, Use how this entry uses it.
 	Phase outcome.Phase `json:"phase"`
-	Use   route.Phase   `json:"use"`
+	Use   string        `json:"use"`
 }
 
 func (e *Entry) serveStatus(_ *restful.Request, resp *restful.Response) {
@@ -172,7 +172,10 @@
 
 func (e *Entry) phases() []phase {
 	v := e.view.Load()
-	now := e.timers.Now()
+	uses := map[string]string{}
+	for _, s := range e.table.Status(e.timers.Now()) {
+		uses[s.Target] = useOf(s)
+	}
 	var rows []phase
 	for serviceName, s := range v.services {
 		for name := range s.spec.Targets {
@@ -184,7 +187,7 @@
 				Warm:     e.fleet.Warm(name),
 				Instance: report.Instance,
 				Phase:    report.Phase,
-				Use:      e.table.Phase(now, name),
+				Use:      uses[name],
 			})
 		}
 	}
@@ -192,6 +195,19 @@
 	return rows
 }
 
+// useOf says how the entry uses a target.
+func useOf(s route.Status) string {
+	switch {
+	case !s.Operating:
+		return "drained or leaving"
+	case !s.Warm:
+		return "cold"
+	case !s.Ejected.IsZero():
+		return "ejected after failures"
+	}
+	return "warm"
+}
+
 func (e *Entry) serveSettings(_ *restful.Request, resp *restful.Response) {
 	state := e.fleet.State()
 	writeJSON(resp, struct {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,7 +33,6 @@
 
 	"skylarkbeam/claim"
 	"skylarkbeam/fleet"
-	"skylarkbeam/outcome"
 	"skylarkbeam/route"
 	"skylarkbeam/target"
 	"skylarkbeam/timer"
@@ -132,7 +131,5 @@
 
 // sighted is called when another entry has seen an instance of a target that this entry owns.
 func (e *Entry) sighted(name, instance string) {
-	e.table.Observe(e.timers.Now(), name, outcome.Report{
-		Instance: instance,
-	})
+	e.table.SetFallen(e.timers.Now(), name, instance)
 }
--- a/entry/view.go
+++ b/entry/view.go
@@ -39,8 +39,9 @@
 	name      string
 	spec      setting.Service
 	scheduler *share.Scheduler
-	// adjusted is when the scheduler last got its capacity, in Unix nanoseconds.
+	// adjusted is when the scheduler last got its capacity, in Unix nanoseconds; active that there were calls since then.
 	adjusted atomic.Int64
+	active   atomic.Bool
 }
 
 // pool is the connection pool of a target with the settings it was made from.
@@ -113,7 +114,9 @@
 			p.Close()
 		}
 	}
-	e.adjustAll(now)
+	for _, s := range next.services {
+		e.adjust(now, s)
+	}
 }
 
 func firstPositive(values ...int) int {
@@ -203,20 +206,25 @@
 	e.notify(e.table.Observe(e.timers.Now(), name, r))
 }
 
-// adjust tells the scheduler of a service how many calls this entry should have in flight. At most once in a
-// hundredth of a second, because it takes the locks of both.
+// adjustInterval is how often a service that has calls gets its capacity anew.
+const adjustInterval = 10 * time.Millisecond
+
+// adjust tells the scheduler of a service how many calls this entry should have in flight, and refuses waiting calls that
+// are too late.
 func (e *Entry) adjust(now time.Time, s *service) {
-	const interval = 10 * time.Millisecond
-	last := s.adjusted.Load()
-	if now.UnixNano()-last < int64(interval) || !s.adjusted.CompareAndSwap(last, now.UnixNano()) {
-		return
-	}
 	window, total := e.table.Capacity(now, s.name, s.scheduler.Demand(now))
 	s.scheduler.SetCapacity(now, window, total)
+	s.scheduler.Expire(now)
 }
 
-func (e *Entry) adjustAll(now time.Time) {
+// adjustAll adjusts the services that had calls since the last time, and every service once a second.
+func (e *Entry) adjustAll() {
+	now := e.timers.Now()
 	for _, s := range e.view.Load().services {
+		if !s.active.Swap(false) && now.UnixNano()-s.adjusted.Load() < int64(time.Second) {
+			continue
+		}
+		s.adjusted.Store(now.UnixNano())
 		e.adjust(now, s)
 	}
 }
--- a/route/table.go
+++ b/route/table.go
@@ -245,7 +245,7 @@
 	if report.Instance == x.instance {
 		x.setLoad(now, report)
 	}
-	if e != nil || x.isWarm() {
+	if e != nil || x.isWarm() || x.Bear <= 0 {
 		return e
 	}
 	// The cold start of a target without calls ends by time alone, under the same conditions.
