Ask again for a hedge while the first attempt goes on

Cause: a hedge was asked for once; with all targets busy at that moment a slow call stayed with its target. Change: the hedge asks again after the same time until the first attempt ends; one that has not started by then never starts.

--- a/cmd/knownred/main.go
+++ b/cmd/knownred/main.go
@@ -181,6 +181,7 @@
 	for _, name := range names {
 		if r.result[name] == "fail" && !strings.Contains(name, " ") && !r.failedTestIn(name) {
 			fmt.Printf("--- FAIL: package %s\n%s", name, strings.Join(r.output[name], ""))
+			r.printUnfinished(name)
 			packageFailedWithoutTest = true
 		}
 	}
@@ -191,6 +192,15 @@
 	return status
 }
 
+// printUnfinished prints the output of the tests of a package that have no result: the process ended while they ran.
+func (r *testRun) printUnfinished(pkg string) {
+	for name, lines := range r.output {
+		if _, ended := r.result[name]; !ended && strings.HasPrefix(name, pkg+" ") {
+			fmt.Print(strings.Join(lines, ""))
+		}
+	}
+}
+
 // failedTestIn tells whether a failed package has a failed test, which then is the reason for its failure.
 func (r *testRun) failedTestIn(pkg string) bool {
 	for name, result := range r.result {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -58,6 +58,7 @@
 		entry:       e,
 		call:        c,
 		query:       c.query(),
+		after:       after,
 		cancelFirst: cancelFirst,
 		result:      make(chan any, 1),
 	}
@@ -94,34 +95,29 @@
 	entry       *Entry
 	call        *call
 	query       route.Query
+	after       time.Duration
 	ctx         context.Context
 	cancel      context.CancelFunc
 	cancelFirst context.CancelFunc
 	result      chan any
 
 	mu sync.Mutex
-	// At most one of the two attempts wins; the answer of the other is discarded.
-	won  bool
-	lost bool
+	// At most one of the two attempts wins; the answer of the other is discarded. A hedge that has not started when the
+	// first attempt ends never starts.
+	started bool
+	won     bool
+	lost    bool
 }
 
 // run makes the second attempt. It always sends one result.
 func (h *hedge) run() {
-	e := h.entry
-	permit := e.table.Hedge(e.timers.Now(), h.call.service.name, h.query)
+	permit := h.permit()
 	if permit == nil {
 		h.result <- nil
 		return
 	}
-	if now := e.timers.Now(); !e.contact(now) {
-		permit.Done(now, route.Result{
-			Kind: route.Canceled,
-		})
-		h.result <- nil
-		return
-	}
-	e.counters.Retried(outcome.Hedge)
-	result := e.attempt(h.ctx, h.call, permit)
+	h.entry.counters.Retried(outcome.Hedge)
+	result := h.entry.attempt(h.ctx, h.call, permit)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if a, ok := result.(*answer); ok {
@@ -136,12 +132,44 @@
 	h.result <- result
 }
 
+// permit asks for a target until there is one or the first attempt has ended: targets that are all busy at first may
+// have room soon.
+func (h *hedge) permit() *route.Permit {
+	e := h.entry
+	for {
+		now := e.timers.Now()
+		if permit := e.table.Hedge(now, h.call.service.name, h.query); permit != nil {
+			if e.contact(now) && h.begin() {
+				return permit
+			}
+			permit.Done(now, route.Result{
+				Kind: route.Canceled,
+			})
+			return nil
+		}
+		again := time.NewTimer(h.after)
+		select {
+		case <-again.C:
+		case <-h.ctx.Done():
+			again.Stop()
+			return nil
+		}
+	}
+}
+
+func (h *hedge) begin() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.started = !h.lost
+	return h.started
+}
+
 // settle chooses between the first attempt, which has ended, and the hedge. A first answer that arrives after the hedge
 // has won cannot be used, because its connection is already being closed.
 func (h *hedge) settle(first any) any {
 	firstAnswer, answered := first.(*answer)
 	h.mu.Lock()
-	if answered && !h.won {
+	if answered && !h.won || !h.started {
 		h.lost = true
 		h.mu.Unlock()
 		h.cancel()
