State that an entry listens before it joins the fleet

The vote of a former process passes to one with the same control address only because two processes cannot listen on it, so the listener has to exist before Open.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -139,7 +139,8 @@
 	// Name is the entry's name in the settings and Domain its failure domain.
 	Name   string
 	Domain string
-	// Caller and Control are the addresses for callers and for peers.
+	// Caller and Control are the addresses for callers and for peers. The process must listen on Control before it calls
+	// Open: that shows that a former process of its name with the same address has ended.
 	Caller  netip.AddrPort
 	Control netip.AddrPort
 	// Check reports why settings are invalid; nil accepts all.
