--- a/bench/sim.go
+++ b/bench/sim.go
@@ -30,6 +30,9 @@
 	"skylarkbeam/share"
 )
 
+// adaptInterval is how often an entry adapts its capacity and refuses calls that wait too long.
+const adaptInterval = 10 * time.Millisecond
+
 // sim is one run.
 type sim struct {
 	loop
@@ -49,6 +52,9 @@
 	if c.Bear == 0 {
 		c.Bear = 1
 	}
+	if c.ColdTime == 0 {
+		c.ColdTime = time.Second
+	}
 	if c.Ownership == "" {
 		c.Ownership = SingleOwner
 	}
@@ -76,15 +82,15 @@
 		s.entries = append(s.entries, s.newEntry(i))
 	}
 	for _, t := range s.targets {
-		s.facts[t.index] = t.instance()
+		t.live(0)
+		s.facts[t.index] = t.instance
 		for _, e := range s.entries {
 			if e.table != nil {
-				e.table.SetWarm(s.time(), targetName(t.index), t.instance())
+				e.table.SetWarm(s.time(), targetName(t.index), t.instance)
 			}
 		}
 	}
 	s.schedule()
-	if dbg != nil { dbg(s) }
 	s.runUntil(Warmup + c.Length)
 	s.finish()
 	return s.result
@@ -120,6 +126,22 @@
 	return e
 }
 
+// exchangeUse tells every entry what callers use at the others.
+func (s *sim) exchangeUse() {
+	for _, e := range s.entries {
+		sum := map[string]float64{}
+		for _, other := range s.entries {
+			if other == e || other.dead || other.paused {
+				continue
+			}
+			for name, use := range other.scheduler.Use(s.time()) {
+				sum[name] += use
+			}
+		}
+		s.after(50*time.Millisecond, func() { e.scheduler.SetElsewhere(s.time(), sum) })
+	}
+}
+
 func shareOf(name string) float64 {
 	for _, c := range Callers {
 		if c.Name == name {
@@ -139,9 +161,10 @@
 		}
 		s.load(i, rate)
 	}
-	s.every(2*time.Millisecond, func() {
+	s.every(adaptInterval, func() {
 		for _, e := range s.entries {
 			e.expire()
+			e.adapt()
 		}
 	})
 	s.every(time.Second, func() {
@@ -150,6 +173,9 @@
 			e.refresh()
 		}
 	})
+	if !s.config.Alone && s.config.Policy == Route {
+		s.every(exchangeTime, s.exchangeUse)
+	}
 	if s.config.Churn {
 		s.after(2*time.Second, s.churn)
 	}
@@ -164,11 +190,20 @@
 		for _, t := range s.targets {
 			t.disturb()
 		}
+	case Departure:
+		s.after(Warmup+time.Second, func() {
+			for _, t := range s.targets {
+				if t.index%s.config.Shape.Domains == 0 {
+					t.fall(2 * time.Second)
+					s.fallen[t.index] = s.now
+				}
+			}
+		})
 	case Falls:
 		s.every(2*time.Second, func() {
 			t := s.targets[s.rand.IntN(len(s.targets))]
 			if _, falling := s.fallen[t.index]; !falling {
-				t.fall()
+				t.fall(restartTime)
 				s.fallen[t.index] = s.now
 			}
 		})
@@ -184,6 +219,9 @@
 		for ; i < Entries-1 && x >= entryWeights[i]; i++ {
 			x -= entryWeights[i]
 		}
+		if s.config.Sticky && caller > 0 {
+			i = caller % Entries
+		}
 		s.entries[i].arrive(caller)
 		s.load(caller, rate)
 	})
@@ -248,7 +286,7 @@
 // warmed notes the time from the fall of a target to the end of its cold start at its owner.
 func (s *sim) warmed(name string) {
 	i, _ := strconv.Atoi(name)
-	s.facts[i] = s.targets[i].instance()
+	s.facts[i] = s.targets[i].instance
 	if at, ok := s.fallen[i]; ok {
 		delete(s.fallen, i)
 		s.result.warm = append(s.result.warm, s.now-at)
@@ -262,4 +300,3 @@
 	}
 	s.result.unwarmed = len(s.fallen)
 }
-var dbg func(*sim)
--- a/cmd/skylarkbeam/status.go
+++ b/cmd/skylarkbeam/status.go
@@ -66,11 +66,7 @@
 			m.Name, m.Domain, m.State, m.Version, time.Duration(m.Heard).Round(time.Millisecond))
 	}
 	for _, p := range s.Phases {
-		warm := "cold or not known"
-		if p.Warm != "" && (p.Warm == p.Instance || p.Instance == "") {
-			warm = "warm"
-		}
-		fmt.Fprintf(w, "target\t%s of %s: %s, owner %s\n", p.Target, p.Service, warm, p.Owner)
+		fmt.Fprintf(w, "target\t%s of %s: %s, owner %s\n", p.Target, p.Service, p.Use, p.Owner)
 	}
 	for _, t := range s.Tasks {
 		fmt.Fprintf(w, "task\t%s every %s\n", t.Name, t.Interval)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -58,6 +58,7 @@
 		entry:       e,
 		call:        c,
 		query:       c.query(),
+		after:       after,
 		cancelFirst: cancelFirst,
 		result:      make(chan any, 1),
 	}
@@ -94,34 +95,29 @@
 	entry       *Entry
 	call        *call
 	query       route.Query
+	after       time.Duration
 	ctx         context.Context
 	cancel      context.CancelFunc
 	cancelFirst context.CancelFunc
 	result      chan any
 
 	mu sync.Mutex
-	// At most one of the two attempts wins; the answer of the other is discarded.
-	won  bool
-	lost bool
+	// At most one of the two attempts wins; the answer of the other is discarded. A hedge that has not started when the
+	// first attempt ends never starts.
+	started bool
+	won     bool
+	lost    bool
 }
 
 // run makes the second attempt. It always sends one result.
 func (h *hedge) run() {
-	e := h.entry
-	permit := e.table.Hedge(e.timers.Now(), h.call.service.name, h.query)
+	permit := h.permit()
 	if permit == nil {
 		h.result <- nil
 		return
 	}
-	if now := e.timers.Now(); !e.contact(now) {
-		permit.Done(now, route.Result{
-			Kind: route.Canceled,
-		})
-		h.result <- nil
-		return
-	}
-	e.counters.Retried(outcome.Hedge)
-	result := e.attempt(h.ctx, h.call, permit)
+	h.entry.counters.Retried(outcome.Hedge)
+	result := h.entry.attempt(h.ctx, h.call, permit)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if a, ok := result.(*answer); ok {
@@ -136,27 +132,61 @@
 	h.result <- result
 }
 
+// permit asks for a target until there is one or the first attempt has ended: targets that are all busy at first may
+// have room soon.
+func (h *hedge) permit() *route.Permit {
+	e := h.entry
+	for {
+		now := e.timers.Now()
+		if permit := e.table.Hedge(now, h.call.service.name, h.query); permit != nil {
+			if e.contact(now) && h.begin() {
+				return permit
+			}
+			permit.Done(now, route.Result{
+				Kind: route.Canceled,
+			})
+			return nil
+		}
+		again := time.NewTimer(h.after)
+		select {
+		case <-again.C:
+		case <-h.ctx.Done():
+			again.Stop()
+			return nil
+		}
+	}
+}
+
+func (h *hedge) begin() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.started = !h.lost
+	return h.started
+}
+
 // settle chooses between the first attempt, which has ended, and the hedge. A first answer that arrives after the hedge
 // has won cannot be used, because its connection is already being closed.
 func (h *hedge) settle(first any) any {
 	firstAnswer, answered := first.(*answer)
 	h.mu.Lock()
-	if answered && !h.won {
+	if answered && !h.won || !h.started {
 		h.lost = true
 		h.mu.Unlock()
 		h.cancel()
 		return first
 	}
 	h.mu.Unlock()
-	second, ok := (<-h.result).(*answer)
-	if !ok {
-		return first
-	}
-	if answered {
-		firstAnswer.discard()
+	switch second := (<-h.result).(type) {
+	case *answer:
+		if answered {
+			firstAnswer.discard()
+		}
+		h.entry.counters.hedgeWins.Inc()
+		return second
+	case *outcome.Unknown:
+		h.call.mayHaveRun = true
 	}
-	h.entry.counters.hedgeWins.Inc()
-	return second
+	return first
 }
 
 // attempt sends a call to the target of the permit. It returns an *answer, *outcome.NotRun or *outcome.Unknown. The
@@ -190,13 +220,12 @@
 	}
 	e.counters.dispatch.Inc()
 	o := p.Send(ctx, c.message(permit.Instance, deadline.Sub(start)))
-	return e.receive(ctx, c, o, func(kind route.Kind, report outcome.Report, silent bool) {
+	return e.receive(ctx, c, o, func(kind route.Kind, report outcome.Report) {
 		now := e.timers.Now()
 		e.notify(permit.Done(now, route.Result{
 			Kind:    kind,
 			Latency: now.Sub(start),
 			Report:  report,
-			Silent:  silent,
 		}))
 	})
 }
@@ -218,7 +247,7 @@
 
 // receive settles an outcome: it reads the first part of an answer, so that a break within it can be repaired before the
 // caller has seen anything. Done ends the attempt.
-func (e *Entry) receive(ctx context.Context, c *call, o outcome.Outcome, done func(route.Kind, outcome.Report, bool)) any {
+func (e *Entry) receive(ctx context.Context, c *call, o outcome.Outcome, done func(route.Kind, outcome.Report)) any {
 	switch o := o.(type) {
 	case *outcome.NotRun:
 		kind := route.Unsent
@@ -229,14 +258,14 @@
 			// The entry's own limits ended the attempt. Charging the target would eject it.
 			kind = route.Canceled
 		}
-		done(kind, o.Report, false)
+		done(kind, o.Report)
 		return o
 	case *outcome.Unknown:
 		kind := route.Failed
 		if ctx.Err() == context.Canceled {
 			kind = route.Canceled
 		}
-		done(kind, outcome.Report{}, o.Reason == outcome.Silent)
+		done(kind, outcome.Report{})
 		return o
 	case *outcome.Answered:
 		return e.buffer(ctx, c, o, done)
@@ -245,7 +274,7 @@
 	}
 }
 
-func (e *Entry) buffer(ctx context.Context, c *call, o *outcome.Answered, done func(route.Kind, outcome.Report, bool)) any {
+func (e *Entry) buffer(ctx context.Context, c *call, o *outcome.Answered, done func(route.Kind, outcome.Report)) any {
 	a := &answer{
 		status: o.Status,
 		header: o.Header,
@@ -269,7 +298,7 @@
 		if ctx.Err() == context.Canceled {
 			reason, failed = outcome.Canceled, route.Canceled
 		}
-		done(failed, o.Report, false)
+		done(failed, o.Report)
 		return &outcome.Unknown{
 			Reason: reason,
 		}
@@ -277,7 +306,7 @@
 		o.Body.Close()
 		a.prefix = prefix
 		a.length = int64(len(prefix))
-		done(kind, o.Report, false)
+		done(kind, o.Report)
 		return a
 	}
 	a.prefix = prefix
@@ -286,7 +315,7 @@
 		if k == route.Succeeded {
 			k = kind
 		}
-		done(k, o.Report, false)
+		done(k, o.Report)
 	}
 	return a
 }
--- a/entry/background.go
+++ b/entry/background.go
@@ -25,8 +25,13 @@
 		},
 		{
 			name:     "adjust capacity",
-			interval: 100 * time.Millisecond,
-			run:      e.expire,
+			interval: adjustInterval,
+			run:      e.adjustAll,
+		},
+		{
+			name:     "take over use",
+			interval: 500 * time.Millisecond,
+			run:      e.takeUse,
 		},
 		{
 			name:     "watch contact",
@@ -86,32 +91,26 @@
 // cold start has ended. A target that has answered within the last second is not probed.
 func (e *Entry) probeCold() {
 	now := e.timers.Now()
-	for name, p := range e.view.Load().pools {
-		if !e.table.Cold(name) {
+	v := e.view.Load()
+	for _, s := range e.table.Status(now) {
+		p := v.pools[s.Target]
+		if p == nil || s.Warm || !s.Operating {
 			continue
 		}
-		if _, owned := e.fleet.Owns(now, name); !owned {
+		if _, owned := e.fleet.Owns(now, s.Target); !owned {
 			continue
 		}
 		e.tasks.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
-			// A failed probe shows in the target's phase and is repeated.
+			// A failed probe shows in the target's use and is repeated.
 			if report, err := p.Probe(ctx); err == nil {
-				e.notify(e.table.Observe(e.timers.Now(), name, report))
+				e.notify(e.table.Observe(e.timers.Now(), s.Target, report))
 			}
 		})
 	}
 }
 
-func (e *Entry) expire() {
-	now := e.timers.Now()
-	for _, s := range e.view.Load().services {
-		e.adjust(now, s)
-		s.scheduler.Expire(now)
-	}
-}
-
 func (e *Entry) trim() {
 	for _, p := range e.view.Load().pools {
 		p.Trim()
@@ -150,3 +149,32 @@
 	}
 	e.log.Warn("no contact with the platform and a majority of the members; new calls are refused as isolated")
 }
+
+// use returns what callers use at this entry, by service and caller.
+func (e *Entry) use() map[string]map[string]float64 {
+	now := e.timers.Now()
+	use := map[string]map[string]float64{}
+	for name, s := range e.view.Load().services {
+		if u := s.scheduler.Use(now); len(u) > 0 {
+			use[name] = u
+		}
+	}
+	return use
+}
+
+// takeUse tells the schedulers what callers use at the other entries, so that a caller that floods through all entries
+// does not get its share from each.
+func (e *Entry) takeUse() {
+	now := e.timers.Now()
+	sum, known := e.fleet.Elsewhere(now)
+	for name, s := range e.view.Load().services {
+		switch {
+		case !known:
+			s.scheduler.SetElsewhere(now, nil)
+		case sum[name] == nil:
+			s.scheduler.SetElsewhere(now, map[string]float64{})
+		default:
+			s.scheduler.SetElsewhere(now, sum[name])
+		}
+	}
+}
--- a/entry/view.go
+++ b/entry/view.go
@@ -39,8 +39,9 @@
 	name      string
 	spec      setting.Service
 	scheduler *share.Scheduler
-	// adjusted is when the scheduler last got its capacity, in Unix nanoseconds.
+	// adjusted is when the scheduler last got its capacity, in Unix nanoseconds; active that there were calls since then.
 	adjusted atomic.Int64
+	active   atomic.Bool
 }
 
 // pool is the connection pool of a target with the settings it was made from.
@@ -89,7 +90,7 @@
 	for name, spec := range settings.Services {
 		next.services[name] = e.service(old, name, spec)
 		for targetName, t := range spec.Targets {
-			next.pools[targetName] = e.pool(now, old, settings, spec, targetName, t)
+			next.pools[targetName] = e.pool(now, old, settings, name, targetName)
 			targets = append(targets, route.Target{
 				Name:     targetName,
 				Service:  name,
@@ -113,7 +114,9 @@
 			p.Close()
 		}
 	}
-	e.adjustAll(now)
+	for _, s := range next.services {
+		e.adjust(now, s)
+	}
 }
 
 func firstPositive(values ...int) int {
@@ -151,7 +154,9 @@
 	return settings.Classes[settings.Callers[caller].Class].Share
 }
 
-func (e *Entry) pool(now time.Time, old *view, settings *setting.Settings, spec setting.Service, name string, t setting.Target) *pool {
+func (e *Entry) pool(now time.Time, old *view, settings *setting.Settings, serviceName, name string) *pool {
+	spec := settings.Services[serviceName]
+	t := spec.Targets[name]
 	entries := max(len(settings.Entries), 1)
 	connections := max(spec.Connections/entries, 1)
 	budget := e.budget(now, name, spec.Probes/entries)
@@ -167,6 +172,7 @@
 			Timers:      e.timers,
 			Silence:     max(silenceFactor*time.Duration(spec.Work), silenceFloor),
 			OnReport:    func(r outcome.Report) { e.reported(name, r) },
+			MayRetry:    func() bool { return e.table.Spend(serviceName) },
 			OnRetry:     e.counters.Retried,
 		}),
 		spec:        t,
@@ -203,20 +209,25 @@
 	e.notify(e.table.Observe(e.timers.Now(), name, r))
 }
 
-// adjust tells the scheduler of a service how many calls this entry should have in flight. At most once in a
-// hundredth of a second, because it takes the locks of both.
+// adjustInterval is how often a service that has calls gets its capacity anew.
+const adjustInterval = 10 * time.Millisecond
+
+// adjust tells the scheduler of a service how many calls this entry should have in flight, and refuses waiting calls that
+// are too late.
 func (e *Entry) adjust(now time.Time, s *service) {
-	const interval = 10 * time.Millisecond
-	last := s.adjusted.Load()
-	if now.UnixNano()-last < int64(interval) || !s.adjusted.CompareAndSwap(last, now.UnixNano()) {
-		return
-	}
 	window, total := e.table.Capacity(now, s.name, s.scheduler.Demand(now))
 	s.scheduler.SetCapacity(now, window, total)
+	s.scheduler.Expire(now)
 }
 
-func (e *Entry) adjustAll(now time.Time) {
+// adjustAll adjusts the services that had calls since the last time, and every service once a second.
+func (e *Entry) adjustAll() {
+	now := e.timers.Now()
 	for _, s := range e.view.Load().services {
+		if !s.active.Swap(false) && now.UnixNano()-s.adjusted.Load() < int64(time.Second) {
+			continue
+		}
+		s.adjusted.Store(now.UnixNano())
 		e.adjust(now, s)
 	}
 }
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -39,6 +39,9 @@
 	watched time.Time
 	beaten  time.Time
 	beatRow uint64
+	// use is what callers use at the peer, by its message of the time used.
+	use  map[string]map[string]int
+	used time.Time
 }
 
 func newPeer(incarnation string, now time.Time) *peer {
@@ -98,6 +101,7 @@
 // tick starts an exchange with each peer that has answered the last one. It does not wait, so that a silent peer does
 // not delay the others.
 func (f *Fleet) tick() {
+	f.measureUse()
 	for _, to := range f.addresses(true) {
 		f.tasks.Add(1)
 		go func() {
@@ -149,6 +153,9 @@
 	f.absorb(reply)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.limits.arrival {
+		start = f.now()
+	}
 	if start.After(f.hearings[reply.Incarnation]) {
 		f.hearings[reply.Incarnation] = start
 	}
@@ -178,14 +185,23 @@
 
 // catchUp fetches what the sender of a message has and this entry lacks.
 func (f *Fleet) catchUp(ctx context.Context, control netip.AddrPort, m *Message) error {
-	f.mu.RLock()
-	behind := m.Version > f.State().Version || m.Roster > f.roster.Version
+	if !f.behind(m) {
+		return nil
+	}
+	// All peers tell of a change within a moment. One fetch is enough.
+	select {
+	case f.fetching <- struct{}{}:
+		defer func() { <-f.fetching }()
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "wait for another fetch of the state")
+	}
+	if !f.behind(m) {
+		return nil
+	}
 	// A process that starts while the table is down gets the warm facts at once, not in small messages.
+	f.mu.RLock()
 	warm := !f.ready && f.scanned.IsZero()
 	f.mu.RUnlock()
-	if !behind {
-		return nil
-	}
 	current := f.State()
 	snap, err := f.opt.Peers.Fetch(ctx, control, current.document.Object, warm)
 	if err != nil {
@@ -205,6 +221,12 @@
 	return nil
 }
 
+func (f *Fleet) behind(m *Message) bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return m.Version > f.State().Version || m.Roster > f.roster.Version
+}
+
 // compose returns a message for a peer, and what to note when the peer has answered it.
 func (f *Fleet) compose(name string) (message *Message, confirm func(p *peer)) {
 	f.mu.RLock()
@@ -230,6 +252,7 @@
 	if p == nil {
 		return m, confirm
 	}
+	m.Use = f.use
 	limit := max(1, maxFacts/len(f.peers))
 	switch {
 	case p.heard.IsZero():
@@ -285,6 +308,7 @@
 		return nil, errors.New("the entry has stopped")
 	}
 	f.absorb(m)
+	f.noteUse(m)
 	if known {
 		if err := f.catchUp(ctx, sender.Control, m); err != nil {
 			f.log.Debug("catching up failed", zap.String("peer", m.Entry), zap.Error(err))
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -71,6 +71,22 @@
 	})
 }
 
+// Guards against settings that an entry fetches once from each peer when a change is known to all of them.
+func TestOneFetch(t *testing.T) {
+	compare(t, "abcdef", func(l *limits) { l.fetches = 5 }, func(t *testing.T, w *world) bool {
+		f := w.nodes["f"]
+		f.cut(true, f.alone())
+		accepted(t, w.nodes["a"].drain("cairns", 0))
+		time.Sleep(5 * time.Second)
+		before := w.fetches.Load()
+		w.slowFetch.Store(int64(200 * time.Millisecond))
+		f.cut(true, 0)
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, f.drained("cairns"))
+		return w.fetches.Load()-before > 1
+	})
+}
+
 // Guards against two operators who both believe that their change was made on the state they saw. The control removes
 // the checks from the writes.
 func TestOperatorsRace(t *testing.T) {
@@ -217,6 +233,7 @@
 		for _, target := range targets(100) {
 			w.nodes["a"].fleet.Announce(target, "first")
 		}
+		time.Sleep(20 * time.Second) // 8 facts go to each peer in a round
 		w.down(true)
 		w.nodes["d"].kill()
 		d := w.start("d", false)
@@ -321,6 +338,26 @@
 	})
 }
 
+// Guards against an entry that goes on with old settings because the object store does not have the new ones. It gets
+// them from a peer, or refuses work if it has none.
+func TestSettingsFromPeer(t *testing.T) {
+	for _, alone := range []bool{false, true} {
+		simulate(t, usual(), "abc", func(t *testing.T, w *world) {
+			c := w.nodes["c"]
+			c.missing.Store(true)
+			if alone {
+				c.cut(false, c.alone())
+			}
+			accepted(t, w.nodes["a"].fleet.Apply(context.Background(), Change{
+				ID: "one",
+			}, []byte("settings")))
+			time.Sleep(contactTime)
+			assert.Equal(t, !alone, c.contact())
+			assert.Equal(t, !alone, string(c.fleet.State().Settings) == "settings")
+		})
+	}
+}
+
 // Guards against a fleet that accepts no change any more after most of its VMs were lost. The control leaves the lost
 // VMs in the platform's list.
 func TestVanished(t *testing.T) {
@@ -400,6 +437,47 @@
 	}
 }
 
+// Guards against an answer that was under way while the process was paused and that renews contact and a lease when it
+// wakes, though both have passed to others.
+func TestAnswerDuringPause(t *testing.T) {
+	tests := []struct {
+		name  string
+		table bool
+	}{
+		{
+			name:  "from the table",
+			table: true,
+		},
+		{
+			name: "from the peers",
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			compare(t, "abc", func(l *limits) { l.arrival = true }, func(t *testing.T, w *world) bool {
+				a, b, c := w.nodes["a"], w.nodes["b"], w.nodes["c"]
+				target := targets(50)[slices.IndexFunc(targets(50), c.owns)]
+				if tt.table {
+					c.late.Store(int64(900 * time.Millisecond))
+				} else {
+					c.slowPeers.Store(int64(900 * time.Millisecond))
+				}
+				time.Sleep(1500 * time.Millisecond)
+				c.cut(!tt.table, 0)
+				c.pause()
+				assert.Assert(t, accepted(t, a.drain("cairns", 0)).Force)
+				time.Sleep(goneTime + waitTime + 3*time.Second)
+				assert.Assert(t, a.owns(target) || b.owns(target))
+				c.cut(true, c.alone())
+				c.wake()
+				time.Sleep(10 * time.Millisecond)
+				assert.Equal(t, tt.table && c.contact(), c.owns(target), "contact and lease come from the same read")
+				return c.contact() && !c.drained("cairns")
+			})
+		})
+	}
+}
+
 // Guards against entries that are marked gone in turn because some others cannot hear them, though they are alive.
 func TestNoFlapping(t *testing.T) {
 	compare(t, "abcd", func(l *limits) { l.reported = false }, func(t *testing.T, w *world) bool {
@@ -444,7 +522,7 @@
 			time.Sleep(100 * time.Millisecond)
 			assert.Equal(t, w.nodes["a"].fleet.Members()[2].State, RecordStateLeaving)
 			if clean {
-				c.dead = true
+				c.end()
 				assert.NilError(t, c.fleet.Close(context.Background()))
 			}
 			c.kill()
--- a/route/target.go
+++ b/route/target.go
@@ -11,7 +11,7 @@
 	// latencyWeight is the weight of a new sample in the latency average of a target: two samples of a target five
 	// times slower bring the average to 1.9 times the usual.
 	latencyWeight = 0.12
-	// latencyFade is the time in which half of a latency above the usual is forgotten without new samples, so that a
+	// latencyFade is the time in which two thirds of a latency above the usual are forgotten without new samples, so that a
 	// target that was slow is tried again.
 	latencyFade = 3 * time.Second
 	// usualWeight is the weight of a new report in the usual load of a target.
@@ -23,10 +23,16 @@
 	// ejectTime is the duration of the first ejection; each further one doubles it up to ejectLimit.
 	ejectTime  = 500 * time.Millisecond
 	ejectLimit = 30 * time.Second
+	// careTime is how long a target that was slow or failed is tried only with idempotent calls, which can be hedged
+	// and repeated.
+	careTime = 10 * time.Second
 	// rampTime is the time in which an entry takes up its whole use of a target that became warm or returned.
 	rampTime = 2 * time.Second
 	// coldGrace is the time after a target became warm in which its reports may still say cold, because they are stale.
 	coldGrace = 2 * time.Second
+	// drainMemory is how long a target must not have reported to drain before a report that it is warm counts, because
+	// load reads can lag behind answers.
+	drainMemory = 10 * time.Second
 	// failureCost is the latency, in multiples of the usual one, that a failure is charged at least.
 	failureCost = 3.0
 )
@@ -46,10 +52,13 @@
 	// warm holds the last instances known to be warm, past those known to be gone.
 	warm [4]string
 	past [4]string
-	// relapsed means that a warm instance reports to be cold.
+	// relapsed means that a warm instance reports to be cold. Only its own reports end this, because the fact that it
+	// was warm may be announced again at any time.
 	relapsed bool
 	warmAt   time.Time
 	leaving  bool
+	// draining is the last time at which the instance reported to drain.
+	draining time.Time
 
 	// leased is the end of the last ownership lease. Warming is the time of the first answer under an unbroken
 	// sequence of leases.
@@ -105,9 +114,6 @@
 	if instance != t.instance && !slices.Contains(t.past[:], instance) {
 		t.replace(instance)
 	}
-	if instance == t.instance {
-		t.relapsed = false
-	}
 	if !was && t.isWarm() {
 		t.join(now)
 	}
@@ -129,6 +135,7 @@
 	}
 	t.instance = instance
 	t.leaving = false
+	t.draining = time.Time{}
 	t.relapsed = false
 	t.warming = time.Time{}
 	t.failures = 0
@@ -160,7 +167,7 @@
 	}
 	switch r.Phase {
 	case outcome.PhaseDraining:
-		t.leaving = true
+		t.draining = sent
 	case outcome.PhaseCold:
 		if t.isWarm() && sent.Sub(t.warmAt) > coldGrace {
 			t.relapsed = true
@@ -171,14 +178,28 @@
 			}
 		}
 	case outcome.PhaseWarm:
-		if t.relapsed {
-			t.relapsed = false
-			t.join(now)
-		}
+		t.recover(now, sent)
 	}
 	return e
 }
 
+// recover ends what earlier reports of the same instance said, unless the reports contradict each other.
+func (t *target) recover(now, sent time.Time) {
+	if t.relapsed {
+		t.relapsed = false
+		t.join(now)
+	}
+	if !t.draining.IsZero() && sent.Sub(t.draining) > drainMemory {
+		t.draining = time.Time{}
+		t.join(now)
+	}
+}
+
+// operating tells whether the target may get new work at all.
+func (t *target) operating() bool {
+	return !t.Drained && !t.leaving && t.draining.IsZero()
+}
+
 // setLoad takes the load of the whole target from a report and keeps the part that other entries cause.
 func (t *target) setLoad(now time.Time, r outcome.Report) {
 	if r.Slots <= 0 {
@@ -205,13 +226,13 @@
 	e := t.identify(now, p.start, r.Report)
 	if r.Report.Instance != "" && r.Report.Instance == t.instance && r.Kind != Unsent {
 		t.setLoad(now, r.Report)
-		s.setQueue(now, r.Report)
+		s.setQueue(r.Report)
 	}
 	switch r.Kind {
 	case Succeeded:
+		t.failures = t.currentFailures(now) * (1 - failureWeight)
 		t.sample(now, float64(r.Latency))
 		s.sample(r.Latency)
-		t.failures -= t.failures * failureWeight
 		if t.failures < 0.05 {
 			t.ejections = 0
 		}
@@ -224,7 +245,7 @@
 	case Shed:
 		t.limit = max(t.limit*0.7, 1)
 		t.sample(now, max(float64(r.Latency), s.latency))
-		s.shed(now)
+		s.shed()
 	case Unsent:
 		if r.Report.Instance == "" {
 			t.fail(now, r.Latency)
@@ -249,7 +270,9 @@
 	if r.Phase == outcome.PhaseCold || now.Sub(t.warming) < t.ColdTime {
 		return nil
 	}
+	t.relapsed = false
 	t.setWarm(now, t.instance)
+	t.join(now)
 	return Warmed{
 		Target:   t.Name,
 		Instance: t.instance,
@@ -268,6 +291,22 @@
 	t.latencyAt = now
 }
 
+// careful returns the latency for a call that cannot be hedged: what was slow counts as slow for longer.
+func (t *target) careful(now time.Time) float64 {
+	if now.Sub(t.latencyAt) < careTime {
+		return max(t.latency, t.currentLatency(now))
+	}
+	return t.currentLatency(now)
+}
+
+// barred tells whether the target is ejected for such a call. After an ejection idempotent calls try it first.
+func (t *target) barred(now time.Time, idempotent bool) bool {
+	if idempotent || t.failures < failureWeight/2 {
+		return now.Before(t.ejected)
+	}
+	return now.Before(t.ejected.Add(careTime))
+}
+
 // currentLatency returns the average latency, faded to the usual one of the service for the time without samples.
 func (t *target) currentLatency(now time.Time) float64 {
 	usual := t.service.latency
@@ -278,15 +317,25 @@
 	return usual + (t.latency-usual)/(1+x+x*x)
 }
 
+// currentFailures returns the failure rate, faded for the time without calls, so that the target is tried again.
+func (t *target) currentFailures(now time.Time) float64 {
+	x := max(float64(now.Sub(t.latencyAt))/float64(careTime), 0)
+	return t.failures / (1 + x + x*x)
+}
+
 // fail charges a failure as if it had taken longer than usual, so that failing fast attracts no load.
 func (t *target) fail(now time.Time, d time.Duration) {
-	t.sample(now, max(float64(d), failureCost*t.service.latency))
+	t.failures = t.currentFailures(now)
 	t.failures += (1 - t.failures) * failureWeight
+	t.sample(now, max(float64(d), failureCost*t.service.latency))
 	if t.failures < ejectRate || now.Before(t.ejected) {
 		return
 	}
 	t.ejected = now.Add(min(ejectTime<<min(t.ejections, 10), ejectLimit))
 	t.ejections++
+	if t.ejected.After(t.service.ejecting) {
+		t.service.ejecting = t.ejected
+	}
 	t.ramp = t.ejected
 	// The next ejection after the return takes two failures.
 	t.failures = ejectRate - failureWeight
