Join the two rules for attempts that sent nothing

Cause: two branches had each exempted such attempts from the retry budget. Change: one rule, at most three of them in a call, for a restarted target, one that is down, and a used-up probe budget; they add nothing to the budget either. Measured: go test -race ./entry ./route ./cmd/skylarkbeam passes (99 s for the last).

--- a/entry/call.go
+++ b/entry/call.go
@@ -43,8 +43,9 @@
 	// relayed calls come from another entry, which holds the claim and does the repeats.
 	relayed bool
 	tried   []string
-	// sent says that an attempt has reached a target, mayHaveRun that its outcome is unknown.
-	sent       bool
+	// unsent counts the attempts that ended before anything was sent.
+	unsent int
+	// mayHaveRun says that the outcome of an attempt is unknown.
 	mayHaveRun bool
 	claim      *claim.Claim
 }
@@ -318,7 +319,7 @@
 			RetryAfter: e.table.RetryAfter(c.service.name, reason),
 		}
 	}
-	for unsent := 0; ; {
+	for {
 		result := e.race(ctx, c, permit)
 		var again outcome.Reason
 		switch o := result.(type) {
@@ -326,16 +327,15 @@
 			return o
 		case *outcome.NotRun:
 			again = o.Reason
-			c.sent = c.sent || o.Reason == outcome.Shed
 		case *outcome.Unknown:
-			c.sent, c.mayHaveRun = true, true
+			c.mayHaveRun = true
 			if !c.idempotent {
 				return o
 			}
 			again = o.Reason
 		}
-		if uncharged(again) && unsent < maxUnsent {
-			unsent++
+		if uncharged(again) && c.unsent < maxUnsent {
+			c.unsent++
 			permit, _ = e.pick(ctx, c)
 		} else {
 			permit = e.repeat(ctx, c)
@@ -348,10 +348,11 @@
 }
 
 // uncharged tells whether an attempt ended before anything of the call was sent, for a reason that is no failure of the
-// target: it has restarted, or its probe budget allowed no connection check. The next attempt then costs the targets
-// nothing more and does not draw on the budget for repeats, which a return of many targets at once would exhaust.
+// target that runs: it has restarted, it is down, or its probe budget allowed no connection check. The next attempt then
+// costs the targets nothing more and does not draw on the budget for repeats, which a return of many targets at once
+// would exhaust.
 func uncharged(reason outcome.Reason) bool {
-	return reason == outcome.Instance || reason == outcome.Budget
+	return reason == outcome.Instance || reason == outcome.Budget || reason == outcome.Dial
 }
 
 // pick selects the target for the first attempt. While all targets are taken it waits, because the admission has found
@@ -382,9 +383,6 @@
 	if ctx.Err() != nil || !now.Before(c.deadline) || !e.contact(now) {
 		return nil
 	}
-	if len(c.tried) > len(c.service.spec.Targets) {
-		return nil
-	}
 	return e.table.Repeat(now, c.service.name, c.query())
 }
 
@@ -392,6 +390,6 @@
 	return route.Query{
 		Tried:      c.tried,
 		Idempotent: c.idempotent,
-		Unsent:     !c.sent,
+		Again:      c.unsent > 0,
 	}
 }
--- a/route/table.go
+++ b/route/table.go
@@ -261,9 +261,9 @@
 	Tried []string
 	// Idempotent calls may be hedged, and try targets that were slow or failed before others do.
 	Idempotent bool
-	// Unsent says that no attempt of this call has reached a target. Another attempt is then no additional load, so it
-	// needs no budget; the number of targets bounds it.
-	Unsent bool
+	// Again says that the call had an attempt that ended before anything was sent. Another one is no additional load, so
+	// it needs no budget and adds nothing to it.
+	Again bool
 }
 
 // Pick selects the target for the first attempt of a call. Without a permit, the reason is Service, Drained, Cold or
@@ -276,7 +276,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p, reason := s.pick(now, q, false)
-	if p != nil {
+	if p != nil && !q.Again {
 		s.budget.earn()
 	}
 	return p, reason
@@ -330,12 +330,11 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	free := q.Unsent && !hedge
-	if !free && !s.budget.has() {
+	if !s.budget.has() {
 		return nil
 	}
 	p, _ := s.pick(now, q, hedge)
-	if p != nil && !free {
+	if p != nil {
 		s.budget.spend()
 	}
 	return p
