Let the settings decide contact, isolation and the retry budget

Cause: limits.contact, limits.isolation and limits.retries were checked and shown but had no effect; two of them had flags of serve beside them. Change: they are put in force with the settings; the flag -isolation of one entry still goes before, -contact is gone. The counters of claims appear on /metrics.

--- a/cmd/skylarkbeam/serve.go
+++ b/cmd/skylarkbeam/serve.go
@@ -8,7 +8,6 @@
 	"os/signal"
 	"strings"
 	"syscall"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v3"
@@ -34,9 +33,9 @@
   -platform IP:PORT   address of the platform's table, object store and VM list
   -seeds LIST         control addresses of other entries, separated by commas, to
                       start from while the platform is down
-  -contact DURATION   how old a confirmation of the accepted state may be (4s)
-  -isolation MODE     what an entry without contact does: "stop" refuses new calls,
-                      "serve" goes on and may use drained failure domains (stop)
+  -isolation MODE     what this entry does without contact: "stop" refuses new calls,
+                      "serve" goes on and may use drained failure domains; left out,
+                      limits.isolation of the settings decides
   -config FILE        JSON file with any of these flags as fields
 
 Each flag can also be set in the environment, as in SKYLARKBEAM_NAME=entry-1.
@@ -53,7 +52,6 @@
 // serveFlags are the flags of serve as they are written.
 type serveFlags struct {
 	name, domain, caller, control, advertise, platform, seeds, isolation string
-	contact                                                              time.Duration
 }
 
 func newServe(s streams) *ffcli.Command {
@@ -85,8 +83,7 @@
 	flags.StringVar(&f.advertise, "advertise", "", "")
 	flags.StringVar(&f.platform, "platform", "", "")
 	flags.StringVar(&f.seeds, "seeds", "", "")
-	flags.StringVar(&f.isolation, "isolation", "stop", "")
-	flags.DurationVar(&f.contact, "contact", 4*time.Second, "")
+	flags.StringVar(&f.isolation, "isolation", "", "")
 	flags.String("config", "", "")
 }
 
@@ -105,7 +102,6 @@
 		Domain:  f.domain,
 		Caller:  address("caller", f.caller),
 		Control: address("control", f.control),
-		Contact: f.contact,
 		Serve:   f.isolation == "serve",
 	}
 	if f.advertise != "" {
@@ -121,12 +117,9 @@
 	if f.domain == "" {
 		faults = append(faults, "-domain is missing")
 	}
-	if f.isolation != "serve" && f.isolation != "stop" {
+	if f.isolation != "" && f.isolation != "serve" && f.isolation != "stop" {
 		faults = append(faults, "-isolation must be \"stop\" or \"serve\", not \""+f.isolation+"\"")
 	}
-	if f.contact <= 0 {
-		faults = append(faults, "-contact must be positive")
-	}
 	if len(faults) > 0 {
 		return opts, table, &usageError{
 			reason: strings.Join(faults, "; "),
--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -57,9 +57,7 @@
 	Callers map[string]float64
 	// Limits are the limits of the settings.
 	Limits setting.Limits
-	// Contact is how old a confirmation of the state may be; the default is that of an entry.
-	Contact time.Duration
-	Logger  *zap.Logger
+	Logger *zap.Logger
 }
 
 // Service is a service with its targets.
@@ -200,7 +198,6 @@
 		Caller:   loopback,
 		Control:  loopback,
 		Platform: d.Platform,
-		Contact:  d.opts.Contact,
 		Logger:   d.opts.Logger,
 	})
 	if err != nil {
--- a/entry/counters.go
+++ b/entry/counters.go
@@ -107,5 +107,6 @@
 // Write writes all metrics, those of the Go runtime and the process included, in the Prometheus text format.
 func (c *Counters) Write(w io.Writer) {
 	c.set.WritePrometheus(w)
-	metrics.WriteProcessMetrics(w)
+	// The default set has the counters of the claims.
+	metrics.WritePrometheus(w, true)
 }
--- a/entry/options.go
+++ b/entry/options.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -23,9 +22,8 @@
 	Platform platform.Platform
 	// Seeds are control addresses of other entries, to start from while the platform is down.
 	Seeds []netip.AddrPort
-	// Contact is how old a confirmation of the accepted state may be; the default is 4 s.
-	Contact time.Duration
-	// Serve keeps an entry without contact in service. Drained failure domains can then receive new work.
+	// Serve keeps this entry in service without contact, whatever the settings say. Drained failure domains can then
+	// receive new work.
 	Serve  bool
 	Logger *zap.Logger
 }
--- a/entry/provide.go
+++ b/entry/provide.go
@@ -75,7 +75,6 @@
 		Check:    checkSettings,
 		Peers:    peers,
 		Seeds:    opts.Seeds,
-		Contact:  opts.Contact,
 		Serve:    opts.Serve,
 		Seen:     c.seen,
 		Warmed:   c.warmed,
--- a/entry/view.go
+++ b/entry/view.go
@@ -103,6 +103,8 @@
 			})
 		}
 	}
+	e.fleet.SetLimits(time.Duration(settings.Limits.Contact), settings.Limits.Isolation == setting.IsolationServe)
+	e.table.SetRepeats(settings.Limits.Retries)
 	e.table.SetEntries(len(settings.Entries))
 	e.table.SetTargets(now, targets)
 	for name := range next.pools {
--- a/fleet/contact.go
+++ b/fleet/contact.go
@@ -33,7 +33,16 @@
 	if f.ended || !f.ready {
 		return false
 	}
-	return f.opt.Serve || within(now, f.confirmed, f.limits.contact) || f.roster.majority(f.voices(now))
+	return f.serve || within(now, f.confirmed, f.limits.contact) || f.roster.majority(f.voices(now))
+}
+
+// SetLimits changes how old a confirmation may be, and whether the entry serves without one, to what the accepted settings
+// say. Options.Serve goes before.
+func (f *Fleet) SetLimits(contact time.Duration, serve bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.limits.contact = contact
+	f.serve = serve || f.opt.Serve
 }
 
 // voices returns the incarnations heard within the contact time, with this one if it is registered.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -150,8 +150,6 @@
 	// Seeds are control addresses of entries to ask while no roster is known, so that a process can start while the
 	// table is down.
 	Seeds []netip.AddrPort
-	// Contact is how old a confirmation may be, 4 s if zero.
-	Contact time.Duration
 	// Serve keeps an entry without contact in service; it gives up the promise that drained failure domains receive no
 	// new work.
 	Serve bool
@@ -196,6 +194,7 @@
 	scanned    time.Time
 	ended      bool
 	err        error
+	serve      bool
 	// use is what the messages of the present round tell.
 	use map[string]map[string]int
 
@@ -217,9 +216,6 @@
 	if l == (limits{}) {
 		l = usual()
 	}
-	if opt.Contact != 0 {
-		l.contact = opt.Contact
-	}
 	if opt.Logger == nil {
 		opt.Logger = zap.NewNop()
 	}
@@ -231,6 +227,7 @@
 		opt:         opt,
 		limits:      l,
 		incarnation: newIncarnation(),
+		serve:       opt.Serve,
 		counters:    newCounters(opt.Metrics),
 		log:         opt.Logger.With(zap.String("entry", opt.Name)),
 		changed:     make(chan struct{}),
--- a/route/budget.go
+++ b/route/budget.go
@@ -1,6 +1,6 @@
 package route
 
-// repeatShare is the largest share of repeats and hedges in first attempts that the design allows.
+// repeatShare is the default share of repeats and hedges in first attempts.
 const repeatShare = 0.1
 
 // repeatBurst lets a burst of failures be repeated at once, while the share holds over any longer time.
@@ -12,8 +12,8 @@
 	tokens float64
 }
 
-func (b *budget) earn() {
-	b.tokens = min(b.tokens+repeatShare, repeatBurst)
+func (b *budget) earn(share float64) {
+	b.tokens = min(b.tokens+share, repeatBurst)
 }
 
 func (b *budget) has() bool {
--- /dev/null
+++ b/route/repeats_test.go
@@ -0,0 +1,71 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a setting of the retry budget that has no effect, and against one that is exceeded.
+func TestSetRepeats(t *testing.T) {
+	tests := []struct {
+		name  string
+		share float64
+		want  int
+	}{
+		{
+			name: "none",
+		},
+		{
+			name:  "a twentieth",
+			share: 0.05,
+			want:  10,
+		},
+		{
+			name:  "a fifth",
+			share: 0.2,
+			want:  40,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Unix(0, 0)
+			table := New(Options{})
+			table.SetRepeats(tt.share)
+			table.SetTargets(now, []Target{
+				{
+					Name:    "a",
+					Service: "stock",
+					Slots:   4,
+					Bear:    1,
+				},
+			})
+			table.SetWarm(now, "a", "1")
+			repeats := 0
+			for range 200 {
+				now = now.Add(10 * time.Millisecond)
+				p, reason := table.Pick(now, "stock", Query{
+					Idempotent: true,
+				})
+				assert.Assert(t, p != nil, "refused: %s", reason)
+				p.Done(now, Result{
+					Kind:    Succeeded,
+					Latency: time.Millisecond,
+				})
+				again := table.Repeat(now, "stock", Query{
+					Idempotent: true,
+				})
+				if again != nil {
+					repeats++
+					again.Done(now, Result{
+						Kind:    Succeeded,
+						Latency: time.Millisecond,
+					})
+				}
+			}
+			// One token may be short of a whole one because the shares are not exact in binary.
+			assert.Assert(t, repeats == tt.want || repeats == tt.want-1, "%d repeats of 200 first attempts, want %d", repeats, tt.want)
+		})
+	}
+}
--- a/route/table.go
+++ b/route/table.go
@@ -30,6 +30,7 @@
 package route
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -74,6 +75,7 @@
 // Table holds the state of all targets as one entry sees it.
 type Table struct {
 	entries atomic.Int64
+	repeats atomic.Uint64 // bits of the share of repeats in first attempts
 	owner   atomic.Pointer[Owner]
 	view    atomic.Pointer[view]
 
@@ -93,6 +95,7 @@
 		seed: rand.New(rand.NewPCG(o.Seed, 0x9e3779b97f4a7c15)),
 	}
 	t.SetEntries(max(o.Entries, 1))
+	t.SetRepeats(repeatShare)
 	t.SetOwner(func(time.Time, string) (time.Time, bool) { return time.Time{}, false })
 	t.view.Store(&view{
 		services: map[string]*service{},
@@ -106,6 +109,11 @@
 	t.entries.Store(int64(max(n, 1)))
 }
 
+// SetRepeats sets the share of repeats and hedges in first attempts, from 0 to 1. The default is 0.1.
+func (t *Table) SetRepeats(share float64) {
+	t.repeats.Store(math.Float64bits(min(max(share, 0), 1)))
+}
+
 // SetOwner sets the function that grants ownership of cold targets. It is called with a lock held, so it must neither
 // block nor call the Table.
 func (t *Table) SetOwner(owner Owner) {
@@ -277,7 +285,7 @@
 	defer s.mu.Unlock()
 	p, reason := s.pick(now, q, false)
 	if p != nil && !q.Again {
-		s.budget.earn()
+		s.budget.earn(math.Float64frombits(t.repeats.Load()))
 	}
 	return p, reason
 }
