--- a/bench/ownership_test.go
+++ b/bench/ownership_test.go
@@ -69,13 +69,62 @@
 		safe      bool
 		warms     bool
 	}{
-		{SingleOwner, 1, 0.3, 4, true, true},
-		{SingleOwner, 2, 0.3, 4, true, true},
-		{EvenQuota, 1, 0.3, 2, true, false},
-		{EvenQuota, 6, 0.3, 2, true, true},
-		{Independent, 1, 0.3, 2, false, true},
-		{Independent, 2, 0.3, 2, false, true},
-		{LimitOne, 1, 0.3, 2, false, true},
+		{
+			ownership: SingleOwner,
+			bear:      1,
+			load:      0.3,
+			seeds:     4,
+			safe:      true,
+			warms:     true,
+		},
+		{
+			ownership: SingleOwner,
+			bear:      2,
+			load:      0.3,
+			seeds:     4,
+			safe:      true,
+			warms:     true,
+		},
+		{
+			ownership: EvenQuota,
+			bear:      1,
+			load:      0.3,
+			seeds:     2,
+			safe:      true,
+			warms:     false,
+		},
+		{
+			ownership: EvenQuota,
+			bear:      6,
+			load:      0.3,
+			seeds:     2,
+			safe:      true,
+			warms:     true,
+		},
+		{
+			ownership: Independent,
+			bear:      1,
+			load:      0.3,
+			seeds:     2,
+			safe:      false,
+			warms:     true,
+		},
+		{
+			ownership: Independent,
+			bear:      2,
+			load:      0.3,
+			seeds:     2,
+			safe:      false,
+			warms:     true,
+		},
+		{
+			ownership: LimitOne,
+			bear:      1,
+			load:      0.3,
+			seeds:     2,
+			safe:      false,
+			warms:     true,
+		},
 	}
 	for _, test := range tests {
 		t.Run(string(test.ownership), func(t *testing.T) {
--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -65,7 +65,9 @@
 // a table with 5 ms latency and 300 writes a second, with groups and with a transaction for each write. One iteration
 // is one second: run it with -benchtime 10x.
 func BenchmarkClaims(b *testing.B) {
-	for _, off := range []mechanisms{{}, {group: true}} {
+	for _, off := range []mechanisms{{}, {
+		group: true,
+	}} {
 		for _, rate := range []int{10, 100, 1000, 3000, 6000} {
 			if off.group && rate > 1000 {
 				continue // Almost every call is refused at 1000 already.
--- a/claim/machine_test.go
+++ b/claim/machine_test.go
@@ -221,17 +221,23 @@
 		},
 		{
 			name: "checks off",
-			off:  mechanisms{check: true},
+			off: mechanisms{
+				check: true,
+			},
 			fail: true,
 		},
 		{
 			name: "read-back off",
-			off:  mechanisms{readBack: true},
+			off: mechanisms{
+				readBack: true,
+			},
 			fail: true,
 		},
 		{
 			name: "fence off",
-			off:  mechanisms{fence: true},
+			off: mechanisms{
+				fence: true,
+			},
 			fail: true,
 		},
 	}
--- a/claim/race_test.go
+++ b/claim/race_test.go
@@ -52,18 +52,24 @@
 			name: "all mechanisms",
 		},
 		{
-			name:   "checks off",
-			off:    mechanisms{check: true},
+			name: "checks off",
+			off: mechanisms{
+				check: true,
+			},
 			double: true,
 		},
 		{
-			name:    "read-back off",
-			off:     mechanisms{readBack: true},
+			name: "read-back off",
+			off: mechanisms{
+				readBack: true,
+			},
 			blocked: true,
 		},
 		{
-			name:    "fence off",
-			off:     mechanisms{fence: true},
+			name: "fence off",
+			off: mechanisms{
+				fence: true,
+			},
 			blocked: true,
 		},
 	}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -209,7 +209,8 @@
 	if c.claim != nil && c.claim.Until().Before(deadline) {
 		deadline = c.claim.Until()
 	}
-	p := c.view.pools[permit.Target]
+	// The present view, because the table that gave the permit follows the present settings.
+	p := e.view.Load().pools[permit.Target]
 	if p == nil {
 		permit.Done(start, route.Result{
 			Kind: route.Canceled,
@@ -218,9 +219,15 @@
 			Reason: outcome.Dial,
 		}
 	}
+	release := func() {}
+	if deadline.Before(c.deadline) {
+		// A point in time, not a duration: a process that was paused here must not extend a lease.
+		ctx, release = context.WithDeadline(ctx, deadline)
+	}
 	e.counters.dispatch.Inc()
 	o := p.Send(ctx, c.message(permit.Instance, deadline.Sub(start)))
 	return e.receive(ctx, c, o, func(kind route.Kind, report outcome.Report) {
+		release()
 		now := e.timers.Now()
 		e.notify(permit.Done(now, route.Result{
 			Kind:    kind,
--- a/entry/call.go
+++ b/entry/call.go
@@ -347,12 +347,16 @@
 	}
 }
 
-// uncharged tells whether an attempt ended before anything of the call was sent, for a reason that is no failure of the
-// target that runs: it has restarted, it is down, or its probe budget allowed no connection check. The next attempt then
-// costs the targets nothing more and does not draw on the budget for repeats, which a return of many targets at once
-// would exhaust.
+// uncharged tells whether an attempt ended before anything of the call was sent, for a reason that is no failure of a
+// running target: the target has restarted, is down or left the settings, or its probe budget allowed no connection
+// check. The next attempt then costs the targets nothing more and does not draw on the budget for repeats, which a return
+// of many targets at once would exhaust.
 func uncharged(reason outcome.Reason) bool {
-	return reason == outcome.Instance || reason == outcome.Budget || reason == outcome.Dial
+	switch reason {
+	case outcome.Instance, outcome.Budget, outcome.Dial, outcome.Leaving:
+		return true
+	}
+	return false
 }
 
 // pick selects the target for the first attempt. While all targets are taken it waits, because the admission has found
--- a/route/cold_test.go
+++ b/route/cold_test.go
@@ -34,8 +34,16 @@
 		wait time.Duration
 		want int
 	}{
-		{"wait", wait, 1},
-		{"no wait", 0, 2},
+		{
+			name: "wait",
+			wait: wait,
+			want: 1,
+		},
+		{
+			name: "no wait",
+			wait: 0,
+			want: 2,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -80,16 +88,66 @@
 		phase    outcome.Phase
 		want     Event
 	}{
-		{0, "a", outcome.PhaseWarm, Fell{"t0", "a"}},
-		{time.Millisecond, "a", outcome.PhaseWarm, nil},
-		{500 * time.Millisecond, "b", outcome.PhaseWarm, Fell{"t0", "b"}},
-		{time.Millisecond, "b", outcome.PhaseCold, nil},
-		{999 * time.Millisecond, "b", outcome.PhaseWarm, nil},
-		{2 * time.Millisecond, "b", outcome.PhaseCold, nil},
-		{time.Millisecond, "b", outcome.PhaseUnknown, Warmed{"t0", "b"}},
-		{4 * time.Second, "b", outcome.PhaseCold, Fell{"t0", "b"}},
-		{time.Millisecond, "b", outcome.PhaseCold, nil},
-		{2 * time.Second, "b", outcome.PhaseUnknown, Warmed{"t0", "b"}},
+		{
+			after:    0,
+			instance: "a",
+			phase:    outcome.PhaseWarm,
+			want:     Fell{"t0", "a"},
+		},
+		{
+			after:    time.Millisecond,
+			instance: "a",
+			phase:    outcome.PhaseWarm,
+			want:     nil,
+		},
+		{
+			after:    500 * time.Millisecond,
+			instance: "b",
+			phase:    outcome.PhaseWarm,
+			want:     Fell{"t0", "b"},
+		},
+		{
+			after:    time.Millisecond,
+			instance: "b",
+			phase:    outcome.PhaseCold,
+			want:     nil,
+		},
+		{
+			after:    999 * time.Millisecond,
+			instance: "b",
+			phase:    outcome.PhaseWarm,
+			want:     nil,
+		},
+		{
+			after:    2 * time.Millisecond,
+			instance: "b",
+			phase:    outcome.PhaseCold,
+			want:     nil,
+		},
+		{
+			after:    time.Millisecond,
+			instance: "b",
+			phase:    outcome.PhaseUnknown,
+			want:     Warmed{"t0", "b"},
+		},
+		{
+			after:    4 * time.Second,
+			instance: "b",
+			phase:    outcome.PhaseCold,
+			want:     Fell{"t0", "b"},
+		},
+		{
+			after:    time.Millisecond,
+			instance: "b",
+			phase:    outcome.PhaseCold,
+			want:     nil,
+		},
+		{
+			after:    2 * time.Second,
+			instance: "b",
+			phase:    outcome.PhaseUnknown,
+			want:     Warmed{"t0", "b"},
+		},
 	}
 	now := epoch
 	for i, step := range steps {
--- a/route/policy_test.go
+++ b/route/policy_test.go
@@ -231,7 +231,22 @@
 
 // BenchmarkPick measures one call, Pick and Done, for growing numbers of services and targets.
 func BenchmarkPick(b *testing.B) {
-	for _, size := range []struct{ services, targets int }{{1, 10}, {3, 30}, {120, 600}, {120, 6000}, {1, 600}} {
+	for _, size := range []struct{ services, targets int }{{
+		services: 1,
+		targets:  10,
+	}, {
+		services: 3,
+		targets:  30,
+	}, {
+		services: 120,
+		targets:  600,
+	}, {
+		services: 120,
+		targets:  6000,
+	}, {
+		services: 1,
+		targets:  600,
+	}} {
 		b.Run(fmt.Sprintf("services=%d/targets=%d", size.services, size.targets), func(b *testing.B) {
 			table := New(Options{
 				Entries: 6,
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -40,12 +40,54 @@
 		calls   int
 		want    outcome.Reason
 	}{
-		{"no such service", nil, false, false, 0, outcome.Service},
-		{"drained", drained, true, false, 0, outcome.Drained},
-		{"leaving", specs(1), true, true, 0, outcome.Drained},
-		{"cold and not owned", specs(1), false, false, 0, outcome.Cold},
-		{"all in use", specs(1), true, false, 2, outcome.Queue},
-		{"free", specs(1), true, false, 1, ""},
+		{
+			name:    "no such service",
+			targets: nil,
+			warm:    false,
+			leaving: false,
+			calls:   0,
+			want:    outcome.Service,
+		},
+		{
+			name:    "drained",
+			targets: drained,
+			warm:    true,
+			leaving: false,
+			calls:   0,
+			want:    outcome.Drained,
+		},
+		{
+			name:    "leaving",
+			targets: specs(1),
+			warm:    true,
+			leaving: true,
+			calls:   0,
+			want:    outcome.Drained,
+		},
+		{
+			name:    "cold and not owned",
+			targets: specs(1),
+			warm:    false,
+			leaving: false,
+			calls:   0,
+			want:    outcome.Cold,
+		},
+		{
+			name:    "all in use",
+			targets: specs(1),
+			warm:    true,
+			leaving: false,
+			calls:   2,
+			want:    outcome.Queue,
+		},
+		{
+			name:    "free",
+			targets: specs(1),
+			warm:    true,
+			leaving: false,
+			calls:   1,
+			want:    "",
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -61,7 +103,9 @@
 			for range 40 { // lets the limit of the new target grow to its end
 				now = now.Add(rampTime)
 				if p, _ := table.Pick(now, "stock", Query{}); p != nil {
-					p.Done(now, Result{Latency: time.Millisecond})
+					p.Done(now, Result{
+						Latency: time.Millisecond,
+					})
 				}
 			}
 			for range 2 * test.calls {
--- a/setting/settings_test.go
+++ b/setting/settings_test.go
@@ -125,16 +125,42 @@
 		change func(s *Settings)
 		want   string
 	}{
-		{"unchanged", func(*Settings) {}, ""},
-		{"schema", func(s *Settings) { s.Limits.Keep = 0 }, "limits.keep: must be longer than 0s"},
-		{"reference", func(s *Settings) { s.Callers["web"] = Caller{Class: "vip"} }, `callers.web.class: unknown class "vip"`},
-		{"share", func(s *Settings) {
-			s.Callers["app"] = s.Callers["web"]
-			s.Classes["guest"] = Class{Share: 0.6, Deadline: Duration(time.Second)}
+		{
+			name:   "unchanged",
+			change: func(*Settings) {},
+			want:   "",
+		},
+		{
+			name:   "schema",
+			change: func(s *Settings) { s.Limits.Keep = 0 },
+			want:   "limits.keep: must be longer than 0s",
+		},
+		{
+			name: "reference",
+			change: func(s *Settings) {
+				s.Callers["web"] = Caller{
+					Class: "vip",
+				}
+			},
+			want: `callers.web.class: unknown class "vip"`,
+		},
+		{
+			name: "share",
+			change: func(s *Settings) {
+				s.Callers["app"] = s.Callers["web"]
+				s.Classes["guest"] = Class{
+					Share:    0.6,
+					Deadline: Duration(time.Second),
+				}
+			},
+			want: "classes: the shares of all callers add up to 1.2, more than 1",
+		},
+		{
+			name:   "no default",
+			change: func(s *Settings) { s.Limits = Limits{} },
+			want: "limits.contact: must be longer than 0s\n" +
+				"limits.isolation: must be one of stop, serve, not \"\"\nlimits.keep: must be longer than 0s",
 		},
-			"classes: the shares of all callers add up to 1.2, more than 1"},
-		{"no default", func(s *Settings) { s.Limits = Limits{} }, "limits.contact: must be longer than 0s\n" +
-			"limits.isolation: must be one of stop, serve, not \"\"\nlimits.keep: must be longer than 0s"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -152,10 +178,22 @@
 		path string
 		want string
 	}{
-		{"/beds", "beds"},
-		{"/beds/7", "beds"},
-		{"/bedside", ""},
-		{"/", ""},
+		{
+			path: "/beds",
+			want: "beds",
+		},
+		{
+			path: "/beds/7",
+			want: "beds",
+		},
+		{
+			path: "/bedside",
+			want: "",
+		},
+		{
+			path: "/",
+			want: "",
+		},
 	}
 	for _, test := range tests {
 		have, ok := paths.Find(test.path)
--- a/share/scheduler_test.go
+++ b/share/scheduler_test.go
@@ -54,11 +54,46 @@
 		want    outcome.Reason
 		atLeast time.Duration
 	}{
-		{"free", "small", 0, time.Second, "", 0},
-		{"too little time to run", "small", 0, 5 * time.Millisecond, outcome.Deadline, retryFloor},
-		{"small behind a flood", "small", 200, 100 * time.Millisecond, "", 0},
-		{"too little time to wait", "small", 200, 11 * time.Millisecond, outcome.Deadline, retryFloor},
-		{"beyond the share", "large", 200, 100 * time.Millisecond, outcome.Share, retryFloor},
+		{
+			name:    "free",
+			caller:  "small",
+			flood:   0,
+			left:    time.Second,
+			want:    "",
+			atLeast: 0,
+		},
+		{
+			name:    "too little time to run",
+			caller:  "small",
+			flood:   0,
+			left:    5 * time.Millisecond,
+			want:    outcome.Deadline,
+			atLeast: retryFloor,
+		},
+		{
+			name:    "small behind a flood",
+			caller:  "small",
+			flood:   200,
+			left:    100 * time.Millisecond,
+			want:    "",
+			atLeast: 0,
+		},
+		{
+			name:    "too little time to wait",
+			caller:  "small",
+			flood:   200,
+			left:    11 * time.Millisecond,
+			want:    outcome.Deadline,
+			atLeast: retryFloor,
+		},
+		{
+			name:    "beyond the share",
+			caller:  "large",
+			flood:   200,
+			left:    100 * time.Millisecond,
+			want:    outcome.Share,
+			atLeast: retryFloor,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -86,8 +121,16 @@
 		callers []string
 		want    float64 // part of the slots' time of the caller "long"
 	}{
-		{"both", []string{"long", "short"}, 0.5},
-		{"alone", []string{"long"}, 1},
+		{
+			name:    "both",
+			callers: []string{"long", "short"},
+			want:    0.5,
+		},
+		{
+			name:    "alone",
+			callers: []string{"long"},
+			want:    1,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/target/pool_test.go
+++ b/target/pool_test.go
@@ -138,23 +138,89 @@
 		wantRuns int
 		wantOff  string // with the mechanisms off, if that differs
 	}{
-		{fault: standin.FaultClose, want: "unknown broken"},
-		{fault: standin.FaultShed, want: "not-run shed"},
-		{fault: standin.FaultError, want: "500"},
-		{fault: standin.FaultFreeze, want: "unknown silent"},
-		{fault: standin.FaultDrop, want: "unknown broken", wantRuns: 1},
-		{fault: standin.FaultReset, want: "unknown broken", wantRuns: 1},
-		{fault: standin.FaultHead, want: "unknown broken", wantRuns: 1},
-		{fault: standin.FaultEmpty, want: "truncated", wantRuns: 1},
-		{fault: standin.FaultCut, want: "truncated", wantRuns: 1},
-		{fault: standin.FaultChunk, want: "truncated", wantRuns: 1},
-		{fault: standin.FaultPlain, want: "unknown truncated", wantRuns: 1, wantOff: "foreign"},
-		{fault: standin.FaultLate, want: "unknown silent", wantRuns: 1},
-		{fault: standin.FaultCross, want: "unknown crossed", wantRuns: 1, wantOff: "foreign"},
-		{fault: standin.FaultGarbage, want: "unknown broken", wantRuns: 1},
-		{fault: standin.FaultEndless, want: "unknown broken", wantRuns: 1},
-		{fault: standin.FaultInform, want: "whole", wantRuns: 1},
-		{fault: standin.FaultTwice, want: "whole", wantRuns: 1},
+		{
+			fault: standin.FaultClose,
+			want:  "unknown broken",
+		},
+		{
+			fault: standin.FaultShed,
+			want:  "not-run shed",
+		},
+		{
+			fault: standin.FaultError,
+			want:  "500",
+		},
+		{
+			fault: standin.FaultFreeze,
+			want:  "unknown silent",
+		},
+		{
+			fault:    standin.FaultDrop,
+			want:     "unknown broken",
+			wantRuns: 1,
+		},
+		{
+			fault:    standin.FaultReset,
+			want:     "unknown broken",
+			wantRuns: 1,
+		},
+		{
+			fault:    standin.FaultHead,
+			want:     "unknown broken",
+			wantRuns: 1,
+		},
+		{
+			fault:    standin.FaultEmpty,
+			want:     "truncated",
+			wantRuns: 1,
+		},
+		{
+			fault:    standin.FaultCut,
+			want:     "truncated",
+			wantRuns: 1,
+		},
+		{
+			fault:    standin.FaultChunk,
+			want:     "truncated",
+			wantRuns: 1,
+		},
+		{
+			fault:    standin.FaultPlain,
+			want:     "unknown truncated",
+			wantRuns: 1,
+			wantOff:  "foreign",
+		},
+		{
+			fault:    standin.FaultLate,
+			want:     "unknown silent",
+			wantRuns: 1,
+		},
+		{
+			fault:    standin.FaultCross,
+			want:     "unknown crossed",
+			wantRuns: 1,
+			wantOff:  "foreign",
+		},
+		{
+			fault:    standin.FaultGarbage,
+			want:     "unknown broken",
+			wantRuns: 1,
+		},
+		{
+			fault:    standin.FaultEndless,
+			want:     "unknown broken",
+			wantRuns: 1,
+		},
+		{
+			fault:    standin.FaultInform,
+			want:     "whole",
+			wantRuns: 1,
+		},
+		{
+			fault:    standin.FaultTwice,
+			want:     "whole",
+			wantRuns: 1,
+		},
 	}
 	for _, test := range tests {
 		for _, off := range []bool{false, true} {
@@ -203,8 +269,14 @@
 		off  bool
 		want string
 	}{
-		{off: false, want: "whole"},
-		{off: true, want: "foreign"},
+		{
+			off:  false,
+			want: "whole",
+		},
+		{
+			off:  true,
+			want: "foreign",
+		},
 	}
 	for _, test := range tests {
 		target, p := start(t, standin.Switches{
@@ -285,13 +357,51 @@
 		want     string
 		wantRuns int
 	}{
-		{name: "non-idempotent", key: "key", want: "whole", wantRuns: 1},
-		{name: "non-idempotent, runs", key: "key", run: true, want: "whole", wantRuns: 1},
-		{name: "non-idempotent, off", key: "key", off: true, want: "unknown silent", wantRuns: 0},
-		{name: "non-idempotent, off, runs", key: "key", off: true, run: true, want: "unknown silent", wantRuns: 1},
-		{name: "idempotent", want: "whole", wantRuns: 1},
-		{name: "idempotent, runs", run: true, want: "whole", wantRuns: 2},
-		{name: "idempotent, off", off: true, want: "unknown silent", wantRuns: 0},
+		{
+			name:     "non-idempotent",
+			key:      "key",
+			want:     "whole",
+			wantRuns: 1,
+		},
+		{
+			name:     "non-idempotent, runs",
+			key:      "key",
+			run:      true,
+			want:     "whole",
+			wantRuns: 1,
+		},
+		{
+			name:     "non-idempotent, off",
+			key:      "key",
+			off:      true,
+			want:     "unknown silent",
+			wantRuns: 0,
+		},
+		{
+			name:     "non-idempotent, off, runs",
+			key:      "key",
+			off:      true,
+			run:      true,
+			want:     "unknown silent",
+			wantRuns: 1,
+		},
+		{
+			name:     "idempotent",
+			want:     "whole",
+			wantRuns: 1,
+		},
+		{
+			name:     "idempotent, runs",
+			run:      true,
+			want:     "whole",
+			wantRuns: 2,
+		},
+		{
+			name:     "idempotent, off",
+			off:      true,
+			want:     "unknown silent",
+			wantRuns: 0,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -369,8 +479,16 @@
 		wantFrom int // calls answered; on a busy machine some start late or wait too long
 		wantTo   int
 	}{
-		{off: false, wantFrom: 15, wantTo: 20},
-		{off: true, wantFrom: 1, wantTo: 5},
+		{
+			off:      false,
+			wantFrom: 15,
+			wantTo:   20,
+		},
+		{
+			off:      true,
+			wantFrom: 1,
+			wantTo:   5,
+		},
 	}
 	for _, test := range tests {
 		target, p := start(t, standin.Switches{
--- a/target/wire_test.go
+++ b/target/wire_test.go
@@ -26,22 +26,79 @@
 		want     string // at the target
 		wantBack string // at the caller, if the target sends it
 	}{
-		{name: "Accept", value: "text/plain", want: "text/plain", wantBack: "text/plain"},
-		{name: "Skylarkbeam-Caller", value: "tablet", want: "tablet", wantBack: "tablet"},
-		{name: "X-Named", value: "x"},
-		{name: "X-Also-Named", value: "x"},
-		{name: "Keep-Alive", value: "timeout=5"},
-		{name: "Proxy-Connection", value: "keep-alive"},
-		{name: "Te", value: "trailers"},
-		{name: "Upgrade", value: "websocket"},
-		{name: "Proxy-Authorization", value: "secret"},
-		{name: "Expect", value: "100-continue", wantBack: "100-continue"},
-		{name: "Idempotency-Key", value: "key", wantBack: "key"},
-		{name: "Skylarkbeam-Key", value: "forged", want: "key", wantBack: "forged"},
-		{name: "Skylarkbeam-Phase", value: "warm"},
-		{name: "Skylarkbeam-Instance", value: "forged"},
-		{name: "Skylarkbeam-Outcome", value: "answered"},
-		{name: "User-Agent", value: "", want: ""},
+		{
+			name:     "Accept",
+			value:    "text/plain",
+			want:     "text/plain",
+			wantBack: "text/plain",
+		},
+		{
+			name:     "Skylarkbeam-Caller",
+			value:    "tablet",
+			want:     "tablet",
+			wantBack: "tablet",
+		},
+		{
+			name:  "X-Named",
+			value: "x",
+		},
+		{
+			name:  "X-Also-Named",
+			value: "x",
+		},
+		{
+			name:  "Keep-Alive",
+			value: "timeout=5",
+		},
+		{
+			name:  "Proxy-Connection",
+			value: "keep-alive",
+		},
+		{
+			name:  "Te",
+			value: "trailers",
+		},
+		{
+			name:  "Upgrade",
+			value: "websocket",
+		},
+		{
+			name:  "Proxy-Authorization",
+			value: "secret",
+		},
+		{
+			name:     "Expect",
+			value:    "100-continue",
+			wantBack: "100-continue",
+		},
+		{
+			name:     "Idempotency-Key",
+			value:    "key",
+			wantBack: "key",
+		},
+		{
+			name:     "Skylarkbeam-Key",
+			value:    "forged",
+			want:     "key",
+			wantBack: "forged",
+		},
+		{
+			name:  "Skylarkbeam-Phase",
+			value: "warm",
+		},
+		{
+			name:  "Skylarkbeam-Instance",
+			value: "forged",
+		},
+		{
+			name:  "Skylarkbeam-Outcome",
+			value: "answered",
+		},
+		{
+			name:  "User-Agent",
+			value: "",
+			want:  "",
+		},
 	}
 	var got *http.Request
 	p := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -103,12 +160,47 @@
 		want     string
 		wantRuns int
 	}{
-		{name: "length", stream: "0123456789", length: 10, want: "whole", wantRuns: 1},
-		{name: "chunked", stream: "0123456789", length: -1, want: "whole", wantRuns: 1},
-		{name: "empty", stream: "", length: 0, want: "whole", wantRuns: 1},
-		{name: "short", stream: "01234", length: 10, want: "not-run canceled"},
-		{name: "long and short", stream: strings.Repeat("0", 9000), length: 10000, want: "unknown canceled"},
-		{name: "broken", stream: "0123456789", length: 10, fault: standin.FaultDrop, want: "unknown broken", wantRuns: 1},
+		{
+			name:     "length",
+			stream:   "0123456789",
+			length:   10,
+			want:     "whole",
+			wantRuns: 1,
+		},
+		{
+			name:     "chunked",
+			stream:   "0123456789",
+			length:   -1,
+			want:     "whole",
+			wantRuns: 1,
+		},
+		{
+			name:     "empty",
+			stream:   "",
+			length:   0,
+			want:     "whole",
+			wantRuns: 1,
+		},
+		{
+			name:   "short",
+			stream: "01234",
+			length: 10,
+			want:   "not-run canceled",
+		},
+		{
+			name:   "long and short",
+			stream: strings.Repeat("0", 9000),
+			length: 10000,
+			want:   "unknown canceled",
+		},
+		{
+			name:     "broken",
+			stream:   "0123456789",
+			length:   10,
+			fault:    standin.FaultDrop,
+			want:     "unknown broken",
+			wantRuns: 1,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -132,9 +224,21 @@
 		takes int
 		want  string
 	}{
-		{name: "nothing", takes: 0, want: "not-run broken"},
-		{name: "one byte", takes: 1, want: "unknown broken"},
-		{name: "half a head", takes: 40, want: "unknown broken"},
+		{
+			name:  "nothing",
+			takes: 0,
+			want:  "not-run broken",
+		},
+		{
+			name:  "one byte",
+			takes: 1,
+			want:  "unknown broken",
+		},
+		{
+			name:  "half a head",
+			takes: 40,
+			want:  "unknown broken",
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
