--- a/setting/settings.go
+++ b/setting/settings.go
@@ -145,7 +145,7 @@
 }
 
 // Find returns the name of the service whose path is a prefix of requestPath in whole segments: "/stock" matches
-// "/stock" and "/stock/7", but not "/stockroom".
+// "/stock" and "/stock/7", but not "/stockroom". It compares requestPath with each service in turn.
 func (s *Settings) Find(requestPath string) (name string, ok bool) {
 	for name, service := range s.Services {
 		if under(requestPath, service.Path) {
--- a/setting/settings_test.go
+++ b/setting/settings_test.go
@@ -1,11 +1,14 @@
 package setting
 
 import (
+	"bytes"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"net/netip"
 	"os"
 	"reflect"
+	"regexp"
 	"testing"
 	"time"
 
@@ -163,3 +166,22 @@
 		assert.Equal(t, ok, test.want != "", test.path)
 	}
 }
+
+// Guards against fields that docs/settings.md does not list or lists with another default. The defaults of targets are
+// the service's, written as 0.
+func TestDocumentation(t *testing.T) {
+	page, err := os.ReadFile("../docs/settings.md")
+	assert.NilError(t, err)
+	for _, definition := range schema.Defs {
+		for name, property := range definition.Properties {
+			byDefault := "required"
+			if property.Default != nil {
+				var compact bytes.Buffer
+				assert.NilError(t, json.Compact(&compact, property.Default))
+				byDefault = "`?" + regexp.QuoteMeta(compact.String()) + "`?"
+			}
+			row := regexp.MustCompile(`(?m)^\| ` + "`" + name + "`" + ` \|[^|]*\| ` + byDefault + ` \|`)
+			assert.Assert(t, row.Match(page), "no row for %s with default %s", name, byDefault)
+		}
+	}
+}
