--- a/setting/folder.go
+++ b/setting/folder.go
@@ -105,16 +105,16 @@
 	v.run()
 	faults := slices.Clone(f.shape)
 	for _, fault := range v.faults {
-		fault.File = f.blame(fault.Field)
+		fault.File = f.fileOf(fault.Field)
 		faults = append(faults, fault)
 	}
 	return faults.sorted()
 }
 
-// blame returns the file to which a fault belongs: the one that set or removed the field or, if none did, that of the
+// fileOf returns the file to which a fault belongs: the one that set or removed the field or, if none did, that of the
 // nearest object around it. It returns Default if only the absence of something is at fault, and "" if the settings were
 // not read from files.
-func (f *Folder) blame(path string) string {
+func (f *Folder) fileOf(path string) string {
 	if root, ok := f.origins[""]; ok && root.file == "" {
 		return ""
 	}
@@ -263,7 +263,7 @@
 	}
 	f.Settings.Defaults()
 	for _, fault := range c.faults {
-		fault.File = f.blame(fault.Field)
+		fault.File = f.fileOf(fault.Field)
 		m.faults = append(m.faults, fault)
 	}
 	f.shape = m.faults.sorted()
