--- a/fleet/message.go
+++ b/fleet/message.go
@@ -2,10 +2,8 @@
 
 package fleet
 
-import (
-	"net/netip"
-	"time"
-)
+import "net/netip"
+import "time"
 
 // The row beat/ENTRY, written by an entry that its peers may not hear.
 type Beat struct {
