--- a/claim/machine_test.go
+++ b/claim/machine_test.go
@@ -6,13 +6,13 @@
 	"fmt"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"skylarkbeam/platform"
+	"skylarkbeam/simulation"
 	"skylarkbeam/timer"
 )
 
@@ -221,23 +221,29 @@
 		},
 		{
 			name: "checks off",
-			off:  mechanisms{check: true},
+			off: mechanisms{
+				check: true,
+			},
 			fail: true,
 		},
 		{
 			name: "read-back off",
-			off:  mechanisms{readBack: true},
+			off: mechanisms{
+				readBack: true,
+			},
 			fail: true,
 		},
 		{
 			name: "fence off",
-			off:  mechanisms{fence: true},
+			off: mechanisms{
+				fence: true,
+			},
 			fail: true,
 		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simulation.Run(t, func(t *testing.T) {
 				m := &machine{
 					timers: timer.New(),
 					off:    test.off,
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -8,13 +8,13 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"skylarkbeam/platform"
+	"skylarkbeam/simulation"
 	"skylarkbeam/timer"
 )
 
@@ -57,7 +57,7 @@
 }
 
 func simulate(t *testing.T, l limits, names string, run func(t *testing.T, w *world)) {
-	synctest.Test(t, func(t *testing.T) {
+	simulation.Run(t, func(t *testing.T) {
 		w := newWorld(l)
 		defer w.close()
 		for _, name := range names {
@@ -125,6 +125,8 @@
 		n.wake()
 		n.kill()
 	}
+	// Simulated time stops with the test, and with it all that is still under way.
+	time.Sleep(10 * time.Second)
 }
 
 // each calls a function for each process that runs, in the order of their names.
@@ -380,7 +382,9 @@
 }
 
 func (w *world) down(down bool) {
-	if err := w.memory.SetFaults(platform.Faults{Down: down}); err != nil {
+	if err := w.memory.SetFaults(platform.Faults{
+		Down: down,
+	}); err != nil {
 		panic(err)
 	}
 }
--- a/route/table.go
+++ b/route/table.go
@@ -30,6 +30,7 @@
 package route
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -74,6 +75,7 @@
 // Table holds the state of all targets as one entry sees it.
 type Table struct {
 	entries atomic.Int64
+	repeats atomic.Uint64 // bits of the share of repeats in first attempts
 	owner   atomic.Pointer[Owner]
 	view    atomic.Pointer[view]
 
@@ -93,6 +95,7 @@
 		seed: rand.New(rand.NewPCG(o.Seed, 0x9e3779b97f4a7c15)),
 	}
 	t.SetEntries(max(o.Entries, 1))
+	t.SetRepeats(repeatShare)
 	t.SetOwner(func(time.Time, string) (time.Time, bool) { return time.Time{}, false })
 	t.view.Store(&view{
 		services: map[string]*service{},
@@ -106,6 +109,11 @@
 	t.entries.Store(int64(max(n, 1)))
 }
 
+// SetRepeats sets the share of repeats and hedges in first attempts, from 0 to 1. The default is 0.1.
+func (t *Table) SetRepeats(share float64) {
+	t.repeats.Store(math.Float64bits(min(max(share, 0), 1)))
+}
+
 // SetOwner sets the function that grants ownership of cold targets. It is called with a lock held, so it must neither
 // block nor call the Table.
 func (t *Table) SetOwner(owner Owner) {
@@ -261,9 +269,9 @@
 	Tried []string
 	// Idempotent calls may be hedged, and try targets that were slow or failed before others do.
 	Idempotent bool
-	// Unsent says that no attempt of this call has reached a target. Another attempt is then no additional load, so it
-	// needs no budget; the number of targets bounds it.
-	Unsent bool
+	// Again says that the call had an attempt that ended before anything was sent. Another one is no additional load, so
+	// it needs no budget and adds nothing to it.
+	Again bool
 }
 
 // Pick selects the target for the first attempt of a call. Without a permit, the reason is Service, Drained, Cold or
@@ -276,8 +284,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p, reason := s.pick(now, q, false)
-	if p != nil {
-		s.budget.earn()
+	if p != nil && !q.Again {
+		s.budget.earn(math.Float64frombits(t.repeats.Load()))
 	}
 	return p, reason
 }
@@ -330,12 +338,11 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	free := q.Unsent && !hedge
-	if !free && !s.budget.has() {
+	if !s.budget.has() {
 		return nil
 	}
 	p, _ := s.pick(now, q, hedge)
-	if p != nil && !free {
+	if p != nil {
 		s.budget.spend()
 	}
 	return p
