--- a/cmd/skylarkbeam/drain_test.go
+++ b/cmd/skylarkbeam/drain_test.go
@@ -87,9 +87,8 @@
 	return n
 }
 
-// mixedLoad calls each entry with reads and bookings, whose keys begin with the entry's name. It counts the results by
-// entry and kind, those from entries in watched in detail.
-func (p *processes) mixedLoad(workers int, slow func(*entryProcess, result)) *load {
+// mixedLoad calls each entry with reads and bookings, whose keys begin with the entry's name, and passes on the results.
+func (p *processes) mixedLoad(workers int, seen func(*entryProcess, result)) *load {
 	client := newClient(2 * time.Second)
 	n := len(p.entries)
 	return startLoad(workers*n, func(w, i int, random *rand.Rand) {
@@ -103,7 +102,7 @@
 		if r.err == nil && r.outcome() == "answered" {
 			assert.Check(p.t, r.whole(method, path, key, ""), "%s: %s", key, r.body)
 		}
-		slow(e, r)
+		seen(e, r)
 		time.Sleep(20 * time.Millisecond)
 	})
 }
