--- a/cmd/skylarkbeam/added_test.go
+++ b/cmd/skylarkbeam/added_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,23 +34,93 @@
 		extra:   `{}`,
 		targets: []string{"-slots", "64", "-work", "0s", "-forget"},
 	})
+	var calls []addedCall
+	for _, name := range p.targetsOf("availability") {
+		calls = append(calls, addedCall{
+			target: p.targets[name],
+			path:   "/availability/tides",
+			caller: "web",
+		})
+	}
 	for _, rate := range []int{500, 2000, 6000} {
 		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) {
 			for range b.N {
-				measureAdded(b, p, rate)
+				measureAdded(b, p, rate, calls)
 			}
 		})
 	}
 }
 
-func measureAdded(b *testing.B, p *processes, rate int) {
-	e := p.entries[0]
-	var targets []string
-	for name, address := range p.targets {
-		if strings.HasPrefix(name, "availability") {
-			targets = append(targets, address)
+// BenchmarkGrowth measures the same for growing numbers of services, targets and callers at one rate, with calls spread
+// evenly over all of them.
+//
+//	go test ./cmd/skylarkbeam -run '^$' -bench Growth -benchtime 1x
+func BenchmarkGrowth(b *testing.B) {
+	const rate = 2000
+	tests := []sizes{
+		{
+			entries:  6,
+			services: 3,
+			targets:  30,
+			callers:  8,
+		},
+		{
+			entries:  6,
+			services: 30,
+			targets:  150,
+			callers:  8,
+		},
+		{
+			entries:  6,
+			services: 120,
+			targets:  600,
+			callers:  100,
+		},
+	}
+	for _, z := range tests {
+		b.Run(fmt.Sprintf("services=%d/targets=%d/callers=%d", z.services, z.targets, z.callers), func(b *testing.B) {
+			p := startSetup(b, setup{
+				settings: z.settings(),
+				extra:    `{}`,
+				targets:  []string{"-slots", "64", "-work", "0s", "-forget"},
+			})
+			calls := growthCalls(p, z)
+			// The first calls open the connections.
+			measureAdded(b, p, rate, calls)
+			for range b.N {
+				measureAdded(b, p, rate, calls)
+			}
+		})
+	}
+}
+
+// growthCalls returns a call of each caller to each target, in random order.
+func growthCalls(p *processes, z sizes) []addedCall {
+	var calls []addedCall
+	for service := range p.settings.Services {
+		for _, name := range p.targetsOf(service) {
+			for caller := range z.callers {
+				calls = append(calls, addedCall{
+					target: p.targets[name],
+					path:   "/" + service + "/x",
+					caller: fmt.Sprintf("caller-%d", caller),
+				})
+			}
 		}
 	}
+	slices.SortFunc(calls, func(a, b addedCall) int { return strings.Compare(a.path+a.target+a.caller, b.path+b.target+b.caller) })
+	random := rand.New(rand.NewPCG(seed, 0))
+	random.Shuffle(len(calls), func(i, j int) { calls[i], calls[j] = calls[j], calls[i] })
+	return calls
+}
+
+// addedCall is a call that is sent straight to the target and through an entry.
+type addedCall struct {
+	target, path, caller string
+}
+
+func measureAdded(b *testing.B, p *processes, rate int, list []addedCall) {
+	e := p.entries[0]
 	before := usageOf(b, p, e)
 	var mu sync.Mutex
 	direct := hdrhistogram.New(1, int64(10*time.Second), 3)
@@ -69,9 +141,10 @@
 			for i := range rate * addedSeconds / addedWorkers {
 				time.Sleep(time.Until(next))
 				next = next.Add(interval)
-				for side, address := range []string{targets[(i+n)%len(targets)], e.caller} {
+				c := list[(i*addedWorkers+n)%len(list)]
+				for side, address := range []string{c.target, e.caller} {
 					start := time.Now()
-					if !get(client, address) {
+					if !get(client, address, c) {
 						bad++
 						continue
 					}
@@ -98,12 +171,12 @@
 	b.ReportMetric(0, "ns/op")
 }
 
-func get(client *http.Client, address string) bool {
-	req, err := http.NewRequest(http.MethodGet, "http://"+address+"/availability/tides", nil)
+func get(client *http.Client, address string, c addedCall) bool {
+	req, err := http.NewRequest(http.MethodGet, "http://"+address+c.path, nil)
 	if err != nil {
 		return false
 	}
-	req.Header.Set("Skylarkbeam-Caller", "web")
+	req.Header.Set("Skylarkbeam-Caller", c.caller)
 	resp, err := client.Do(req)
 	if err != nil {
 		return false
