Create the context of a hedge only when one runs

Each idempotent call created two contexts, a channel and a list of tried targets for a hedge that about one call in twenty needs.

The first attempt now runs under the context of the call, which a hedge that wins cancels. The hedge makes its own context, with the same deadline, when its time has come. The list of tried targets starts in the call itself.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -53,28 +53,21 @@
 	if !c.idempotent || !ok {
 		return e.attempt(ctx, c, permit)
 	}
-	firstCtx, cancelFirst := context.WithCancel(ctx)
 	h := &hedge{
-		entry:       e,
-		call:        c,
-		query:       c.query(),
-		cancelFirst: cancelFirst,
-		result:      make(chan any, 1),
+		entry: e,
+		call:  c,
+		query: c.query(),
 	}
-	h.ctx, h.cancel = context.WithCancel(ctx)
 	timer := time.AfterFunc(after, h.run)
-	first := e.attempt(firstCtx, c, permit)
+	first := e.attempt(ctx, c, permit)
 	if timer.Stop() {
-		h.cancel()
-		return e.keep(first, cancelFirst)
+		return first
 	}
-	return e.keep(h.settle(first), func() {
-		cancelFirst()
-		h.cancel()
-	})
+	h.prepare()
+	return e.keep(h.settle(first), h.cancel)
 }
 
-// keep releases the contexts of a race once its result no longer needs them: the rest of a streamed answer does.
+// keep releases the context of a hedge once the result no longer needs it: the rest of a streamed answer does.
 func (e *Entry) keep(result any, release func()) any {
 	a, ok := result.(*answer)
 	if !ok || a.end == nil {
@@ -91,13 +84,15 @@
 
 // hedge is the second attempt of a race.
 type hedge struct {
-	entry       *Entry
-	call        *call
-	query       route.Query
-	ctx         context.Context
-	cancel      context.CancelFunc
-	cancelFirst context.CancelFunc
-	result      chan any
+	entry *Entry
+	call  *call
+	query route.Query
+
+	// once guards the fields that only a hedge that runs needs: most calls end before.
+	once   sync.Once
+	ctx    context.Context
+	cancel context.CancelFunc
+	result chan any
 
 	mu sync.Mutex
 	// At most one of the two attempts wins; the answer of the other is discarded.
@@ -105,8 +100,16 @@
 	lost bool
 }
 
+func (h *hedge) prepare() {
+	h.once.Do(func() {
+		h.ctx, h.cancel = context.WithDeadline(h.call.base, h.call.deadline)
+		h.result = make(chan any, 1)
+	})
+}
+
 // run makes the second attempt. It always sends one result.
 func (h *hedge) run() {
+	h.prepare()
 	e := h.entry
 	permit := e.table.Hedge(e.timers.Now(), h.call.service.name, h.query)
 	if permit == nil {
@@ -130,7 +133,7 @@
 			result = nil
 		} else {
 			h.won = true
-			h.cancelFirst()
+			h.call.cancel()
 		}
 	}
 	h.result <- result
--- a/entry/call.go
+++ b/entry/call.go
@@ -39,7 +39,13 @@
 	idempotent bool
 	// relayed calls come from another entry, which holds the claim and does the repeats.
 	relayed bool
-	tried   []string
+	// base is the context of the call without its deadline. Cancel ends the context of all attempts but hedges, which
+	// happens when the call has its answer.
+	base   context.Context
+	cancel context.CancelFunc
+	tried  []string
+	// first holds the names in tried of most calls without another allocation.
+	first [2]string
 	// sent says that an attempt has reached a target, mayHaveRun that its outcome is unknown.
 	sent       bool
 	mayHaveRun bool
@@ -128,6 +134,7 @@
 		idempotent: s.spec.Idempotent(r.Method),
 		relayed:    relayed,
 	}
+	c.tried = c.first[:0]
 	if text := r.Header.Get(headerTimeout); text != "" {
 		timeout, err := time.ParseDuration(text)
 		if err != nil || timeout <= 0 {
@@ -180,8 +187,9 @@
 		// would stay unknown.
 		ctx = context.WithoutCancel(ctx)
 	}
-	ctx, cancel := context.WithDeadline(ctx, c.deadline)
-	defer cancel()
+	c.base = ctx
+	ctx, c.cancel = context.WithDeadline(ctx, c.deadline)
+	defer c.cancel()
 	c.service.active.Store(true)
 	ticket, refused := c.service.scheduler.Admit(ctx, c.caller, c.deadline)
 	if refused != nil {
