--- a/standin/server.go
+++ b/standin/server.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Server accepts connections for a target.
@@ -26,6 +27,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("start target %s: %w", t.name, err)
 	}
+	inner := &listener{
+		target: t,
+		inner:  ln,
+		end:    make(chan struct{}),
+	}
+	t.mu.Lock()
+	t.listener = inner
+	t.mu.Unlock()
 	s := &Server{
 		Target:  t,
 		Address: ln.Addr().(*net.TCPAddr).AddrPort(),
@@ -39,10 +48,7 @@
 	}
 	go func() {
 		defer close(s.done)
-		_ = s.http.Serve(&listener{
-			Listener: ln,
-			target:   t,
-		})
+		_ = s.http.Serve(inner)
 	}()
 	return s, nil
 }
@@ -63,25 +69,96 @@
 	return err
 }
 
+// listener is a TCP listener that can be replaced by a new one at the same address, as when a process restarts.
 type listener struct {
-	net.Listener
 	target *Target
+	end    chan struct{}
+
+	mu     sync.Mutex
+	inner  net.Listener
+	closed bool
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr { return l.present().Addr() }
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.closed {
+		l.closed = true
+		close(l.end)
+	}
+	return l.inner.Close()
+}
+
+func (l *listener) present() net.Listener {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.inner
+}
+
+// stop closes the socket with the connections that wait to be accepted. They belong to the process that ends.
+func (l *listener) stop() {
+	_ = l.present().Close()
+}
+
+// resume listens at the same address again.
+func (l *listener) resume() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for !l.closed {
+		inner, err := net.Listen("tcp", l.inner.Addr().String())
+		if err == nil {
+			l.inner = inner
+			return
+		}
+		// The system may need a moment to free the address.
+		time.Sleep(time.Millisecond)
+	}
 }
 
 // Accept wraps connections so that they can be made silent.
 func (l *listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		inner := l.present()
+		starts := l.target.startCount()
+		nc, err := inner.Accept()
+		if err != nil {
+			select {
+			case <-l.end:
+				return nil, err
+			case <-time.After(time.Millisecond):
+				continue
+			}
+		}
+		c := &conn{
+			Conn:   nc,
+			target: l.target,
+		}
+		if l.target.admit(c, starts) {
+			return c, nil
+		}
+		_ = nc.Close()
 	}
-	c := &conn{
-		Conn:   nc,
-		target: l.target,
+}
+
+func (t *Target) startCount() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.starts
+}
+
+// admit registers a connection unless the process that accepted it has ended meanwhile.
+func (t *Target) admit(c *conn, starts int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.starts != starts {
+		return false
 	}
-	l.target.mu.Lock()
-	l.target.conns[c] = struct{}{}
-	l.target.mu.Unlock()
-	return c, nil
+	t.conns[c] = struct{}{}
+	return true
 }
 
 const (
--- a/standin/target.go
+++ b/standin/target.go
@@ -62,6 +62,8 @@
 	loads    []time.Time // load reads of the last second
 	history  []sample    // former load, kept while Stale is set
 	conns    map[*conn]struct{}
+	listener *listener // nil without a Server
+	starts   int       // restarts that closed the connections
 }
 
 // life is one process start of the target.
@@ -109,6 +111,13 @@
 // Restart makes the target a new instance that is cold again and not draining. Unless keep is set, all connections are
 // closed, which ends the calls in flight.
 func (t *Target) Restart(keep bool) {
+	t.mu.Lock()
+	l := t.listener
+	t.mu.Unlock()
+	if l != nil && !keep {
+		l.stop()
+		defer l.resume()
+	}
 	t.mu.Lock()
 	t.life = newLife()
 	t.switches.Drain = false
@@ -116,6 +125,7 @@
 	t.signal()
 	var conns []*conn
 	if !keep {
+		t.starts++
 		for c := range t.conns {
 			c.dead = true
 			conns = append(conns, c)
