--- a/standin/server.go
+++ b/standin/server.go
@@ -137,7 +137,7 @@
 			Conn:   nc,
 			target: l.target,
 		}
-		if l.target.admit(c, starts) {
+		if l.target.register(c, starts) {
 			return c, nil
 		}
 		_ = nc.Close()
@@ -150,8 +150,8 @@
 	return t.starts
 }
 
-// admit registers a connection unless the process that accepted it has ended meanwhile.
-func (t *Target) admit(c *conn, starts int) bool {
+// register adds a connection unless the process that accepted it has ended meanwhile.
+func (t *Target) register(c *conn, starts int) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.starts != starts {
