Let the estimate of a call's time fade without samples

A stall made the estimate longer than the deadlines; then every call was refused, and refused calls give no sample that corrects the estimate. Slow readers of large answers raised it as well. Change: without samples for 250 ms the estimate returns to the usual time of the settings; the time that a caller takes to read does not count. A read that failed now names the reason of the attempt that may have run.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -187,7 +187,7 @@
 		h.entry.counters.hedgeWins.Inc()
 		return second
 	case *outcome.Unknown:
-		h.call.mayHaveRun = true
+		h.call.unknown = second.Reason
 	}
 	return first
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -49,11 +49,13 @@
 	tried  []string
 	// first holds the names in tried of most calls without another allocation.
 	first [2]string
+	// answered is when the answer was ready to be written.
+	answered time.Time
 	// unsent counts the attempts that ended before anything was sent.
 	unsent int
-	// mayHaveRun says that the outcome of an attempt is unknown.
-	mayHaveRun bool
-	claim      *claim.Claim
+	// unknown is the reason of the last attempt whose outcome is unknown, empty if there is none.
+	unknown outcome.Reason
+	claim   *claim.Claim
 }
 
 // refusal says why a call gets no answer of a target. It is sent by the entry itself.
@@ -202,7 +204,11 @@
 	admitted := e.timers.Now()
 	defer func() {
 		now := e.timers.Now()
-		ticket.Done(now, now.Sub(admitted))
+		if c.answered.IsZero() {
+			c.answered = now
+		}
+		// The time that a slow caller takes to read a large answer says nothing of how long calls take.
+		ticket.Done(now, c.answered.Sub(admitted))
 		e.adjustSoon(now, c.service)
 	}()
 	if !c.idempotent && !c.relayed {
@@ -299,6 +305,7 @@
 // run sends a call until it has a whole answer or is given up. It returns an *answer, *outcome.NotRun or
 // *outcome.Unknown.
 func (e *Entry) run(ctx context.Context, c *call) any {
+	defer func() { c.answered = e.timers.Now() }()
 	result := e.runHere(ctx, c)
 	if no, ok := result.(*outcome.NotRun); ok && !c.relayed {
 		switch no.Reason {
@@ -309,10 +316,10 @@
 			result = e.relayCall(ctx, c, no, e.others())
 		}
 	}
-	if no, ok := result.(*outcome.NotRun); ok && c.mayHaveRun {
+	if _, ok := result.(*outcome.NotRun); ok && c.unknown != "" {
 		// The last attempt was refused, but an earlier one may have run.
 		return &outcome.Unknown{
-			Reason: no.Reason,
+			Reason: c.unknown,
 		}
 	}
 	return result
@@ -336,7 +343,7 @@
 		case *outcome.NotRun:
 			again = o.Reason
 		case *outcome.Unknown:
-			c.mayHaveRun = true
+			c.unknown = o.Reason
 			if !c.idempotent {
 				return o
 			}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -45,7 +45,7 @@
 			if !c.idempotent {
 				return r
 			}
-			c.mayHaveRun = true
+			c.unknown = r.Reason
 		}
 	}
 	return refused
--- a/share/scheduler.go
+++ b/share/scheduler.go
@@ -49,6 +49,14 @@
 	retryCeiling = 30 * time.Second
 )
 
+const (
+	// fadeAfter is how long the estimate of a call's time holds without a new sample, fadeTime the time constant with
+	// which it then returns to the usual time. Without that, a stall that made the estimate longer than the deadlines would
+	// refuse every later call, and no sample would ever correct it.
+	fadeAfter = 250 * time.Millisecond
+	fadeTime  = 500 * time.Millisecond
+)
+
 // Options configure a Scheduler.
 type Options struct {
 	// Share returns the fraction of the capacity owed to a caller. It is called with a lock held, so it must not block.
@@ -85,6 +93,8 @@
 	tickets  uint64
 	// work is the average time that a call holds its slot, deviation its mean deviation, in seconds.
 	work      float64
+	usualWork float64
+	sampled   time.Time
 	deviation float64
 	callers   map[string]*caller
 	// queued holds the callers with waiting calls.
@@ -106,13 +116,14 @@
 		o.Now = time.Now
 	}
 	return &Scheduler{
-		share:    o.Share,
-		queue:    o.Queue,
-		now:      o.Now,
-		capacity: 1,
-		total:    1,
-		work:     o.Work.Seconds(),
-		callers:  map[string]*caller{},
+		share:     o.Share,
+		queue:     o.Queue,
+		now:       o.Now,
+		capacity:  1,
+		total:     1,
+		work:      o.Work.Seconds(),
+		usualWork: o.Work.Seconds(),
+		callers:   map[string]*caller{},
 	}
 }
 
@@ -131,6 +142,7 @@
 func (s *Scheduler) Enqueue(now time.Time, name string, deadline time.Time) (*Ticket, *Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.fade(now)
 	c := s.caller(now, name)
 	c.settle(now)
 	c.offered += 1 / window.Seconds()
@@ -299,6 +311,21 @@
 	return calls * s.work / window.Seconds() / (c.share * capacity)
 }
 
+// fade lets an estimate that is longer than usual return to the usual time while there are no samples.
+func (s *Scheduler) fade(now time.Time) {
+	if s.sampled.IsZero() {
+		s.sampled = now
+	}
+	quiet := now.Sub(s.sampled) - fadeAfter
+	if quiet <= 0 || s.usual() <= s.usualWork {
+		return
+	}
+	s.sampled = now.Add(-fadeAfter)
+	rest := math.Exp(-quiet.Seconds() / fadeTime.Seconds())
+	s.work = s.usualWork + max(s.work-s.usualWork, 0)*rest
+	s.deviation *= rest
+}
+
 func (s *Scheduler) inTime(now, deadline time.Time) bool {
 	return !now.Add(seconds(s.usual())).After(deadline)
 }
@@ -405,6 +432,7 @@
 	t.caller.running--
 	s.running--
 	if latency > 0 {
+		s.sampled = now
 		d := latency.Seconds() - s.work
 		s.work += d * 0.05
 		s.deviation += (math.Abs(d) - s.deviation) * 0.05
