--- a/entry/answer.go
+++ b/entry/answer.go
@@ -16,7 +16,7 @@
 // that the break is visible.
 func (e *Entry) deliver(w http.ResponseWriter, c *call, a *answer) {
 	header := w.Header()
-	for name, values := range a.header {
+	for name, values := range a.Header {
 		if strings.HasPrefix(name, "Skylarkbeam-") {
 			continue
 		}
@@ -24,10 +24,10 @@
 	}
 	header.Set(headerOutcome, outcomeAnswered)
 	e.counters.outcomes[outcomeAnswered].Inc()
-	if a.length >= 0 && c.request.Method != http.MethodHead && bodyAllowed(a.status) {
+	if a.length >= 0 && c.request.Method != http.MethodHead && bodyAllowed(a.Status) {
 		header.Set("Content-Length", strconv.FormatInt(a.length, 10))
 	}
-	w.WriteHeader(a.status)
+	w.WriteHeader(a.Status)
 	_, err := w.Write(a.prefix)
 	if a.rest == nil {
 		return
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -15,11 +15,11 @@
 	"skylarkbeam/target"
 )
 
-// answer is the answer of a target, of which the first part has arrived. If the whole is no longer than the buffer, rest
-// is nil and nothing can break any more.
+// answer is the answer of a target, of which the first part has arrived. It is an outcome like the one that it is made
+// from. If the whole is no longer than the buffer, rest is nil and nothing can break any more.
 type answer struct {
-	status int
-	header http.Header
+	*outcome.Answered
+	// length is that of the whole body in bytes, or -1 if it is not known.
 	length int64
 	prefix []byte
 	rest   io.ReadCloser
@@ -47,7 +47,7 @@
 
 // race makes an attempt, and a second one for an idempotent call if the first is slower than usual. It returns the first
 // whole answer, or what became of the first attempt.
-func (e *Entry) race(ctx context.Context, c *call, permit *route.Permit) any {
+func (e *Entry) race(ctx context.Context, c *call, permit *route.Permit) outcome.Outcome {
 	c.tried = append(c.tried, permit.Target)
 	after, ok := e.table.HedgeAfter(c.service.name)
 	if !c.idempotent || !ok {
@@ -69,7 +69,7 @@
 }
 
 // keep releases the context of a hedge once the result no longer needs it: the rest of a streamed answer does.
-func (e *Entry) keep(result any, release func()) any {
+func (e *Entry) keep(result outcome.Outcome, release func()) outcome.Outcome {
 	a, ok := result.(*answer)
 	if !ok || a.end == nil {
 		release()
@@ -94,7 +94,7 @@
 	once   sync.Once
 	ctx    context.Context
 	cancel context.CancelFunc
-	result chan any
+	result chan outcome.Outcome
 
 	mu sync.Mutex
 	// At most one of the two attempts wins; the answer of the other is discarded. A hedge that has not started when the
@@ -107,7 +107,7 @@
 func (h *hedge) prepare() {
 	h.once.Do(func() {
 		h.ctx, h.cancel = context.WithDeadline(h.call.base, h.call.deadline)
-		h.result = make(chan any, 1)
+		h.result = make(chan outcome.Outcome, 1)
 	})
 }
 
@@ -169,7 +169,7 @@
 
 // settle chooses between the first attempt, which has ended, and the hedge. A first answer that arrives after the hedge
 // has won cannot be used, because its connection is already being closed.
-func (h *hedge) settle(first any) any {
+func (h *hedge) settle(first outcome.Outcome) outcome.Outcome {
 	firstAnswer, answered := first.(*answer)
 	h.mu.Lock()
 	if answered && !h.won || !h.started {
@@ -194,7 +194,7 @@
 
 // attempt sends a call to the target of the permit. It returns an *answer, *outcome.NotRun or *outcome.Unknown. The
 // permit ends with the attempt, that of a streamed answer with its end.
-func (e *Entry) attempt(ctx context.Context, c *call, permit *route.Permit) any {
+func (e *Entry) attempt(ctx context.Context, c *call, permit *route.Permit) outcome.Outcome {
 	start := e.timers.Now()
 	if !e.contact(start) {
 		// The process may have been paused since the call was let in, most likely while it waited for its claim.
@@ -257,7 +257,7 @@
 
 // receive settles an outcome: it reads the first part of an answer, so that a break within it can be repaired before the
 // caller has seen anything. Done ends the attempt.
-func (e *Entry) receive(ctx context.Context, c *call, o outcome.Outcome, done func(route.Kind, outcome.Report)) any {
+func (e *Entry) receive(ctx context.Context, c *call, o outcome.Outcome, done func(route.Kind, outcome.Report)) outcome.Outcome {
 	switch o := o.(type) {
 	case *outcome.NotRun:
 		kind := route.Unsent
@@ -284,11 +284,10 @@
 	}
 }
 
-func (e *Entry) buffer(ctx context.Context, c *call, o *outcome.Answered, done func(route.Kind, outcome.Report)) any {
+func (e *Entry) buffer(ctx context.Context, c *call, o *outcome.Answered, done func(route.Kind, outcome.Report)) outcome.Outcome {
 	a := &answer{
-		status: o.Status,
-		header: o.Header,
-		length: o.Length,
+		Answered: o,
+		length:   o.Length,
 	}
 	limit := int64(c.view.settings.Limits.Buffer)
 	size := o.Length
--- a/entry/call.go
+++ b/entry/call.go
@@ -276,7 +276,7 @@
 	switch o := e.run(ctx, c).(type) {
 	case *answer:
 		// The record does not wait for the caller, who may be slow or gone.
-		c.claim.Finish(o.status, o.header.Get("Content-Type"), o.recorded())
+		c.claim.Finish(o.Status, o.Header.Get("Content-Type"), o.recorded())
 		e.deliver(w, c, o)
 		return nil
 	case *outcome.NotRun:
@@ -304,7 +304,7 @@
 
 // run sends a call until it has a whole answer or is given up. It returns an *answer, *outcome.NotRun or
 // *outcome.Unknown.
-func (e *Entry) run(ctx context.Context, c *call) any {
+func (e *Entry) run(ctx context.Context, c *call) outcome.Outcome {
 	defer func() { c.answered = e.timers.Now() }()
 	result := e.runHere(ctx, c)
 	if no, ok := result.(*outcome.NotRun); ok && !c.relayed {
@@ -326,7 +326,7 @@
 }
 
 // runHere is run without the help of other entries.
-func (e *Entry) runHere(ctx context.Context, c *call) any {
+func (e *Entry) runHere(ctx context.Context, c *call) outcome.Outcome {
 	permit, reason := e.pick(ctx, c)
 	if permit == nil {
 		return &outcome.NotRun{
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -57,7 +57,6 @@
 	mu      sync.Mutex
 	budgets map[string]*target.Budget
 	relays  map[string]*relay
-	vms     map[string]bool // targets that the platform lists as leaving
 
 	listeners     *listeners
 	callerServer  *http.Server
@@ -72,8 +71,8 @@
 	tasks      sync.WaitGroup
 }
 
-// New puts an entry together from its parts. Start makes it serve.
-func New(opts Options, timers *timer.Service, log *zap.Logger, j *journal, counters *Counters, l *listeners, peers *fleet.Client, f *fleet.Fleet, ledger *claim.Ledger, table *route.Table) *Entry {
+// newEntry puts an entry together from its parts.
+func newEntry(opts Options, timers *timer.Service, log *zap.Logger, j *journal, counters *Counters, l *listeners, peers *fleet.Client, f *fleet.Fleet, ledger *claim.Ledger, table *route.Table) *Entry {
 	e := &Entry{
 		opts:      opts,
 		timers:    timers,
@@ -88,7 +87,6 @@
 		started:   timers.Now(),
 		budgets:   map[string]*target.Budget{},
 		relays:    map[string]*relay{},
-		vms:       map[string]bool{},
 		done:      make(chan struct{}),
 	}
 	e.view.Store(&view{})
--- a/entry/provide.go
+++ b/entry/provide.go
@@ -108,7 +108,7 @@
 
 // connect finishes the assembly: from here on the fleet's callbacks reach the entry.
 func connect(opts Options, timers *timer.Service, log *zap.Logger, j *journal, counters *Counters, l *listeners, peers *fleet.Client, f *fleet.Fleet, ledger *claim.Ledger, table *route.Table, c *callbacks) *Entry {
-	c.entry = New(opts, timers, log, j, counters, l, peers, f, ledger, table)
+	c.entry = newEntry(opts, timers, log, j, counters, l, peers, f, ledger, table)
 	close(c.ready)
 	return c.entry
 }
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -27,7 +27,7 @@
 // relayCall passes a call on to other entries, one after the other, until one answers it. That is the way to an answer
 // while this entry may not use any target, such as after a start of the whole deployment, when all targets are cold.
 // Refused is the result if no other entry can help.
-func (e *Entry) relayCall(ctx context.Context, c *call, refused *outcome.NotRun, others []fleet.Member) any {
+func (e *Entry) relayCall(ctx context.Context, c *call, refused *outcome.NotRun, others []fleet.Member) outcome.Outcome {
 	for _, m := range others {
 		if ctx.Err() != nil {
 			break
@@ -52,13 +52,13 @@
 }
 
 // relayed tells the answer of a target from what the other entry itself has to say.
-func relayed(a *answer) any {
-	reason := outcome.Reason(a.header.Get(headerReason))
+func relayed(a *answer) outcome.Outcome {
+	reason := outcome.Reason(a.Header.Get(headerReason))
 	if reason == "" {
 		return a
 	}
 	a.discard()
-	if a.status == http.StatusBadGateway || a.status == http.StatusGatewayTimeout {
+	if a.Status == http.StatusBadGateway || a.Status == http.StatusGatewayTimeout {
 		return &outcome.Unknown{
 			Reason: reason,
 		}
--- a/target/body.go
+++ b/target/body.go
@@ -1,10 +1,11 @@
 package target
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
 )
 
 // ErrTruncated is the error of reading an answer's body that ends before its announced end, whatever the cause: a
--- a/target/conn.go
+++ b/target/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +10,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 var errHeadTooLarge = errors.New("head of the answer is too large")
--- a/target/pool_test.go
+++ b/target/pool_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -14,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
--- a/target/probe.go
+++ b/target/probe.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"skylarkbeam/outcome"
 )
 
--- a/target/send.go
+++ b/target/send.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"os"
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"skylarkbeam/outcome"
 )
 
