--- a/cmd/skylarkbeam/load_test.go
+++ b/cmd/skylarkbeam/load_test.go
@@ -192,24 +192,7 @@
 	if key != "" {
 		req.Header.Set("Skylarkbeam-Key", key)
 	}
-	start := time.Now()
-	resp, err := client.Do(req)
-	if err != nil {
-		return result{
-			err:     err,
-			header:  http.Header{},
-			elapsed: time.Since(start),
-		}
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
-	return result{
-		status:  resp.StatusCode,
-		header:  resp.Header,
-		body:    string(data),
-		err:     err,
-		elapsed: time.Since(start),
-	}
+	return perform(client, req)
 }
 
 // tally counts by name; it is safe for concurrent use.
--- a/cmd/skylarkbeam/processes_test.go
+++ b/cmd/skylarkbeam/processes_test.go
@@ -368,6 +368,11 @@
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
+	return perform(client, req)
+}
+
+// perform sends a request and reads the whole answer.
+func perform(client *http.Client, req *http.Request) result {
 	start := time.Now()
 	resp, err := client.Do(req)
 	if err != nil {
--- a/entry/call.go
+++ b/entry/call.go
@@ -12,22 +12,12 @@
 
 	"skylarkbeam/claim"
 	"skylarkbeam/outcome"
-	"skylarkbeam/route"
 	"skylarkbeam/setting"
 )
 
-const (
-	// maxBody is the largest request body in bytes. A body is held in memory because its digest belongs to the claim, and
-	// because an idempotent call may be sent again.
-	maxBody = 4 << 20
-	// retryLater is what a refused caller is told if nothing better is known.
-	retryLater = time.Second
-	// maxUnsent bounds the attempts of a call that end before anything is sent. With a third of the targets restarted at
-	// once, the chance that all four attempts meet one of them is below 2%.
-	maxUnsent = 3
-	// pollCapacity is how often a call that was admitted looks for a target while all are taken.
-	pollCapacity = time.Millisecond
-)
+// maxBody is the largest request body in bytes. A body is held in memory because its digest belongs to the claim, and because
+// an idempotent call may be sent again.
+const maxBody = 4 << 20
 
 // call is one call of a caller.
 type call struct {
@@ -58,36 +48,6 @@
 	claim   *claim.Claim
 }
 
-// refusal says why a call gets no answer of a target. It is sent by the entry itself.
-type refusal struct {
-	status  int
-	outcome string
-	reason  outcome.Reason
-	after   time.Duration
-	text    string
-}
-
-func notRun(reason outcome.Reason, after time.Duration, text string) *refusal {
-	status := http.StatusServiceUnavailable
-	switch reason {
-	case outcome.Share:
-		status = http.StatusTooManyRequests
-	case outcome.Key, outcome.Caller, outcome.Invalid:
-		status = http.StatusBadRequest
-	case outcome.Service:
-		status = http.StatusNotFound
-	case outcome.Conflict:
-		status = http.StatusUnprocessableEntity
-	}
-	return &refusal{
-		status:  status,
-		outcome: outcomeNotRun,
-		reason:  reason,
-		after:   after,
-		text:    text,
-	}
-}
-
 // serveCall handles one call from a caller.
 func (e *Entry) serveCall(w http.ResponseWriter, r *http.Request) {
 	e.serve(w, r, false)
@@ -227,31 +187,6 @@
 	}
 }
 
-func orLater(d time.Duration) time.Duration {
-	if d <= 0 {
-		return retryLater
-	}
-	return d
-}
-
-// unfinished is the final answer to a call whose outcome is unknown.
-func unfinished(c *call, reason outcome.Reason) *refusal {
-	no := &refusal{
-		status:  http.StatusBadGateway,
-		outcome: outcomeFailed,
-		reason:  reason,
-		text:    "no whole answer from a target",
-	}
-	if reason == outcome.Silent || reason == outcome.Deadline {
-		no.status = http.StatusGatewayTimeout
-	}
-	if !c.idempotent {
-		no.outcome = outcomeUnknown
-		no.text = "the call may have run"
-	}
-	return no
-}
-
 // handleOnce runs a non-idempotent call under a claim.
 func (e *Entry) handleOnce(ctx context.Context, w http.ResponseWriter, c *call) *refusal {
 	switch d := e.ledger.Take(ctx, c.claimKey(), c.digest()).(type) {
@@ -301,114 +236,3 @@
 	h.Write(c.body)
 	return hex.EncodeToString(h.Sum(nil))
 }
-
-// run sends a call until it has a whole answer or is given up. It returns an *answer, *outcome.NotRun or
-// *outcome.Unknown.
-func (e *Entry) run(ctx context.Context, c *call) outcome.Outcome {
-	defer func() { c.answered = e.timers.Now() }()
-	result := e.runHere(ctx, c)
-	if no, ok := result.(*outcome.NotRun); ok && !c.relayed {
-		switch no.Reason {
-		case outcome.Cold:
-			result = e.relayCall(ctx, c, no, e.owners(c))
-		case outcome.Budget:
-			// An entry that has just started may not check connections yet; others have checked theirs.
-			result = e.relayCall(ctx, c, no, e.others())
-		}
-	}
-	if _, ok := result.(*outcome.NotRun); ok && c.unknown != "" {
-		// The last attempt was refused, but an earlier one may have run.
-		return &outcome.Unknown{
-			Reason: c.unknown,
-		}
-	}
-	return result
-}
-
-// runHere is run without the help of other entries.
-func (e *Entry) runHere(ctx context.Context, c *call) outcome.Outcome {
-	permit, reason := e.pick(ctx, c)
-	if permit == nil {
-		return &outcome.NotRun{
-			Reason:     reason,
-			RetryAfter: e.table.RetryAfter(c.service.name, reason),
-		}
-	}
-	for {
-		result := e.race(ctx, c, permit)
-		var again outcome.Reason
-		switch o := result.(type) {
-		case *answer:
-			return o
-		case *outcome.NotRun:
-			again = o.Reason
-		case *outcome.Unknown:
-			c.unknown = o.Reason
-			if !c.idempotent {
-				return o
-			}
-			again = o.Reason
-		}
-		if uncharged(again) && c.unsent < maxUnsent {
-			c.unsent++
-			permit, _ = e.pick(ctx, c)
-		} else {
-			permit = e.repeat(ctx, c)
-		}
-		if permit == nil {
-			return result
-		}
-		e.counters.Retried(again)
-	}
-}
-
-// uncharged tells whether an attempt ended before anything of the call was sent, for a reason that is no failure of a
-// running target: the target has restarted, is down or left the settings, or its probe budget allowed no connection
-// check. The next attempt then costs the targets nothing more and does not draw on the budget for repeats, which a return
-// of many targets at once would exhaust.
-func uncharged(reason outcome.Reason) bool {
-	switch reason {
-	case outcome.Instance, outcome.Budget, outcome.Dial, outcome.Leaving:
-		return true
-	}
-	return false
-}
-
-// pick selects the target for the first attempt. While all targets are taken it waits, because the admission has found
-// that the call can still be in time.
-func (e *Entry) pick(ctx context.Context, c *call) (*route.Permit, outcome.Reason) {
-	for {
-		now := e.timers.Now()
-		permit, reason := e.table.Pick(now, c.service.name, c.query())
-		if permit != nil || reason != outcome.Queue {
-			return permit, reason
-		}
-		if !now.Add(time.Duration(c.service.spec.Work)).Before(c.deadline) {
-			return nil, outcome.Deadline
-		}
-		wait := time.NewTimer(pollCapacity)
-		select {
-		case <-wait.C:
-		case <-ctx.Done():
-			wait.Stop()
-			return nil, outcome.Deadline
-		}
-	}
-}
-
-// repeat selects the target for another attempt, nil if there is to be none.
-func (e *Entry) repeat(ctx context.Context, c *call) *route.Permit {
-	now := e.timers.Now()
-	if ctx.Err() != nil || !now.Before(c.deadline) || !e.contact(now) {
-		return nil
-	}
-	return e.table.Repeat(now, c.service.name, c.query())
-}
-
-func (c *call) query() route.Query {
-	return route.Query{
-		Tried:      c.tried,
-		Idempotent: c.idempotent,
-		Again:      c.unsent > 0,
-	}
-}
--- /dev/null
+++ b/entry/change.go
@@ -0,0 +1,158 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	restful "github.com/emicklei/go-restful/v3"
+
+	"skylarkbeam/fleet"
+	"skylarkbeam/setting"
+)
+
+const (
+	// changeTimeout bounds the time of a change of the accepted state.
+	changeTimeout = 15 * time.Second
+	// maxChange is the largest body of a change in bytes.
+	maxChange = 16 << 20
+)
+
+// Change is a request of an operator to change the accepted state.
+type Change struct {
+	// ID identifies the change; a request that is sent again with the same ID never makes it twice.
+	ID string `json:"id"`
+	// Base is the version of the state that the operator has seen.
+	Base     uint64          `json:"base"`
+	Who      string          `json:"who"`
+	Settings json.RawMessage `json:"settings,omitempty"`
+	Domains  []string        `json:"domains,omitempty"`
+	Targets  []string        `json:"targets,omitempty"`
+}
+
+// Verdict is the answer to a Change.
+type Verdict struct {
+	// Result is accepted, conflict, refused or undecided.
+	Result  string   `json:"result"`
+	Version uint64   `json:"version,omitempty"`
+	Behind  []string `json:"behind,omitempty"`
+	Who     string   `json:"who,omitempty"`
+	What    string   `json:"what,omitempty"`
+	Reason  string   `json:"reason,omitempty"`
+}
+
+// Apply changes the accepted settings, as the command does.
+func (e *Entry) Apply(ctx context.Context, c fleet.Change, settings []byte) fleet.Decision {
+	return e.fleet.Apply(ctx, c, settings)
+}
+
+func (e *Entry) serveApply(req *restful.Request, resp *restful.Response) {
+	e.change(req, resp, func(ctx context.Context, c *Change) fleet.Decision {
+		return e.Apply(ctx, c.change(), c.Settings)
+	})
+}
+
+func (e *Entry) serveDrain(req *restful.Request, resp *restful.Response) {
+	e.change(req, resp, func(ctx context.Context, c *Change) fleet.Decision {
+		if err := e.known(c); err != nil {
+			return &fleet.Refused{
+				Reason: err.Error(),
+			}
+		}
+		return e.fleet.Drain(ctx, c.change(), c.Domains, c.Targets)
+	})
+}
+
+func (e *Entry) serveRestore(req *restful.Request, resp *restful.Response) {
+	e.change(req, resp, func(ctx context.Context, c *Change) fleet.Decision {
+		return e.fleet.Restore(ctx, c.change(), c.Domains, c.Targets)
+	})
+}
+
+func (c *Change) change() fleet.Change {
+	return fleet.Change{
+		ID:   c.ID,
+		Base: c.Base,
+		Who:  c.Who,
+	}
+}
+
+// known refuses names that are not in the settings, so that a typing error does not pass for a drain.
+func (e *Entry) known(c *Change) error {
+	v := e.view.Load()
+	if v.settings == nil {
+		return errors.New("no settings are in force")
+	}
+	for _, name := range c.Domains {
+		if _, ok := v.settings.Domains[name]; !ok {
+			return errors.Newf("failure domain %q does not exist", name)
+		}
+	}
+	for _, name := range c.Targets {
+		if _, ok := v.pools[name]; !ok {
+			return errors.Newf("target %q does not exist", name)
+		}
+	}
+	return nil
+}
+
+func (e *Entry) change(req *restful.Request, resp *restful.Response, apply func(context.Context, *Change) fleet.Decision) {
+	var c Change
+	data, err := io.ReadAll(io.LimitReader(req.Request.Body, maxChange))
+	if err == nil {
+		err = json.Unmarshal(data, &c)
+	}
+	if err != nil || c.ID == "" || c.Who == "" {
+		http.Error(resp, "a change needs a JSON body with id, base and who", http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(req.Request.Context(), changeTimeout)
+	defer cancel()
+	verdict, status := verdictOf(apply(ctx, &c))
+	resp.Header().Set("Content-Type", restful.MIME_JSON)
+	resp.WriteHeader(status)
+	json.NewEncoder(resp).Encode(verdict)
+}
+
+// verdictOf returns the wire form of a decision and its HTTP status.
+func verdictOf(d fleet.Decision) (Verdict, int) {
+	switch d := d.(type) {
+	case *fleet.Accepted:
+		return Verdict{
+			Result:  "accepted",
+			Version: d.Version,
+			Behind:  d.Behind,
+		}, http.StatusOK
+	case *fleet.Conflict:
+		return Verdict{
+			Result:  "conflict",
+			Version: d.Version,
+			Who:     d.Who,
+			What:    d.What,
+		}, http.StatusConflict
+	case *fleet.Refused:
+		return Verdict{
+			Result: "refused",
+			Reason: d.Reason,
+		}, http.StatusUnprocessableEntity
+	case *fleet.Undecided:
+		return Verdict{
+			Result: "undecided",
+			Reason: "the platform has not told whether the change was made; send it again with the same id",
+		}, http.StatusServiceUnavailable
+	default:
+		panic(errors.AssertionFailedf("unknown decision %T", d))
+	}
+}
+
+// checkSettings is what the fleet asks before it accepts settings.
+func checkSettings(data []byte) error {
+	settings, err := setting.Parse(data)
+	if err != nil {
+		return errors.Wrap(err, "reading settings")
+	}
+	return settings.Validate().Err()
+}
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,143 @@
+package entry
+
+import (
+	"sort"
+	"time"
+
+	restful "github.com/emicklei/go-restful/v3"
+
+	"skylarkbeam/outcome"
+	"skylarkbeam/route"
+	"skylarkbeam/setting"
+)
+
+// Status is what an entry tells operators about itself.
+type Status struct {
+	Entry   string   `json:"entry"`
+	Domain  string   `json:"domain"`
+	Contact bool     `json:"contact"`
+	Leaving bool     `json:"leaving"`
+	Version uint64   `json:"version"`
+	Base    uint64   `json:"base"`
+	Who     string   `json:"who"`
+	What    string   `json:"what"`
+	When    string   `json:"when"`
+	Domains []string `json:"domains"`
+	Targets []string `json:"targets"`
+	Members []member `json:"members"`
+	Tasks   []task   `json:"tasks"`
+	Phases  []phase  `json:"phases"`
+	// Counts are the counters of refusals, retries and outcomes that are not zero.
+	Counts map[string]uint64 `json:"counts"`
+	// Events are the last changes of state, the oldest first.
+	Events []Event `json:"events"`
+}
+
+type member struct {
+	Name    string           `json:"name"`
+	Domain  string           `json:"domain"`
+	State   string           `json:"state"`
+	Version uint64           `json:"version"`
+	Heard   setting.Duration `json:"heard"`
+}
+
+type task struct {
+	Name     string           `json:"name"`
+	Interval setting.Duration `json:"interval"`
+}
+
+type phase struct {
+	Target   string `json:"target"`
+	Service  string `json:"service"`
+	Owner    string `json:"owner"`
+	Warm     string `json:"warm"`
+	Instance string `json:"instance"`
+	// Phase is what the target said last, Use how this entry uses it.
+	Phase outcome.Phase `json:"phase"`
+	Use   string        `json:"use"`
+}
+
+func (e *Entry) serveStatus(_ *restful.Request, resp *restful.Response) {
+	writeJSON(resp, e.Status())
+}
+
+// Status returns what the entry knows and does at this moment.
+func (e *Entry) Status() Status {
+	now := e.timers.Now()
+	state := e.fleet.State()
+	s := Status{
+		Entry:   e.opts.Name,
+		Domain:  e.opts.Domain,
+		Contact: e.fleet.Contact(now),
+		Leaving: e.leaving.Load(),
+		Version: state.Version,
+		Base:    state.Base,
+		Who:     state.Who,
+		What:    state.What,
+		Domains: append([]string{}, state.Domains...),
+		Targets: append([]string{}, state.Targets...),
+	}
+	if !state.When.IsZero() {
+		s.When = state.When.UTC().Format(time.RFC3339)
+	}
+	for _, m := range e.fleet.Members() {
+		row := member{
+			Name:    m.Name,
+			Domain:  m.Domain,
+			State:   string(m.State),
+			Version: m.Version,
+		}
+		if !m.Heard.IsZero() {
+			row.Heard = setting.Duration(now.Sub(m.Heard).Round(time.Millisecond))
+		}
+		s.Members = append(s.Members, row)
+	}
+	for _, t := range e.timers.Tasks() {
+		s.Tasks = append(s.Tasks, task{
+			Name:     t.Name,
+			Interval: setting.Duration(t.Interval),
+		})
+	}
+	s.Phases = e.phases()
+	s.Counts = e.counters.nonzero()
+	s.Events = e.journal.list()
+	return s
+}
+
+func (e *Entry) phases() []phase {
+	v := e.view.Load()
+	uses := map[string]string{}
+	for _, s := range e.table.Status(e.timers.Now()) {
+		uses[s.Target] = useOf(s)
+	}
+	var rows []phase
+	for serviceName, s := range v.services {
+		for name := range s.spec.Targets {
+			report, _ := v.pools[name].Report()
+			rows = append(rows, phase{
+				Target:   name,
+				Service:  serviceName,
+				Owner:    e.fleet.Owner(name),
+				Warm:     e.fleet.Warm(name),
+				Instance: report.Instance,
+				Phase:    report.Phase,
+				Use:      uses[name],
+			})
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Target < rows[j].Target })
+	return rows
+}
+
+// useOf says how the entry uses a target.
+func useOf(s route.Status) string {
+	switch {
+	case !s.Operating:
+		return "drained or leaving"
+	case !s.Warm:
+		return "cold"
+	case !s.Ejected.IsZero():
+		return "ejected after failures"
+	}
+	return "warm"
+}
