Use the usual terms in package fleet

Cause: voices, hearings, tenure and hasty needed explaining. Change: responders, lastHeard, ownership and dropEarly. Measured: go test -race ./fleet passes.

--- a/fleet/contact.go
+++ b/fleet/contact.go
@@ -33,7 +33,7 @@
 	if f.ended || !f.ready {
 		return false
 	}
-	return f.serve || within(now, f.confirmed, f.limits.contact) || f.roster.majority(f.voices(now))
+	return f.serve || within(now, f.confirmed, f.limits.contact) || f.roster.majority(f.responders(now))
 }
 
 // SetLimits changes how old a confirmation may be, and whether the entry serves without one, to what the accepted settings
@@ -45,18 +45,18 @@
 	f.serve = serve || f.opt.Serve
 }
 
-// voices returns the incarnations heard within the contact time, with this one if it is registered.
-func (f *Fleet) voices(now time.Time) map[string]bool {
-	voices := map[string]bool{}
+// responders returns the incarnations heard within the contact time, with this one if it is registered.
+func (f *Fleet) responders(now time.Time) map[string]bool {
+	responders := map[string]bool{}
 	if f.registered {
-		voices[f.incarnation] = true
+		responders[f.incarnation] = true
 	}
-	for incarnation, at := range f.hearings {
+	for incarnation, at := range f.lastHeard {
 		if within(now, at, f.limits.contact) {
-			voices[incarnation] = true
+			responders[incarnation] = true
 		}
 	}
-	return voices
+	return responders
 }
 
 // Owns tells whether this entry may send work to a cold target, and until when a call sent now must have ended.
@@ -67,7 +67,7 @@
 	if f.ended || !f.registered || f.leaving.Load() || !within(now, f.leased, leaseTime) {
 		return time.Time{}, false
 	}
-	if !f.tenure.holds(now, f.incarnation, target, f.limits.wait) {
+	if !f.ownership.holds(now, f.incarnation, target, f.limits.wait) {
 		return time.Time{}, false
 	}
 	return f.leased.Add(leaseTime), true
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -156,12 +156,12 @@
 	if f.limits.arrival {
 		start = f.now()
 	}
-	if start.After(f.hearings[reply.Incarnation]) {
-		f.hearings[reply.Incarnation] = start
+	if start.After(f.lastHeard[reply.Incarnation]) {
+		f.lastHeard[reply.Incarnation] = start
 	}
-	for incarnation, at := range f.hearings {
+	for incarnation, at := range f.lastHeard {
 		if start.Sub(at) > vanishTime {
-			delete(f.hearings, incarnation)
+			delete(f.lastHeard, incarnation)
 		}
 	}
 	p := f.peers[reply.Entry]
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -128,8 +128,8 @@
 	arrival bool
 	// fetches is how many fetches of the state may be under way at once.
 	fetches int
-	// hasty drops the prior members at once, instead of when half of them know.
-	hasty bool
+	// dropEarly drops the prior members at once, instead of when half of them know.
+	dropEarly bool
 }
 
 // Options are the parts and names that a Fleet is made of.
@@ -184,9 +184,9 @@
 	confirmed  time.Time
 	leased     time.Time
 	roster     Roster
-	tenure     tenure
+	ownership  ownership
 	peers      map[string]*peer
-	hearings   map[string]time.Time
+	lastHeard  map[string]time.Time
 	latest     table
 	known      rosterRow
 	absent     map[string]time.Time
@@ -232,7 +232,7 @@
 		log:         opt.Logger.With(zap.String("entry", opt.Name)),
 		changed:     make(chan struct{}),
 		peers:       map[string]*peer{},
-		hearings:    map[string]time.Time{},
+		lastHeard:   map[string]time.Time{},
 		absent:      map[string]time.Time{},
 		ctx:         ctx,
 		cancel:      cancel,
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -325,7 +325,7 @@
 // Guards against a change accepted by a minority while the majority, cut off from the table, goes on with the old
 // state. The control forgets the former members before half of them know.
 func TestMinorityWithTable(t *testing.T) {
-	compare(t, "abcde", func(l *limits) { l.hasty = true }, func(t *testing.T, w *world) bool {
+	compare(t, "abcde", func(l *limits) { l.dropEarly = true }, func(t *testing.T, w *world) bool {
 		for _, name := range []string{"a", "b", "c"} {
 			w.nodes[name].cut(true, west)
 		}
--- a/fleet/tenure.go
+++ b/fleet/ownership.go
@@ -4,9 +4,9 @@
 	"time"
 )
 
-// tenure remembers who was active over the last few seconds, which tells whether another entry may still hold a lease
+// ownership remembers who was active over the last few seconds, which tells whether another entry may still hold a lease
 // on a target.
-type tenure struct {
+type ownership struct {
 	spans []span
 }
 
@@ -21,30 +21,30 @@
 
 // learn adds a view. The time must not be before the write of the view, so callers pass the time at which the answer
 // arrived, not the time at which they asked.
-func (t *tenure) learn(now time.Time, roster Roster, wait time.Duration) {
+func (o *ownership) learn(now time.Time, roster Roster, wait time.Duration) {
 	gap := true
-	if n := len(t.spans); n > 0 {
-		last := t.spans[n-1]
+	if n := len(o.spans); n > 0 {
+		last := o.spans[n-1]
 		if roster.View <= last.view {
 			return
 		}
 		gap = roster.View != last.view+1
 	}
-	t.spans = append(t.spans, span{
+	o.spans = append(o.spans, span{
 		from:   now,
 		view:   roster.View,
 		active: roster.active(),
 		gap:    gap,
 	})
-	for len(t.spans) > 1 && now.Sub(t.spans[1].from) >= wait {
-		t.spans = t.spans[1:]
+	for len(o.spans) > 1 && now.Sub(o.spans[1].from) >= wait {
+		o.spans = o.spans[1:]
 	}
 }
 
 // holds tells whether the incarnation was the owner of the target in each view of the last wait.
-func (t *tenure) holds(now time.Time, incarnation, target string, wait time.Duration) bool {
-	for i := len(t.spans) - 1; i >= 0; i-- {
-		s := t.spans[i]
+func (o *ownership) holds(now time.Time, incarnation, target string, wait time.Duration) bool {
+	for i := len(o.spans) - 1; i >= 0; i-- {
+		s := o.spans[i]
 		if _, id := owner(s.active, target); id != incarnation {
 			return false
 		}
--- a/fleet/tenure_test.go
+++ b/fleet/ownership_test.go
@@ -8,7 +8,7 @@
 )
 
 // Guards against an owner that starts before the lease of another one has certainly ended, and against a needless gap.
-func TestTenure(t *testing.T) {
+func TestOwnershipHistory(t *testing.T) {
 	const self, other = "self", "other"
 	view := func(number uint64, owner string) Roster {
 		return Roster{
@@ -71,7 +71,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			for _, wait := range []time.Duration{waitTime, 0} {
-				var past tenure
+				var past ownership
 				for _, v := range tt.views {
 					past.learn(start.Add(v.at), v.roster, wait)
 				}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -260,7 +260,7 @@
 	}
 	if roster.Version > f.roster.Version {
 		f.roster = roster
-		f.tenure.learn(now, roster, f.limits.wait)
+		f.ownership.learn(now, roster, f.limits.wait)
 		f.recognize(now)
 		changed = true
 	}
--- a/fleet/upkeep.go
+++ b/fleet/upkeep.go
@@ -213,7 +213,7 @@
 			knows[p.incarnation] = true
 		}
 	}
-	return f.limits.hasty || roster.half(knows)
+	return f.limits.dropEarly || roster.half(knows)
 }
 
 // vanished drops the votes of absent members whose VM no longer exists. Without it, a fleet that lost more than half of
