Prove a race of operators and a restart of all entries across processes

Cause: invariant 9 was proved in package fleet only. Change: a test at process level; entries have loopback addresses of their own in it, so that they can restart at the same control address.

--- /dev/null
+++ b/cmd/skylarkbeam/change_test.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"fmt"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// commandAt runs an operator's command against one entry.
+func (p *processes) commandAt(e *entryProcess, name string, args ...string) (string, error) {
+	full := append([]string{name, "-entry", e.control}, args...)
+	out, err := exec.Command(filepath.Join(p.dir, "skylarkbeam"), full...).CombinedOutput()
+	return string(out), err
+}
+
+// Guards against two operators who both get "accepted" for changes that exclude each other, against a conflict that does
+// not say who was faster, and against an accepted change that is lost when all entry processes are replaced. The control
+// sends the second change with the version that the first one became, and both are accepted.
+func TestOperatorsRaceAcrossProcesses(t *testing.T) {
+	t.Parallel()
+	p := startSetup(t, setup{
+		extra: `{}`,
+		apart: true,
+	})
+	base := fmt.Sprint(p.status(p.entries[0]).Base)
+	domains := []string{"cairns", "mackay"}
+	outputs := make([]string, 2)
+	accepted := make([]bool, 2)
+	var operators sync.WaitGroup
+	for i, domain := range domains {
+		operators.Go(func() {
+			out, err := p.commandAt(p.entries[i], "drain", "-who", "operator-"+domain, "-base", base, "domain="+domain)
+			outputs[i], accepted[i] = out, err == nil
+		})
+	}
+	operators.Wait()
+	t.Logf("outputs: %q", outputs)
+	assert.Assert(t, accepted[0] != accepted[1], "%q", outputs)
+	winner := slices.Index(accepted, true)
+	loser := outputs[1-winner]
+	assert.Assert(t, strings.Contains(loser, "conflict"), loser)
+	assert.Assert(t, strings.Contains(loser, "operator-"+domains[winner]), loser)
+	assert.Assert(t, strings.Contains(loser, "drain "+domains[winner]), loser)
+
+	// A process at the control address of a killed one proves that this one has ended. At other addresses no change would
+	// be accepted, because the killed ones could be alive (docs/membership.md).
+	for i, e := range slices.Clone(p.entries) {
+		p.kill(e)
+		p.entries[i] = p.startEntryAt(e.name, e.domain, e.caller, e.control)
+	}
+	p.until("each new process has the accepted change", func() bool {
+		for _, e := range p.entries {
+			s := p.status(e)
+			if s == nil || !slices.Equal(s.Domains, []string{domains[winner]}) {
+				return false
+			}
+		}
+		return true
+	})
+
+	// Control: with the present version as its base the other change is accepted too.
+	p.until("the other change is accepted", func() bool {
+		out, err := p.commandAt(p.entries[0], "drain", "domain="+domains[1-winner])
+		t.Logf("control: %s", out)
+		return err == nil
+	})
+	p.until("both changes are in force everywhere", func() bool {
+		for _, e := range p.entries {
+			if s := p.status(e); s == nil || !slices.Equal(s.Domains, domains) {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/cmd/skylarkbeam/processes_test.go
+++ b/cmd/skylarkbeam/processes_test.go
@@ -87,6 +87,8 @@
 	targets []string
 	// forward puts a forwarder in front of the platform and of the control address of each entry.
 	forward bool
+	// apart gives each entry a loopback address of its own, so that no other process can take its ports while it restarts.
+	apart bool
 	// serve are the names of entries that run with -isolation serve.
 	serve []string
 }
@@ -168,12 +170,21 @@
 }
 
 func (p *processes) startEntry(name, domain string) *entryProcess {
+	address := "127.0.0.1:0"
+	if p.setup.apart {
+		address = fmt.Sprintf("127.0.0.%d:0", 11+len(p.entries))
+	}
+	return p.startEntryAt(name, domain, address, address)
+}
+
+// startEntryAt starts an entry at given addresses, such as those of a process that has ended.
+func (p *processes) startEntryAt(name, domain, caller, control string) *entryProcess {
 	e := &entryProcess{
 		name:   name,
 		domain: domain,
 		log:    &lockedBuffer{},
 	}
-	args := []string{"serve", "-name", name, "-domain", domain, "-caller", "127.0.0.1:0", "-control", "127.0.0.1:0"}
+	args := []string{"serve", "-name", name, "-domain", domain, "-caller", caller, "-control", control}
 	if p.setup.forward {
 		e.table, e.peers = startForwarder(p.t, p.platform), startForwarder(p.t, "")
 		args = append(args, "-platform", e.table.address, "-advertise", e.peers.address)
