Take the names of shared headers from package target

Cause: package entry wrote four header names again that package target defines, and two more as literals. Change: one definition each; behaviour is the same.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -17,7 +17,7 @@
 func (e *Entry) deliver(w http.ResponseWriter, c *call, a *answer) {
 	header := w.Header()
 	for name, values := range a.Header {
-		if strings.HasPrefix(name, "Skylarkbeam-") {
+		if strings.HasPrefix(name, headerPrefix) {
 			continue
 		}
 		header[name] = values
@@ -91,7 +91,7 @@
 	if d.Omitted {
 		// The body was too large to be recorded. The caller learns that the call ran, and with which status.
 		header.Set(headerReplayed, "omitted")
-		header.Set("Skylarkbeam-Status", strconv.Itoa(d.Status))
+		header.Set(headerStatus, strconv.Itoa(d.Status))
 		http.Error(w, "the call has run; its answer was too large to be kept", http.StatusConflict)
 		return
 	}
--- a/entry/header.go
+++ b/entry/header.go
@@ -1,16 +1,22 @@
 package entry
 
-// Headers between caller and entry, and between entry and target.
+import "skylarkbeam/target"
+
+// Headers between caller and entry. Those that targets see as well are defined in package target.
 const (
-	headerCaller   = "Skylarkbeam-Caller"
-	headerTimeout  = "Skylarkbeam-Timeout"
+	headerCaller   = target.HeaderCaller
+	headerTimeout  = target.HeaderTimeout
 	headerKey      = "Idempotency-Key"
-	headerOutcome  = "Skylarkbeam-Outcome"
+	headerOutcome  = target.HeaderOutcome
 	headerReason   = "Skylarkbeam-Reason"
 	headerReplayed = "Skylarkbeam-Replayed"
-	headerRequest  = "Skylarkbeam-Request"
+	headerStatus   = "Skylarkbeam-Status"
+	headerRequest  = target.HeaderRequest
 )
 
+// headerPrefix begins the names of all headers of the system. A target's own are not passed on to callers.
+const headerPrefix = "Skylarkbeam-"
+
 // Values of the header Skylarkbeam-Outcome.
 const (
 	outcomeAnswered = "answered"
