Ask for contact right before an attempt is written

The entry asked for contact when an attempt began; looking for a connection, connecting and checking lie between that and the write, and the repeat within Send did not ask at all. A drain that the entry had seen was ruled out: the log shows it in force at all other entries before the pause ended. Change: target.Call.Ready is asked, and the time left looked at, right before the first byte of each attempt. Measured: TestReady counts the runs at a stand-in for a new, a reused and a checked connection and for the repeat after a silent one: 0 with the question at the write, 1 each without (the control). What remains is the time between the question and the system call.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -80,7 +80,9 @@
 		ctx, release = context.WithDeadline(ctx, deadline)
 	}
 	e.counters.dispatch.Inc()
-	o := p.Send(ctx, c.message(permit.Instance, deadline.Sub(start)))
+	m := c.message(permit.Instance, deadline.Sub(start))
+	m.Ready = e.ready
+	o := p.Send(ctx, m)
 	return e.receive(ctx, c, o, func(kind route.Kind, report outcome.Report) {
 		release()
 		now := e.timers.Now()
@@ -92,6 +94,14 @@
 	})
 }
 
+// ready returns why an attempt may not be written at the present time, or an empty reason.
+func (e *Entry) ready(now time.Time) outcome.Reason {
+	if !e.contact(now) {
+		return outcome.Isolated
+	}
+	return ""
+}
+
 // message returns the call in the form that is sent to a target or to another entry. The instance is the one that the
 // call must reach, empty for any.
 func (c *call) message(instance string, timeout time.Duration) *target.Call {
--- a/target/call.go
+++ b/target/call.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"skylarkbeam/outcome"
 )
 
 // Call is one call to a target.
@@ -31,6 +33,9 @@
 	Instance string
 	// Timeout is the time that the call has left. The deadline of the context applies as well.
 	Timeout time.Duration
+	// Ready is asked right before the first byte of each attempt is written. If it returns a reason, the attempt ends as
+	// NotRun with it. Nil allows all.
+	Ready func(now time.Time) outcome.Reason
 }
 
 // valid tells whether the call can be written as an HTTP/1.1 request. CONNECT turns a connection into a tunnel, which
--- a/target/conn.go
+++ b/target/conn.go
@@ -12,13 +12,20 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"skylarkbeam/outcome"
+	"skylarkbeam/timer"
 )
 
-var errHeadTooLarge = errors.New("head of the answer is too large")
+var (
+	errHeadTooLarge = errors.New("head of the answer is too large")
+	errNotReady     = errors.New("the call may no longer be written")
+)
 
 // conn is a connection to the target. It belongs to one call at a time, or to the idle list.
 type conn struct {
 	nc       net.Conn
+	timers   *timer.Service
 	raw      syscall.RawConn // nil if nc is not a socket
 	br       *bufio.Reader
 	bw       *bufio.Writer
@@ -30,8 +37,11 @@
 	answered time.Time // when the last answer ended
 
 	// State of the current request. The request and its parts are reused from call to call.
-	written int64 // bytes of the request that the kernel took
-	broken  bool  // a write to the connection failed
+	written int64          // bytes of the request that the kernel took
+	broken  bool           // a write to the connection failed
+	refused outcome.Reason // why the request may not be written; empty if it may
+	until   time.Time      // when the time for the request is over
+	ready   func(time.Time) outcome.Reason
 	sent    time.Time
 	head    int64 // bytes that may still be read for the head; negative if there is no limit
 	req     http.Request
@@ -48,9 +58,10 @@
 
 func (*replay) Close() error { return nil }
 
-func newConn(nc net.Conn) *conn {
+func newConn(nc net.Conn, timers *timer.Service) *conn {
 	c := &conn{
 		nc:     nc,
+		timers: timers,
 		header: http.Header{},
 		head:   -1,
 	}
@@ -134,11 +145,13 @@
 func (c *conn) write() error {
 	c.written = 0
 	c.broken = false
+	c.refused = ""
 	c.bw.Reset((*connWriter)(c))
 	// An idle connection must not keep the body of its last call in memory.
 	defer func() {
 		c.req.Body = nil
 		c.body.Reset(nil)
+		c.ready = nil
 	}()
 	if err := c.req.Write(c.bw); err != nil {
 		return err
@@ -164,6 +177,18 @@
 	}
 }
 
+// check returns why the prepared request may not be written now, or an empty reason.
+func (c *conn) check() outcome.Reason {
+	now := c.timers.Now()
+	if !now.Before(c.until) {
+		return outcome.Deadline
+	}
+	if c.ready == nil {
+		return ""
+	}
+	return c.ready(now)
+}
+
 type connReader conn
 
 func (r *connReader) Read(p []byte) (int, error) {
@@ -183,7 +208,14 @@
 
 type connWriter conn
 
+// Write asks right before the first byte whether the request may still be written: the process may have been paused since
+// the call was let in, and connecting takes time.
 func (w *connWriter) Write(p []byte) (int, error) {
+	if w.written == 0 {
+		if w.refused = (*conn)(w).check(); w.refused != "" {
+			return 0, errNotReady
+		}
+	}
 	n, err := w.nc.Write(p)
 	w.written += int64(n)
 	w.broken = w.broken || err != nil
--- a/target/pool.go
+++ b/target/pool.go
@@ -78,6 +78,7 @@
 		check    bool // no check of new connections
 		evidence bool // only a check of its own confirms a new connection
 		giveUp   bool // reuse connections whose request was given up
+		ready    bool // ask only when the call comes in whether it may be written
 		unknown  bool // forget that an earlier attempt within Send may have run
 	}
 }
@@ -274,7 +275,7 @@
 		p.unreserve(1)
 		return nil, err
 	}
-	c := newConn(nc)
+	c := newConn(nc, p.opts.Timers)
 	c.dialed = p.opts.Timers.Now()
 	return c, nil
 }
--- a/target/send.go
+++ b/target/send.go
@@ -22,6 +22,8 @@
 // A new connection for a call with an expected instance is confirmed by a load read or, if the probe budget allows none,
 // by the answer to another request that was written after the connection was open.
 //
+// Right before each attempt is written, Send asks Call.Ready and looks at the time that is left.
+//
 // NotRun has the reason queue if all connections are in use, budget if a new connection cannot be confirmed, instance
 // if the target is another instance than the expected one, and dial if no connection could be opened or checked.
 func (p *Pool) Send(ctx context.Context, call *Call) outcome.Outcome {
@@ -36,6 +38,11 @@
 	if !now.Before(deadline) {
 		return notRun(outcome.Deadline)
 	}
+	if call.Ready != nil {
+		if reason := call.Ready(now); reason != "" {
+			return notRun(reason)
+		}
+	}
 	if report, ok := p.replaced(call.Instance, now); ok {
 		return &outcome.NotRun{
 			Reason: outcome.Instance,
@@ -324,6 +331,10 @@
 		p.drop(c)
 		return nil, nil, notRun(outcome.Broken)
 	}
+	c.until = deadline
+	if !p.off.ready {
+		c.ready = call.Ready
+	}
 	stop := context.AfterFunc(ctx, c.abort)
 	fail := func(reason outcome.Reason) (*http.Response, func() bool, outcome.Outcome) {
 		p.finish(c, stop, p.off.giveUp && reason == outcome.Silent)
@@ -338,6 +349,8 @@
 	writeErr := c.write()
 	switch {
 	case writeErr == nil:
+	case c.refused != "":
+		return fail(c.refused)
 	case !c.broken:
 		// The stream failed or does not have its length, which means that the caller went away.
 		return fail(outcome.Canceled)
