Hold the place of a call that was given up at a cold target

Cause: an attempt at a cold target that was cancelled (a faster hedge, a caller that went away) or that ended without an answer freed its place at once, while the target still ran the call for as long as it took to stop it; the next call then came on top. Send also repeated an idempotent call on a new connection after 250 ms of silence, beside the first copy. Change: attempts at cold targets are not cancelled and are written once; after an unknown end the place stays taken until 100 ms after the deadline told to the target, or until a new instance is seen. The simulated entries of package bench do the same. The stand-in reports which calls were present at a violation.

--- a/bench/entry.go
+++ b/bench/entry.go
@@ -253,12 +253,12 @@
 	s.after(a.trip, func() { a.target.cancel(a) })
 }
 
-// end cancels what is still in flight and gives the slot back.
+// end cancels what is still in flight, except at a cold target, and gives the slot back.
 func (c *call) end(latency time.Duration) {
 	c.over = true
 	e := c.entry
 	for _, a := range c.attempts {
-		if !a.ended {
+		if !a.ended && a.permit.until().IsZero() {
 			a.cancel(route.Canceled)
 		}
 	}
--- a/cmd/skylarkbeam/cold_test.go
+++ b/cmd/skylarkbeam/cold_test.go
@@ -27,7 +27,7 @@
 	for _, name := range targets {
 		c := p.counts(name)
 		sum += c.Violations
-		text += fmt.Sprintf(" %s %d of peak %d,", name, c.Violations, c.Peak)
+		text += fmt.Sprintf(" %s %d of peak %d,%s", name, c.Violations, c.Peak, c.Last)
 	}
 	return sum, text
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -82,16 +83,54 @@
 	e.counters.dispatch.Inc()
 	m := c.message(permit.Instance, deadline.Sub(start))
 	m.Ready = e.ready
-	o := p.Send(ctx, m)
-	return e.receive(ctx, c, o, func(kind route.Kind, report outcome.Report) {
+	end := func(r route.Result, running bool) {
 		release()
 		now := e.timers.Now()
-		e.notify(permit.Done(now, route.Result{
-			Kind:    kind,
-			Latency: now.Sub(start),
-			Report:  report,
-		}))
+		r.Latency = now.Sub(start)
+		if running {
+			r.Running = deadline
+		}
+		e.notify(permit.Done(now, r))
+	}
+	if permit.Cold {
+		// A second copy of the call, sent because the first got no answer in time, would run beside it.
+		m.Idempotent = false
+		return e.detach(ctx, deadline, func(ctx context.Context) outcome.Outcome {
+			return e.receive(ctx, c, p.Send(ctx, m), end)
+		})
+	}
+	return e.receive(ctx, c, p.Send(ctx, m), end)
+}
+
+// detach makes an attempt at a cold target, which goes on when ctx ends, as with a faster hedge: only its answer tells
+// that the target can bear the next call. A target takes time to stop a call whose connection was closed.
+func (e *Entry) detach(ctx context.Context, deadline time.Time, attempt func(context.Context) outcome.Outcome) outcome.Outcome {
+	detached, release := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	var settled atomic.Bool // by the attempt with its result, or by the end of ctx
+	results := make(chan outcome.Outcome, 1)
+	e.tasks.Go(func() {
+		result := e.keep(attempt(detached), release)
+		if settled.CompareAndSwap(false, true) {
+			results <- result
+		} else if a, ok := result.(*answer); ok {
+			a.discard()
+		}
 	})
+	select {
+	case result := <-results:
+		return result
+	case <-ctx.Done():
+	}
+	if !settled.CompareAndSwap(false, true) {
+		return <-results
+	}
+	reason := outcome.Canceled
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		reason = outcome.Silent
+	}
+	return &outcome.Unknown{
+		Reason: reason,
+	}
 }
 
 // ready returns why an attempt may not be written at the present time, or an empty reason.
@@ -118,8 +157,8 @@
 }
 
 // receive settles an outcome: it reads the first part of an answer, so that a break within it can be repaired before the
-// caller has seen anything. Done ends the attempt.
-func (e *Entry) receive(ctx context.Context, c *call, o outcome.Outcome, done func(route.Kind, outcome.Report)) outcome.Outcome {
+// caller has seen anything. End ends the attempt; its second argument tells whether the target may still run the call.
+func (e *Entry) receive(ctx context.Context, c *call, o outcome.Outcome, end func(r route.Result, running bool)) outcome.Outcome {
 	switch o := o.(type) {
 	case *outcome.NotRun:
 		kind := route.Unsent
@@ -130,23 +169,28 @@
 			// The entry's own limits ended the attempt. Charging the target would eject it.
 			kind = route.Canceled
 		}
-		done(kind, o.Report)
+		end(route.Result{
+			Kind:   kind,
+			Report: o.Report,
+		}, false)
 		return o
 	case *outcome.Unknown:
 		kind := route.Failed
 		if ctx.Err() == context.Canceled {
 			kind = route.Canceled
 		}
-		done(kind, outcome.Report{})
+		end(route.Result{
+			Kind: kind,
+		}, true)
 		return o
 	case *outcome.Answered:
-		return e.buffer(ctx, c, o, done)
+		return e.buffer(ctx, c, o, end)
 	default:
 		panic(errors.AssertionFailedf("unknown outcome %T", o))
 	}
 }
 
-func (e *Entry) buffer(ctx context.Context, c *call, o *outcome.Answered, done func(route.Kind, outcome.Report)) outcome.Outcome {
+func (e *Entry) buffer(ctx context.Context, c *call, o *outcome.Answered, end func(r route.Result, running bool)) outcome.Outcome {
 	a := &answer{
 		Answered: o,
 		length:   o.Length,
@@ -169,7 +213,10 @@
 		if ctx.Err() == context.Canceled {
 			reason, failed = outcome.Canceled, route.Canceled
 		}
-		done(failed, o.Report)
+		end(route.Result{
+			Kind:   failed,
+			Report: o.Report,
+		}, true)
 		return &outcome.Unknown{
 			Reason: reason,
 		}
@@ -177,16 +224,23 @@
 		o.Body.Close()
 		a.prefix = prefix
 		a.length = int64(len(prefix))
-		done(kind, o.Report)
+		end(route.Result{
+			Kind:   kind,
+			Report: o.Report,
+		}, false)
 		return a
 	}
 	a.prefix = prefix
 	a.rest = o.Body
 	a.end = func(k route.Kind) {
-		if k == route.Succeeded {
+		whole := k == route.Succeeded
+		if whole {
 			k = kind
 		}
-		done(k, o.Report)
+		end(route.Result{
+			Kind:   k,
+			Report: o.Report,
+		}, !whole)
 	}
 	return a
 }
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -34,7 +34,7 @@
 		}
 		e.counters.relays.Inc()
 		timeout := c.deadline.Sub(e.timers.Now())
-		result := e.receive(ctx, c, e.relay(m).Send(ctx, c.message("", timeout)), func(route.Kind, outcome.Report) {})
+		result := e.receive(ctx, c, e.relay(m).Send(ctx, c.message("", timeout)), func(route.Result, bool) {})
 		if a, ok := result.(*answer); ok {
 			result = relayed(a)
 		}
--- a/route/cold_test.go
+++ b/route/cold_test.go
@@ -238,3 +238,70 @@
 	})
 	assert.Assert(t, used(60*time.Second) > 0)
 }
+
+// Guards against a cold target that gets a call while it may still run one whose attempt has ended without an answer, and
+// against a call that is waited for although its instance is gone.
+func TestStillRunning(t *testing.T) {
+	const deadline = time.Second
+	tests := []struct {
+		name    string
+		running bool
+		end     time.Duration // when the attempt ends
+		fall    string        // instance that is seen after the attempt
+		after   time.Duration
+		want    outcome.Reason
+	}{
+		{
+			name: "ended",
+		},
+		{
+			name:    "ended by the deadline",
+			running: true,
+			end:     deadline,
+			after:   deadline + time.Millisecond,
+			want:    outcome.Cold,
+		},
+		{
+			name:    "before the deadline",
+			running: true,
+			after:   deadline - time.Millisecond,
+			want:    outcome.Cold,
+		},
+		{
+			name:    "right after the deadline",
+			running: true,
+			after:   deadline + stopTime - time.Millisecond,
+			want:    outcome.Cold,
+		},
+		{
+			name:    "later",
+			running: true,
+			after:   deadline + stopTime,
+		},
+		{
+			name:    "new instance",
+			running: true,
+			fall:    "b",
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			table := coldTable(leased(epoch, epoch.Add(time.Hour)))
+			table.SetFallen(epoch, "t0", "a")
+			p, reason := table.Pick(epoch, "stock", Query{})
+			assert.Assert(t, p != nil, reason)
+			r := Result{
+				Kind: Canceled,
+			}
+			if tt.running {
+				r.Running = epoch.Add(deadline)
+			}
+			p.Done(epoch.Add(tt.end), r)
+			if tt.fall != "" {
+				table.SetFallen(epoch, "t0", tt.fall)
+			}
+			_, reason = table.Pick(epoch.Add(tt.after), "stock", Query{})
+			assert.Equal(t, reason, tt.want)
+		})
+	}
+}
--- a/route/permit.go
+++ b/route/permit.go
@@ -48,6 +48,9 @@
 	Latency time.Duration
 	// Report is what the target said, the zero Report if nothing.
 	Report outcome.Report
+	// Running is until when the target may still run the call although the attempt has ended, as after a broken
+	// connection; zero if the call has ended or never began.
+	Running time.Time
 }
 
 // Done ends the attempt. It panics if the attempt has already ended.
--- a/route/target.go
+++ b/route/target.go
@@ -33,6 +33,9 @@
 	// drainMemory is how long a target must not have reported to drain before a report that it is warm counts, because
 	// load reads can lag behind answers.
 	drainMemory = 10 * time.Second
+	// stopTime is how long after its deadline a target may still run a call: the call's deadline travels as the time that
+	// was left when it was written.
+	stopTime = 100 * time.Millisecond
 	// failureCost is the latency, in multiples of the usual one, that a failure is charged at least.
 	failureCost = 3.0
 )
@@ -64,6 +67,8 @@
 	// sequence of leases.
 	leased  time.Time
 	warming time.Time
+	// running holds until when calls whose attempts have ended may still run at the cold instance.
+	running []time.Time
 
 	latency   float64 // nanoseconds; 0 if unknown
 	latencyAt time.Time
@@ -143,6 +148,7 @@
 	t.ejected = time.Time{}
 	t.latency = 0
 	t.reported = time.Time{}
+	t.running = nil
 }
 
 // identify takes instance and phase from a report of a process that was alive at the time sent or later.
@@ -224,6 +230,9 @@
 	s.inflight--
 	t.started -= p.start.Sub(s.epoch)
 	e := t.identify(now, p.start, r.Report)
+	if until := r.Running.Add(stopTime); !t.isWarm() && now.Before(until) && (p.Instance == t.instance || p.Instance == "") {
+		t.running = append(t.running, until)
+	}
 	if r.Report.Instance != "" && r.Report.Instance == t.instance && r.Kind != Unsent {
 		t.setLoad(now, r.Report)
 		s.setQueue(r.Report)
@@ -259,6 +268,13 @@
 	return e
 }
 
+// present returns how many calls of this entry the cold target may have, those included whose attempts have ended without
+// telling whether the call has.
+func (t *target) present(now time.Time) int {
+	t.running = slices.DeleteFunc(t.running, func(until time.Time) bool { return !now.Before(until) })
+	return t.inflight + len(t.running)
+}
+
 // warmed ends the cold start once it has lasted for its time and the target no longer says that it is cold.
 func (t *target) warmed(now time.Time, r outcome.Report) Event {
 	if r.Instance != t.instance || t.instance == "" || t.isWarm() {
--- a/standin/call.go
+++ b/standin/call.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -45,13 +47,18 @@
 	if !t.thaw(ctx) {
 		panic(http.ErrAbortHandler)
 	}
-	life, ok := t.enter(ctx)
-	if !ok {
+	v := &visit{
+		id:    r.Header.Get("Skylarkbeam-Request"),
+		key:   r.Header.Get("Skylarkbeam-Key"),
+		start: time.Now(),
+		ctx:   ctx,
+	}
+	if !t.enter(v) {
 		t.refuse(w, r, http.StatusServiceUnavailable, true)
 		return
 	}
 	finished := t.run(ctx, r)
-	t.leave(life)
+	t.leave(v)
 	if !finished {
 		t.mu.Lock()
 		t.counts.Canceled++
@@ -61,37 +68,51 @@
 	t.respond(w, r, newAnswer(r, body), fault)
 }
 
+// visit is one call from its arrival to its end.
+type visit struct {
+	id, key string
+	start   time.Time
+	ctx     context.Context
+	life    *life
+}
+
+// String implements fmt.Stringer.
+func (v *visit) String() string {
+	return fmt.Sprintf("%s %q for %s, canceled %t", v.id, v.key, time.Since(v.start), v.ctx.Err() != nil)
+}
+
 // enter waits for a slot. The call has certainly not run if it returns false.
-func (t *Target) enter(ctx context.Context) (*life, bool) {
+func (t *Target) enter(v *visit) bool {
 	t.mu.Lock()
-	if t.dead(ctx) {
+	if t.dead(v.ctx) {
 		t.mu.Unlock()
-		return nil, false
+		return false
 	}
 	if t.switches.Drain {
 		t.counts.Drained++
 		t.mu.Unlock()
-		return nil, false
+		return false
 	}
-	life := t.life
-	life.calls++
+	v.life = t.life
+	v.life.present[v] = true
 	if t.cold() {
-		t.counts.Peak = max(t.counts.Peak, life.calls)
-		if life.calls > t.switches.Bear {
+		t.counts.Peak = max(t.counts.Peak, len(v.life.present))
+		if len(v.life.present) > t.switches.Bear {
 			t.counts.Violations++
+			t.counts.Last = fmt.Sprint(slices.Collect(maps.Keys(v.life.present)))
 		}
 	}
 	if t.active < t.switches.Slots {
 		t.active++
 		t.note()
 		t.mu.Unlock()
-		return life, true
+		return true
 	}
 	if len(t.waiting) >= t.switches.Queue {
-		life.calls--
+		delete(v.life.present, v)
 		t.counts.Shed++
 		t.mu.Unlock()
-		return nil, false
+		return false
 	}
 	slot := make(chan struct{})
 	t.waiting = append(t.waiting, slot)
@@ -99,8 +120,8 @@
 	t.mu.Unlock()
 	select {
 	case <-slot:
-		return life, true
-	case <-ctx.Done():
+		return true
+	case <-v.ctx.Done():
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -111,16 +132,16 @@
 		t.active--
 		t.admit()
 	}
-	life.calls--
+	delete(v.life.present, v)
 	t.note()
-	return nil, false
+	return false
 }
 
-func (t *Target) leave(life *life) {
+func (t *Target) leave(v *visit) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.active--
-	life.calls--
+	delete(v.life.present, v)
 	t.admit()
 	t.note()
 }
@@ -142,6 +163,7 @@
 	if t.cold() {
 		work *= t.switches.Warmup
 	}
+	linger := time.Duration(t.switches.Linger)
 	t.mu.Unlock()
 	if work <= 0 {
 		return true
@@ -152,6 +174,7 @@
 	case <-timer.C:
 		return true
 	case <-ctx.Done():
+		time.Sleep(linger)
 		return false
 	}
 }
--- a/standin/count.go
+++ b/standin/count.go
@@ -19,6 +19,8 @@
 	Peak int `json:"peak"`
 	// Violations is the number of calls received while cold beyond what the target bears.
 	Violations int `json:"violations"`
+	// Last describes the calls that were present at the last violation.
+	Last string `json:"last,omitempty"`
 	// Loads is the number of load reads.
 	Loads int `json:"loads"`
 	// Window is the largest number of load reads in any window of one second.
--- a/standin/switches.go
+++ b/standin/switches.go
@@ -36,6 +36,8 @@
 	Bear int `json:"bear"`
 	// Warmup multiplies Work while the target is cold; 3 by default.
 	Warmup float64 `json:"warmup"`
+	// Linger is how long a call goes on to run after its connection was closed or its time left was over.
+	Linger Duration `json:"linger"`
 	// Drain makes the phase draining; new calls are counted and refused with 503, not run.
 	Drain bool `json:"drain"`
 	// Freeze accepts calls and load reads and leaves them without an answer until it is switched off.
--- a/standin/target.go
+++ b/standin/target.go
@@ -70,7 +70,7 @@
 type life struct {
 	instance string
 	start    time.Time
-	calls    int // present, running or queued
+	present  map[*visit]bool // running or queued
 }
 
 // New returns a target that starts now.
@@ -95,6 +95,7 @@
 	return &life{
 		instance: hex.EncodeToString(b[:]),
 		start:    time.Now(),
+		present:  map[*visit]bool{},
 	}
 }
 
