Keep the length of a cold start from the start of a stand-in on

Cause: TestColdStart sets the targets to be cold for 60 s and then restarts them. The stand-in applied the new length to the process that was running, which was warm and 9 s old, so that calls of several entries at once were counted as violations until the restart. Change: the length of a cold start is fixed when the process starts. The test and its bound are unchanged.

--- a/standin/switches.go
+++ b/standin/switches.go
@@ -29,7 +29,7 @@
 	Work Duration `json:"work"`
 	// Slow multiplies Work, for a straggler or a noisy neighbour; 1 by default.
 	Slow float64 `json:"slow"`
-	// Cold is how long the target is cold after its start.
+	// Cold is how long the target is cold after its start. A change applies from the next restart on.
 	Cold Duration `json:"cold"`
 	// Bear is how many calls at once the target bears while it is cold. Calls beyond it run and are counted as
 	// violations.
--- a/standin/target.go
+++ b/standin/target.go
@@ -70,6 +70,7 @@
 type life struct {
 	instance string
 	start    time.Time
+	cold     time.Duration   // how long it is cold; a later change of the switch must not make a warm process cold
 	present  map[*visit]bool // running or queued
 }
 
@@ -80,7 +81,7 @@
 		service:  opts.Service,
 		switches: opts.Switches,
 		changed:  make(chan struct{}),
-		life:     newLife(),
+		life:     newLife(opts.Cold),
 		runs:     newRuns(),
 		conns:    map[*conn]struct{}{},
 	}
@@ -89,12 +90,13 @@
 	return t
 }
 
-func newLife() *life {
+func newLife(cold Duration) *life {
 	var b [8]byte
 	_, _ = rand.Read(b[:])
 	return &life{
 		instance: hex.EncodeToString(b[:]),
 		start:    time.Now(),
+		cold:     time.Duration(cold),
 		present:  map[*visit]bool{},
 	}
 }
@@ -120,7 +122,7 @@
 		defer l.resume()
 	}
 	t.mu.Lock()
-	t.life = newLife()
+	t.life = newLife(t.switches.Cold)
 	t.switches.Drain = false
 	t.history = nil
 	t.signal()
@@ -169,7 +171,7 @@
 }
 
 func (t *Target) cold() bool {
-	return time.Since(t.life.start) < time.Duration(t.switches.Cold)
+	return time.Since(t.life.start) < t.life.cold
 }
 
 // fields returns the header of every answer: the id of the request that it answers and the target's state.
--- a/standin/target_test.go
+++ b/standin/target_test.go
@@ -143,6 +143,8 @@
 	eventually(t, target, "warm", func(r outcome.Report) bool { return r.Phase == outcome.PhaseWarm })
 	calls(4)
 	assert.Equal(t, target.Counts().Violations, 1)
+	target.Set(func(s *Switches) { s.Cold = Duration(time.Minute) })
+	assert.Equal(t, c.load().Phase, outcome.PhaseWarm, "a warm process became cold by the switch for the next one")
 	instance := target.Instance()
 	target.Restart(true)
 	l := c.load()
