--- a/cmd/skylarkbeam/processes_test.go
+++ b/cmd/skylarkbeam/processes_test.go
@@ -91,6 +91,8 @@
 	apart bool
 	// serve are the names of entries that run with -isolation serve.
 	serve []string
+	// seeds gives each entry the control addresses of those that are there when it starts.
+	seeds bool
 }
 
 // quickCold shortens the cold start, which is the longest part of starting a deployment.
@@ -191,6 +193,13 @@
 	} else {
 		args = append(args, "-platform", p.platform)
 	}
+	if p.setup.seeds {
+		var seeds []string
+		for _, other := range p.entries {
+			seeds = append(seeds, other.control)
+		}
+		args = append(args, "-seeds", strings.Join(seeds, ","))
+	}
 	if slices.Contains(p.setup.serve, name) {
 		args = append(args, "-isolation", "serve")
 	}
