Give invariant 5 a negative control across processes

Cause: the check of TestAtMostOnce that a "not-run" is true had no negative control; docs/proofs.md pointed to that of invariant 6, which shows bookings that run twice and not a false refusal.

Change: falseRefusals sends bookings straight to targets that run them and drop the answers, by a client that takes each broken connection for "not-run". The repeats of a booking and both checks, right after each refusal and by the runs at the end, are now in checker.book and untrue, which the test and its control share. They are as strict as before: the same answers are checked at the same moments, against 0 runs; a false refusal is reported by key at the end.

It adds about 1 s.

Conclusion: the count at the targets detects a false "not-run".

--- a/cmd/skylarkbeam/once_test.go
+++ b/cmd/skylarkbeam/once_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -16,6 +17,8 @@
 	answered bool
 	// refused means that every answer was "not-run".
 	refused bool
+	// untrue means that the booking had run when every answer so far was "not-run".
+	untrue bool
 }
 
 // checker asks the targets for the runs of keys that have just been refused, many keys at a time.
@@ -56,9 +59,37 @@
 	return <-a.runs
 }
 
+// book sends a booking up to five times and asks the targets for runs after each "not-run".
+func (c *checker) book(key string, random *rand.Rand, send func() result) booked {
+	b := booked{
+		key:     key,
+		refused: true,
+	}
+	for range 1 + random.IntN(5) {
+		r := send()
+		b.answered = b.answered || r.outcome() == "answered"
+		b.refused = b.refused && r.outcome() == "not-run"
+		b.untrue = b.untrue || b.refused && c.runs(key) > 0
+		time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
+	}
+	return b
+}
+
+// untrue returns the bookings whose "not-run" was false, right after the answer or by the runs at the end.
+func untrue(all []booked, runs map[string]int) []string {
+	var keys []string
+	for _, b := range all {
+		if b.untrue || b.refused && runs[b.key] > 0 {
+			keys = append(keys, b.key)
+		}
+	}
+	return keys
+}
+
 // Guards against a booking that runs twice and against a "not-run" that is false, while bookings are repeated at other
 // entries, answers of the table and of targets are lost, the table goes down and returns, and entries are killed,
-// replaced, paused and woken. The negative control sends the same bookings straight to the same targets.
+// replaced, paused and woken. The negative controls send such bookings straight to the same targets: a client that repeats
+// on any error runs bookings twice, and one that takes any error for "not run" is caught by the same check.
 func TestAtMostOnce(t *testing.T) {
 	t.Parallel()
 	p := startProcesses(t, `{}`)
@@ -77,24 +108,16 @@
 	var mu sync.Mutex
 	var all []booked
 	bookings := startLoad(12, func(w, i int, random *rand.Rand) {
-		b := booked{
-			key:     fmt.Sprintf("once-%d-%d", w, i),
-			refused: true,
-		}
-		for range 1 + random.IntN(5) {
+		key := fmt.Sprintf("once-%d-%d", w, i)
+		b := c.book(key, random, func() result {
 			e := p.entry(1 + random.IntN(6))
-			r := p.call(client, e.caller, "POST", "/reservations/x", "web", b.key, "3 nights")
+			r := p.call(client, e.caller, "POST", "/reservations/x", "web", key, "3 nights")
 			seen.add(r.kind())
-			b.answered = b.answered || r.outcome() == "answered"
-			b.refused = b.refused && r.outcome() == "not-run"
-			switch {
-			case r.outcome() == "answered":
-				assert.Check(t, r.whole("POST", "/reservations/x", b.key, "3 nights"), "%s: %s", b.key, r.body)
-			case b.refused:
-				assert.Check(t, c.runs(b.key) == 0, "%s ran although each answer was not-run", b.key)
+			if r.outcome() == "answered" {
+				assert.Check(t, r.whole("POST", "/reservations/x", key, "3 nights"), "%s: %s", key, r.body)
 			}
-			time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
-		}
+			return r
+		})
 		mu.Lock()
 		defer mu.Unlock()
 		all = append(all, b)
@@ -135,12 +158,55 @@
 		}
 		if b.refused {
 			refused++
-			assert.Check(t, n == 0, "%s was only refused as not-run and ran %d times", b.key, n)
 		}
 	}
+	wrong := untrue(all, runs)
+	assert.Check(t, len(wrong) == 0, "ran although each answer was not-run: %v", wrong)
 	t.Logf("%d bookings: %d ran, %d answered, %d only refused; answers: %v", len(all), ran, answered, refused, seen)
 	assert.Assert(t, answered > 0 && refused > 0 && seen.get("not-run table") > 0 && seen.get("broken") > 0)
 	p.plainBookings(t, targets)
+	p.falseRefusals(t, targets, c)
+}
+
+// falseRefusals shows that the check of TestAtMostOnce finds a false "not-run": the targets run bookings and drop the answers,
+// and a client takes each broken connection for "not-run".
+func (p *processes) falseRefusals(t *testing.T, targets []string, c *checker) {
+	client := newClient(time.Second)
+	var mu sync.Mutex
+	var all []booked
+	bookings := startLoad(4, func(w, i int, random *rand.Rand) {
+		key := fmt.Sprintf("false-%d-%d", w, i)
+		b := c.book(key, random, func() result {
+			target := targets[random.IntN(len(targets))]
+			if random.IntN(2) == 0 {
+				p.control(target, "POST", "next?fault=drop", "")
+			}
+			r := p.direct(client, target, "POST", "/reservations/x", key)
+			if r.err != nil {
+				r.header = http.Header{
+					"Skylarkbeam-Outcome": {"not-run"},
+				}
+			}
+			return r
+		})
+		mu.Lock()
+		defer mu.Unlock()
+		all = append(all, b)
+	})
+	time.Sleep(time.Second)
+	bookings.stop()
+	early, late := 0, 0
+	runs := p.keys(targets)
+	for _, b := range all {
+		if b.untrue {
+			early++
+		}
+		if b.refused && runs[b.key] > 0 {
+			late++
+		}
+	}
+	t.Logf("negative control: of %d bookings, %d ran when each answer was not-run; %d ran by the counts at the end and were only refused", len(all), early, late)
+	assert.Assert(t, early > 0 && late > 0 && len(untrue(all, runs)) > 0)
 }
 
 // plainBookings shows that the faults at the targets make a client that repeats on any error run bookings twice.
