Prove the drain and cold starts under cuts in one direction

Cause: the forwarders of the tests stopped all bytes of a connection, so no test had requests that pass while their answers do not, or the reverse.

Change: a forwarder can cut requests or answers alone.

Fault in the harness: a cut by sender knew the sender from the first message to a peer, so a fetch of the state or a relayed call on a new connection of a cut entry got through. A cut now also stops connections that have not named their sender. So TestDrain cuts more than before, never less; its checks are unchanged. Ruled out: finding the process of a connection through /proc took so long under load that connections piled up.

--- a/cmd/skylarkbeam/forwarder_test.go
+++ b/cmd/skylarkbeam/forwarder_test.go
@@ -10,16 +10,29 @@
 	"gotest.tools/v3/assert"
 )
 
-// forwarder passes TCP connections on and can cut them: then connections stay open and new ones are accepted, but no
-// byte gets through in either direction.
+// way is a direction of bytes on a connection.
+type way int
+
+const (
+	requests way = iota
+	answers
+)
+
+// cut names the bytes that do not get through: those on connections from an entry, or from all if the sender is empty.
+type cut struct {
+	sender string
+	way    way
+}
+
+// forwarder passes TCP connections on and can cut them, in one direction or both: then connections stay open and new ones
+// are accepted, but no byte gets through.
 type forwarder struct {
 	address  string
 	listener net.Listener
 
 	mu       sync.Mutex
 	upstream string
-	all      bool
-	senders  map[string]bool
+	cuts     map[cut]bool
 	conns    map[net.Conn]bool
 }
 
@@ -30,7 +43,7 @@
 		address:  listener.Addr().String(),
 		listener: listener,
 		upstream: upstream,
-		senders:  map[string]bool{},
+		cuts:     map[cut]bool{},
 		conns:    map[net.Conn]bool{},
 	}
 	go f.accept()
@@ -49,11 +62,22 @@
 
 // cut stops everything, or only connections from the entries named as senders.
 func (f *forwarder) cut(senders ...string) {
+	f.cutOneWay(requests, senders...)
+	f.cutOneWay(answers, senders...)
+}
+
+// cutOneWay does the same in one direction.
+func (f *forwarder) cutOneWay(w way, senders ...string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.all = f.all || len(senders) == 0
+	if len(senders) == 0 {
+		senders = []string{""}
+	}
 	for _, name := range senders {
-		f.senders[name] = true
+		f.cuts[cut{
+			sender: name,
+			way:    w,
+		}] = true
 	}
 }
 
@@ -61,17 +85,23 @@
 func (f *forwarder) heal() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.all = false
-	clear(f.senders)
+	clear(f.cuts)
 	for c := range f.conns {
 		c.Close()
 	}
 }
 
-func (f *forwarder) blocked(sender string) bool {
+// blocked tells whether bytes do not get through. On a connection that has not named its sender yet none do while any
+// sender is cut: fetches of the state and relayed calls name none, and a cut entry opens new connections for them.
+func (f *forwarder) blocked(c cut) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.all || f.senders[sender]
+	for have := range f.cuts {
+		if have.way == c.way && (have.sender == "" || c.sender == "" || have.sender == c.sender) {
+			return true
+		}
+	}
+	return false
 }
 
 func (f *forwarder) track(c net.Conn) {
@@ -117,9 +147,9 @@
 	name.Store("")
 	go func() {
 		defer f.drop(client)
-		f.copy(client, server, func([]byte) string { return name.Load().(string) })
+		f.copy(client, server, answers, func([]byte) string { return name.Load().(string) })
 	}()
-	f.copy(server, client, func(data []byte) string {
+	f.copy(server, client, requests, func(data []byte) string {
 		if m := sender.FindSubmatch(data); m != nil {
 			name.Store(string(m[1]))
 		}
@@ -128,14 +158,18 @@
 }
 
 // copy passes on what arrives while the connection is not cut.
-func (f *forwarder) copy(to, from net.Conn, name func(data []byte) string) {
+func (f *forwarder) copy(to, from net.Conn, w way, name func(data []byte) string) {
 	data := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(data)
 		if err != nil {
 			return
 		}
-		if !f.blocked(name(data[:n])) {
+		c := cut{
+			sender: name(data[:n]),
+			way:    w,
+		}
+		if !f.blocked(c) {
 			if _, err := to.Write(data[:n]); err != nil {
 				return
 			}
--- a/cmd/skylarkbeam/load_test.go
+++ b/cmd/skylarkbeam/load_test.go
@@ -60,6 +60,18 @@
 	}
 }
 
+// isolateOneWay cuts an entry from the platform and its peers, but only its requests and the answers that it gives, or
+// only the answers that it gets and the requests to it.
+func (p *processes) isolateOneWay(e *entryProcess, w way) {
+	e.table.cutOneWay(w)
+	e.peers.cutOneWay(requests + answers - w)
+	for _, other := range p.entries {
+		if other != e {
+			other.peers.cutOneWay(w, e.name)
+		}
+	}
+}
+
 func (p *processes) heal() {
 	for _, e := range p.entries {
 		e.table.heal()
