Give each of the two requests of a table read its own limit

Cause: a read of the table asks for the roster in a second request when the mark of the roster has changed. Both shared one limit of 2 s, so while each answer took 1 s or more, an entry that did not know the present roster could neither confirm the head nor make a change until the platform was faster. The death of one entry changes the roster.

Change: each request has the limit of 2 s. The time of the read is that of the request whose rows are used, which returns the head, its mark and the roster as of one moment, so contact and leases count from there, as docs/membership.md says. A table that does not answer still ends the read after 2 s. Ruled out: a longer limit for both, which would delay that.

Before: go test -race -count=1 -run 'TestSlowTable$' ./fleet with the change of state.go taken back: FAIL, Refused "no answer from the table in time". After: ok. go test -race -count=1 ./fleet: ok, 26.8 s.

Conclusion: changes are accepted while the platform answers within the limit. At 2 s and more the table counts as down, as before.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -248,6 +248,20 @@
 	})
 }
 
+// Guards against a table that answers slowly, but in time, and that nobody can use after the members have changed, because
+// the new roster takes a second request.
+func TestSlowTable(t *testing.T) {
+	simulate(t, usual(), "abc", func(t *testing.T, w *world) {
+		w.nodes["c"].kill()
+		assert.NilError(t, w.memory.SetFaults(platform.Faults{
+			Hold: 3 * tableTimeout / 4,
+		}))
+		time.Sleep(2 * goneTime)
+		assert.Equal(t, w.nodes["a"].roster().Members["c"].State, RecordStateGone)
+		accepted(t, w.nodes["a"].drain("cairns", 0))
+	})
+}
+
 // Guards against a change that is reported as accepted, vanishes from all entries' sight in an outage right after, and
 // is ignored by them: the entry that accepts it has no peers and dies.
 func TestOutageAfterAccept(t *testing.T) {
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -104,8 +104,6 @@
 // read reads the head, the roster and further rows, and puts in force what is new. The roster itself is read only when
 // its mark, which is written with it, has changed: it is the largest row by far.
 func (f *Fleet) read(ctx context.Context, keys ...string) (table, error) {
-	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
-	defer cancel()
 	t := table{
 		start: f.now(),
 	}
@@ -115,6 +113,9 @@
 	keys = append([]string{headKey, markKey}, keys...)
 	rows, err := f.get(ctx, keys)
 	if err == nil && rows[markKey].Version != known.row {
+		// All rows are read again, so what they confirm counts from here. With one limit for both, an entry could not read a
+		// new roster at all while each answer takes half of the limit.
+		t.start = f.now()
 		rows, err = f.get(ctx, append(keys, rosterKey))
 	}
 	if err != nil {
@@ -130,6 +131,8 @@
 	} else if t.roster, err = decodeRoster(rows); err != nil {
 		return t, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
 	settings, err := f.settings(ctx, t.document.Object)
 	if err != nil {
 		return t, err
@@ -161,6 +164,8 @@
 }
 
 func (f *Fleet) get(ctx context.Context, keys []string) (map[string]platform.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
 	f.counters.reads.Inc()
 	return f.opt.Platform.Get(ctx, keys)
 }
