Prove a drain while the platform is slow and an entry is killed

Cause: no test drained a failure domain while the platform is slow.

Change: TestDrainSlowPlatform kills an entry and asks for a drain while the platform answers after 2 s, which is the limit of a request, and lets it answer after 1 s from 4.5 s on. The command must say "accepted", and later than 5 s after that no call may be new in the failure domain. The negative control is the time before: the living entries have contact through their peers, do not know of the drain and send calls there.

While answers take 2 s no change can be made, and the command says so.

--- a/cmd/skylarkbeam/pairs_test.go
+++ b/cmd/skylarkbeam/pairs_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -93,3 +94,47 @@
 	}
 	t.Logf("during the outage: %v; after it each of %d bookings ran once", kinds, len(live))
 }
+
+// Guards against new work in a failure domain that is drained while the platform answers after 2 s, which is too late for
+// the entries, and an entry is killed: the command must say that the drain was accepted once the platform answers after
+// 1 s, and from 5 s after that on there is no new work. The negative control is the time before: the command is not
+// decided, and each living entry has contact through its peers and sends calls to the failure domain.
+func TestDrainSlowPlatform(t *testing.T) {
+	t.Parallel()
+	p := startProcesses(t, `{}`)
+	t.Logf("seed %d", seed)
+	kinds := newTally()
+	calls := p.mixedLoad(2, func(e *entryProcess, r result) { kinds.add(e.name + " " + r.kind()) })
+	a := p.follow(p.targetsIn(func(_, domain string) bool { return domain == "cairns" }))
+	live := p.entries[:5]
+	p.faults(`{"hold":"2s"}`)
+	p.kill(p.entry(6))
+	var out string
+	var err error
+	var command sync.WaitGroup
+	start := time.Now()
+	command.Go(func() { out, err = p.commandAt(p.entry(1), "drain", "domain=cairns") })
+	// Longer than the contact time: from now on only the entries confirm the state to each other.
+	time.Sleep(4500 * time.Millisecond)
+	slow := a.snapshot()
+	p.until("each living entry uses the failure domain", func() bool { return len(byEntry(a.since(slow))) == len(live) })
+	for _, e := range live {
+		s := p.status(e)
+		assert.Assert(t, s != nil && s.Contact && len(s.Domains) == 0, "%s: %+v", e.name, s)
+	}
+	p.faults(`{"hold":"1s"}`)
+	accepted := p.waitDrained("cairns")
+	command.Wait()
+	version := acceptedVersion(t, out, err)
+	time.Sleep(time.Until(accepted.Add(drainLimit)))
+	a.scan()
+	before := a.snapshot()
+	time.Sleep(time.Second)
+	calls.stop()
+	a.load.stop()
+	a.scan()
+	late := byEntry(a.since(before))
+	t.Logf("accepted as version %d after %s; last new call in the failure domain after that: %s; late calls %v; results %v", version,
+		accepted.Sub(start).Round(10*time.Millisecond), a.report(accepted), late, kinds)
+	assert.Equal(t, len(late), 0)
+}
