Ask the gate of a probe budget only for probes within the quota

Cause: skylarkbeam_probes_total counts the probes that the gate lets pass, and the gate was asked before the quota was looked at. At 6000 calls/s on 10 targets 0.30 to 0.50 probes were counted for each call while the quota allows 50 a second. Change: the gate is asked last. A probe still needs the quota and the gate at the moment it starts. TestBudgetGate is new; it fails without the change (the gate is asked 5 times for a quota of 2). Conclusion: the counter is right now; no gain in processor time is claimed.

--- a/target/budget.go
+++ b/target/budget.go
@@ -45,8 +45,8 @@
 	b.raise = from
 }
 
-// SetGate makes every probe also depend on gate, which is asked at the moment of the probe and must not block. An entry
-// that woke from a pause learns in this way that its quota may belong to another process by now.
+// SetGate makes every probe also depend on gate, which is asked at the moment of each probe that the quota allows and must
+// not block. An entry that woke from a pause learns in this way that its quota may belong to another process by now.
 func (b *Budget) SetGate(gate func(now time.Time) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -70,9 +70,6 @@
 	if now.Before(b.from) {
 		return b.from.Sub(now), false
 	}
-	if b.gate != nil && !b.gate(now) {
-		return window, false
-	}
 	if !b.raise.IsZero() && !now.Before(b.raise) {
 		b.quota = b.next
 		b.raise = time.Time{}
@@ -90,6 +87,9 @@
 	if b.flying+len(b.until) >= b.quota {
 		return wait, false
 	}
+	if b.gate != nil && !b.gate(now) {
+		return window, false
+	}
 	b.flying++
 	return 0, true
 }
--- a/target/budget_test.go
+++ b/target/budget_test.go
@@ -76,6 +76,32 @@
 	return most
 }
 
+// Guards against a gate that is asked for probes beyond the quota, which counts probes that are never sent, and against a
+// probe that passes without it.
+func TestBudgetGate(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	now := start.Add(2 * window)
+	b := NewBudget(2, start)
+	open, asked := true, 0
+	b.SetGate(func(time.Time) bool {
+		asked++
+		return open
+	})
+	for range 5 {
+		b.Take(now)
+	}
+	assert.Equal(t, 2, asked)
+	b.Done(now)
+	b.Done(now)
+	open = false
+	_, ok := b.Take(now.Add(2 * window))
+	assert.Assert(t, !ok, "a probe passed the closed gate")
+	assert.Equal(t, 3, asked)
+	open = true
+	_, ok = b.Take(now.Add(2 * window))
+	assert.Assert(t, ok, "the closed gate has used up quota")
+}
+
 // Guards against more probes than the quota in any second at the target, however long probes take. The control is a
 // limiter with fixed windows.
 func TestBudgetWindow(t *testing.T) {
