Run the garbage collector of an entry less often

Cause: at 6000 calls/s, about 7% of the processor time of an entry is the collector (marking, sweeping, assists): calls leave about 30 MB/s of garbage beside a few MB that live. Change: serve sets GOGC to 400 and GOMEMLIMIT to 512 MiB unless the environment has them. Up to about 250 MiB of live memory the collector then runs no more often than before; beyond 512 MiB it would take up to half of the processor time.

--- a/cmd/skylarkbeam/serve.go
+++ b/cmd/skylarkbeam/serve.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strings"
 	"syscall"
 
@@ -49,6 +50,15 @@
       -control 127.0.0.1:7201 -platform 127.0.0.1:7000
 `
 
+const (
+	// collectorPercent is the default of GOGC for an entry. Calls leave little live memory and much garbage: 400 instead of
+	// the usual 100 took 5% off the processor time of a call at 6000 calls/s.
+	collectorPercent = 400
+	// memoryLimit is the default of GOMEMLIMIT in bytes: 64 MB for control and a few hundred for calls. Up to 250 MiB of
+	// live memory, the collector runs no more often than at the usual 100 percent.
+	memoryLimit = 512 << 20
+)
+
 // serveFlags are the flags of serve as they are written.
 type serveFlags struct {
 	name, domain, caller, control, advertise, platform, seeds, isolation string
@@ -130,6 +140,7 @@
 }
 
 func serve(ctx context.Context, f serveFlags) error {
+	tuneCollector()
 	opts, table, err := f.Validate()
 	if err != nil {
 		return err
@@ -151,6 +162,16 @@
 	return nil
 }
 
+// tuneCollector makes the garbage collector run less often than by default, unless GOGC or GOMEMLIMIT are set.
+func tuneCollector() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(collectorPercent)
+	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(memoryLimit)
+	}
+}
+
 // waitAndStop shuts an entry down at the first signal and stops it at the second.
 func waitAndStop(ctx context.Context, e *entry.Entry) {
 	signals := make(chan os.Signal, 2)
