Measure an entry at 10,000 calls a second

Cause: the target size is 9,833 calls/s for each entry, and BenchmarkAdded ended at 6000. Change: a row for 10,000/s with 32 workers in place of 16, and the rate that was reached as a figure of each row. A worker that falls behind its schedule sends late without any sign in the other figures; 16 workers fall short of 10,000/s once a call straight to a target and one through an entry take more than 1.6 ms together.

--- a/cmd/skylarkbeam/added_test.go
+++ b/cmd/skylarkbeam/added_test.go
@@ -18,15 +18,15 @@
 )
 
 const (
-	addedWorkers = 16
 	addedSeconds = 10
 	// clockTick is the unit of processor times in /proc, in hundredths of a second.
 	clockTick = 10 * time.Millisecond
 )
 
 // BenchmarkAdded measures what an entry adds to a call: each worker sends the same call in turn straight to a target and
-// through an entry, at a fixed rate. It prints both distributions, and the processor time and allocations per call of the
-// entry. The targets run their calls in no time, so that only the path counts.
+// through an entry, at a fixed rate. It prints both distributions, the processor time and allocations per call of the entry,
+// and the rate that was reached, because workers that fall behind send late. The targets run their calls in no time, so that
+// only the path counts.
 //
 //	go test ./cmd/skylarkbeam -run '^$' -bench Added -benchtime 1x
 func BenchmarkAdded(b *testing.B) {
@@ -42,7 +42,7 @@
 			caller: "web",
 		})
 	}
-	for _, rate := range []int{500, 2000, 6000} {
+	for _, rate := range []int{500, 2000, 6000, 10000} {
 		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) {
 			for range b.N {
 				measureAdded(b, p, rate, calls)
@@ -119,29 +119,40 @@
 	target, path, caller string
 }
 
+// addedWorkers returns how many workers reach a rate. Each sends a call straight to a target and then one through an entry,
+// so that 16 workers fall short of 10000/s once the two take more than 1.6 ms together.
+func addedWorkers(rate int) int {
+	if rate > 6000 {
+		return 32
+	}
+	return 16
+}
+
 func measureAdded(b *testing.B, p *processes, rate int, list []addedCall) {
 	e := p.entries[0]
+	workerCount := addedWorkers(rate)
 	before := usageOf(b, p, e)
 	var mu sync.Mutex
 	direct := hdrhistogram.New(1, int64(10*time.Second), 3)
 	through := hdrhistogram.New(1, int64(10*time.Second), 3)
 	failed := 0
 	var workers sync.WaitGroup
-	for n := range addedWorkers {
+	began := time.Now()
+	for n := range workerCount {
 		workers.Go(func() {
 			client := &http.Client{
 				Transport: &http.Transport{
 					MaxIdleConnsPerHost: 4,
 				},
 			}
-			interval := time.Second * addedWorkers / time.Duration(rate)
+			interval := time.Second * time.Duration(workerCount) / time.Duration(rate)
 			mine := [2]*hdrhistogram.Histogram{hdrhistogram.New(1, int64(10*time.Second), 3), hdrhistogram.New(1, int64(10*time.Second), 3)}
 			bad := 0
-			next := time.Now().Add(interval * time.Duration(n) / addedWorkers)
-			for i := range rate * addedSeconds / addedWorkers {
+			next := time.Now().Add(interval * time.Duration(n) / time.Duration(workerCount))
+			for i := range rate * addedSeconds / workerCount {
 				time.Sleep(time.Until(next))
 				next = next.Add(interval)
-				c := list[(i*addedWorkers+n)%len(list)]
+				c := list[(i*workerCount+n)%len(list)]
 				for side, address := range []string{c.target, e.caller} {
 					start := time.Now()
 					if !get(client, address, c) {
@@ -159,6 +170,7 @@
 		})
 	}
 	workers.Wait()
+	elapsed := time.Since(began)
 	after := usageOf(b, p, e)
 	calls := float64(through.TotalCount())
 	us := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1e3 }
@@ -168,6 +180,7 @@
 	b.ReportMetric(us(through, 99)-us(direct, 99), "added-p99-us")
 	b.ReportMetric(float64(after.cpu-before.cpu)/calls/1e3, "cpu-us/call")
 	b.ReportMetric((after.mallocs-before.mallocs)/calls, "allocs/call")
+	b.ReportMetric(calls/elapsed.Seconds(), "calls/s")
 	b.ReportMetric(0, "ns/op")
 }
 
