Mark hedges, repeats and the calls that targets make for them

Cause: each entry may repeat a tenth of its first attempts, and a repeat at one level was a first attempt at the next, so that 12 levels could make 1.1 to the power of 12, 3.1, runs at the last level of one call. Weighed: (a) a mark that targets pass on; (b) one level that hedges, by a depth header: ruled out without a trial, because the other levels would still repeat after broken connections; (c) a twelfth of the budget at each level; and (a) with marked calls charged to the budgets of the levels below. An attempt that may run beside or after another one of its call carries Skylarkbeam-Repeat. An entry does not hedge a call that came with it, does not send it again once it may have run, and earns no repeats from it. Each level then adds at most a tenth of the unmarked calls, which no level multiplies: 1 + 0.1 for each level, 2.2 at the twelfth.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -46,8 +46,9 @@
 }
 
 // attempt sends a call to the target of the permit. It returns an *answer, *outcome.NotRun or *outcome.Unknown. The
-// permit ends with the attempt, that of a streamed answer with its end.
-func (e *Entry) attempt(ctx context.Context, c *call, permit *route.Permit) outcome.Outcome {
+// permit ends with the attempt, that of a streamed answer with its end. Again says that another attempt of the call may have
+// run or may be running.
+func (e *Entry) attempt(ctx context.Context, c *call, permit *route.Permit, again bool) outcome.Outcome {
 	start := e.timers.Now()
 	if !e.contact(start) {
 		// The process may have been paused since the call was let in, most likely while it waited for its claim.
@@ -83,6 +84,7 @@
 	e.counters.dispatch.Inc()
 	m := c.message(permit.Instance, deadline.Sub(start))
 	m.Ready = e.ready
+	m.Repeat = c.repeat || again
 	end := func(r route.Result, running bool) {
 		release()
 		now := e.timers.Now()
--- a/entry/call.go
+++ b/entry/call.go
@@ -30,6 +30,9 @@
 	deadline time.Time
 	// idempotent calls may run more than once.
 	idempotent bool
+	// repeat says that the call descends from a hedge or a repeat of an entry further up. It is neither hedged nor sent
+	// again once it may have run.
+	repeat bool
 	// relayed calls come from another entry, which holds the claim and does the repeats.
 	relayed bool
 	// base is the context of the call without its deadline. Cancel ends the context of all attempts but hedges, which
@@ -98,6 +101,7 @@
 		request:    r,
 		deadline:   now.Add(time.Duration(min(s.spec.Deadline, class.Deadline))),
 		idempotent: s.spec.Idempotent(r.Method),
+		repeat:     r.Header.Get(headerRepeat) != "",
 		relayed:    relayed,
 	}
 	c.tried = c.first[:0]
--- a/entry/header.go
+++ b/entry/header.go
@@ -12,6 +12,7 @@
 	headerReplayed = "Skylarkbeam-Replayed"
 	headerStatus   = "Skylarkbeam-Status"
 	headerRequest  = target.HeaderRequest
+	headerRepeat   = target.HeaderRepeat
 )
 
 // headerPrefix begins the names of all headers of the system. A target's own are not passed on to callers.
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -13,9 +13,10 @@
 // whole answer, or what became of the first attempt.
 func (e *Entry) race(ctx context.Context, c *call, permit *route.Permit) outcome.Outcome {
 	c.tried = append(c.tried, permit.Target)
+	again := c.unknown != ""
 	after, ok := e.table.HedgeAfter(c.service.name)
-	if !c.idempotent || !ok {
-		return e.attempt(ctx, c, permit)
+	if !c.idempotent || c.repeat || !ok {
+		return e.attempt(ctx, c, permit, again)
 	}
 	h := &hedge{
 		entry: e,
@@ -24,7 +25,7 @@
 		after: after,
 	}
 	timer := time.AfterFunc(after, h.run)
-	first := e.attempt(ctx, c, permit)
+	first := e.attempt(ctx, c, permit, again)
 	if timer.Stop() {
 		return first
 	}
@@ -84,7 +85,7 @@
 		return
 	}
 	h.entry.counters.Retried(outcome.Hedge)
-	result := h.entry.attempt(h.ctx, h.call, permit)
+	result := h.entry.attempt(h.ctx, h.call, permit, true)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if a, ok := result.(*answer); ok {
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -34,7 +34,9 @@
 		}
 		e.counters.relays.Inc()
 		timeout := c.deadline.Sub(e.timers.Now())
-		result := e.receive(ctx, c, e.relay(m).Send(ctx, c.message("", timeout)), func(route.Result, bool) {})
+		message := c.message("", timeout)
+		message.Repeat = c.repeat || c.unknown != ""
+		result := e.receive(ctx, c, e.relay(m).Send(ctx, message), func(route.Result, bool) {})
 		if a, ok := result.(*answer); ok {
 			result = relayed(a)
 		}
@@ -42,7 +44,7 @@
 		case *answer:
 			return r
 		case *outcome.Unknown:
-			if !c.idempotent {
+			if !c.idempotent || c.repeat {
 				return r
 			}
 			c.unknown = r.Reason
--- a/entry/run.go
+++ b/entry/run.go
@@ -58,7 +58,7 @@
 			again = o.Reason
 		case *outcome.Unknown:
 			c.unknown = o.Reason
-			if !c.idempotent {
+			if !c.idempotent || c.repeat {
 				return o
 			}
 			again = o.Reason
@@ -124,5 +124,6 @@
 		Tried:      c.tried,
 		Idempotent: c.idempotent,
 		Again:      c.unsent > 0,
+		Repeat:     c.repeat,
 	}
 }
--- a/route/repeats_test.go
+++ b/route/repeats_test.go
@@ -69,3 +69,33 @@
 		})
 	}
 }
+
+// Guards against calls that descend from repeats and earn repeats themselves, which would let them multiply in a chain.
+func TestDescendantsEarnNothing(t *testing.T) {
+	for _, descendants := range []bool{false, true} {
+		now := time.Unix(0, 0)
+		table := New(Options{})
+		table.SetTargets(now, []Target{
+			{
+				Name:    "a",
+				Service: "stock",
+				Slots:   4,
+				Bear:    1,
+			},
+		})
+		table.SetWarm(now, "a", "1")
+		for range 50 {
+			now = now.Add(10 * time.Millisecond)
+			p, reason := table.Pick(now, "stock", Query{
+				Idempotent: true,
+				Repeat:     descendants,
+			})
+			assert.Assert(t, p != nil, "refused: %s", reason)
+			p.Done(now, Result{
+				Kind:    Succeeded,
+				Latency: time.Millisecond,
+			})
+		}
+		assert.Equal(t, table.Spend("stock"), !descendants, "descendants %t", descendants)
+	}
+}
--- a/route/table.go
+++ b/route/table.go
@@ -272,6 +272,9 @@
 	// Again says that the call had an attempt that ended before anything was sent. Another one is no additional load, so
 	// it needs no budget and adds nothing to it.
 	Again bool
+	// Repeat says that the call descends from a hedge or a repeat of an entry further up. It is no first attempt, so it adds
+	// nothing to the budget.
+	Repeat bool
 }
 
 // Pick selects the target for the first attempt of a call. Without a permit, the reason is Service, Drained, Cold or
@@ -284,7 +287,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p, reason := s.pick(now, q, false)
-	if p != nil && !q.Again {
+	if p != nil && !q.Again && !q.Repeat {
 		s.budget.earn(math.Float64frombits(t.repeats.Load()))
 	}
 	return p, reason
--- a/standin/onward.go
+++ b/standin/onward.go
@@ -14,7 +14,10 @@
 
 // passed are the header fields that a target passes on with an onward call. The time left is computed anew, and the key
 // is sent under the name that callers use.
-var passed = []string{"Skylarkbeam-Caller"}
+var passed = []string{"Skylarkbeam-Caller", headerRepeat}
+
+// headerRepeat marks calls that descend from a hedge or a repeat.
+const headerRepeat = "Skylarkbeam-Repeat"
 
 func newTransport() *http.Transport {
 	return &http.Transport{
@@ -36,7 +39,7 @@
 		return fmt.Errorf("call %s: %w", s.Onward, err)
 	}
 	for _, name := range passed {
-		if value := r.Header.Get(name); value != "" {
+		if value := r.Header.Get(name); value != "" && !(name == headerRepeat && s.Unmarked) {
 			req.Header.Set(name, value)
 		}
 	}
--- a/standin/switches.go
+++ b/standin/switches.go
@@ -54,6 +54,8 @@
 	// runs, after Work and before it frees the slot. The call is answered when the whole answer to the onward call has
 	// arrived, and with 502 if that call fails. Empty for none.
 	Onward string `json:"onward"`
+	// Unmarked leaves Skylarkbeam-Repeat out of onward calls, as a target does that does not know it.
+	Unmarked bool `json:"unmarked"`
 	// Forget stops the recording of runs, which needs memory for each call.
 	Forget bool `json:"forget"`
 }
--- a/target/call.go
+++ b/target/call.go
@@ -28,6 +28,9 @@
 	Length int64
 	// Idempotent says that the call may run more than once.
 	Idempotent bool
+	// Repeat says that the call descends from a hedge or a repeat. The target is told so, and Send does not write the call
+	// again once it may have run.
+	Repeat bool
 	// Instance is the expected instance of the target. Empty means any: the call is not checked, so the sender must
 	// hold a permit for a call to a cold target.
 	Instance string
--- a/target/conn.go
+++ b/target/conn.go
@@ -119,6 +119,9 @@
 	c.header[HeaderRequest] = c.id[:]
 	c.timeout[0] = left.String()
 	c.header[HeaderTimeout] = c.timeout[:]
+	if call.Repeat {
+		c.header[HeaderRepeat] = repeatValue
+	}
 	if key := call.Header.Get(headerIdempotency); key != "" {
 		c.key[0] = key
 		c.header[HeaderKey] = c.key[:]
--- a/target/header.go
+++ b/target/header.go
@@ -20,6 +20,8 @@
 	HeaderPhase    = "Skylarkbeam-Phase"
 	HeaderLoad     = "Skylarkbeam-Load"
 	HeaderOutcome  = "Skylarkbeam-Outcome"
+	// HeaderRepeat marks a hedge, a repeat of a call that may have run, and all calls that targets make for one.
+	HeaderRepeat = "Skylarkbeam-Repeat"
 
 	headerIdempotency = "Idempotency-Key"
 	loadPath          = "/skylarkbeam/load"
@@ -40,7 +42,7 @@
 func replacedField(name string) bool {
 	switch name {
 	case HeaderRequest, HeaderTimeout, HeaderKey, HeaderInstance, HeaderPhase, HeaderLoad, HeaderOutcome,
-		headerIdempotency, "Expect", "Host", "Content-Length":
+		HeaderRepeat, headerIdempotency, "Expect", "Host", "Content-Length":
 		return true
 	}
 	return false
@@ -61,14 +63,17 @@
 	}
 }
 
-var emptyValue = []string{""}
+var (
+	emptyValue  = []string{""}
+	repeatValue = []string{"1"}
+)
 
 // cleanResponseHeader removes what is not passed on to the caller.
 func cleanResponseHeader(h http.Header) {
 	deleteNamed(h, h["Connection"])
 	for name := range h {
 		switch name {
-		case HeaderRequest, HeaderInstance, HeaderPhase, HeaderLoad, HeaderOutcome:
+		case HeaderRequest, HeaderInstance, HeaderPhase, HeaderLoad, HeaderOutcome, HeaderRepeat:
 			delete(h, name)
 		default:
 			if hopByHop(name) {
--- /dev/null
+++ b/target/repeat_test.go
@@ -0,0 +1,93 @@
+package target
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkbeam/outcome"
+	"skylarkbeam/timer"
+)
+
+// Guards against a repeat within Send that does not say that it is one, against one of a call that descends from a repeat,
+// and against a mark that the caller's header carries past the entry.
+func TestRepeatMark(t *testing.T) {
+	tests := []struct {
+		name   string
+		repeat bool
+		want   []string // marks of the attempts, the first of which gets no answer
+	}{
+		{
+			name: "first attempt",
+			want: []string{"", "1"},
+		},
+		{
+			name:   "descendant",
+			repeat: true,
+			want:   []string{"1"},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var mu sync.Mutex
+			var marks []string
+			ln, err := net.Listen("tcp", loopback.String())
+			assert.NilError(t, err)
+			server := &http.Server{
+				Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
+					if r.URL.Path == "/open" {
+						return
+					}
+					mu.Lock()
+					marks = append(marks, r.Header.Get(HeaderRepeat))
+					first := len(marks) == 1
+					mu.Unlock()
+					if first {
+						panic(http.ErrAbortHandler)
+					}
+				}),
+			}
+			go server.Serve(ln)
+			defer server.Close()
+			pool := New(Options{
+				Name:    "worker",
+				Address: ln.Addr().(*net.TCPAddr).AddrPort(),
+				Timers:  timer.New(),
+			})
+			defer pool.Close()
+			call := &Call{
+				Method:     http.MethodGet,
+				Path:       "/open",
+				Idempotent: true,
+				Timeout:    2 * time.Second,
+			}
+			// The repeat is for reused connections only.
+			o, ok := pool.Send(context.Background(), call).(*outcome.Answered)
+			assert.Assert(t, ok)
+			assert.NilError(t, drainBody(o))
+			call.Path = "/call"
+			call.Repeat = tt.repeat
+			call.Header = http.Header{
+				HeaderRepeat: {"caller"},
+			}
+			switch o := pool.Send(context.Background(), call).(type) {
+			case *outcome.Answered:
+				assert.NilError(t, drainBody(o))
+				assert.Assert(t, !tt.repeat)
+			case *outcome.Unknown:
+				assert.Assert(t, tt.repeat)
+			default:
+				t.Fatalf("outcome %+v", o)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			assert.DeepEqual(t, marks, tt.want)
+		})
+	}
+}
--- a/target/send.go
+++ b/target/send.go
@@ -17,7 +17,7 @@
 //
 // Send writes a call a second time by itself in two cases, in both only if the first attempt was on a reused connection
 // and the call has no stream: when nothing of the first attempt was written, and when an idempotent call got no answer
-// on it. If the first attempt may have run, the outcome is never NotRun.
+// on it. If the first attempt may have run, the second is marked as a repeat, and the outcome is never NotRun.
 //
 // A new connection for a call with an expected instance is confirmed by a load read or, if the probe budget allows none,
 // by the answer to another request that was written after the connection was open.
@@ -65,7 +65,7 @@
 		p.opts.OnRetry(o.Reason)
 		return p.sendFresh(ctx, call, deadline, nil)
 	case *outcome.Unknown:
-		if !call.Idempotent || (o.Reason != outcome.Silent && o.Reason != outcome.Broken) {
+		if !call.Idempotent || call.Repeat || (o.Reason != outcome.Silent && o.Reason != outcome.Broken) {
 			return first
 		}
 		if p.opts.MayRetry != nil && !p.opts.MayRetry() {
@@ -73,7 +73,9 @@
 		}
 		p.opts.OnRetry(o.Reason)
 		p.suspect(now)
-		second := p.sendFresh(ctx, call, deadline, nil)
+		again := *call
+		again.Repeat = true
+		second := p.sendFresh(ctx, &again, deadline, nil)
 		if _, ok := second.(*outcome.NotRun); ok && !p.off.unknown {
 			return first
 		}
