--- a/route/repeats_test.go
+++ b/route/repeats_test.go
@@ -83,7 +83,7 @@
 				Bear:    1,
 			},
 		})
-		table.SetWarm(now, "a", "1")
+		table.SetWarm(now, "a", "1", 0)
 		for range 50 {
 			now = now.Add(10 * time.Millisecond)
 			p, reason := table.Pick(now, "stock", Query{
