Shorten the tests of claim

TestLostAnswer and TestLostAnswerInOutage share the table of lost answers: its five cases were the same in both. TestRace and TestMachine share the set of mechanisms that are switched off; what each expects follows from the switch (checks off: double grants; read-back or fence off: blocked keys; any off: the model fails). The switches and the fault of a table that is down are package variables, and simulateCase stands for a subtest in simulated time.

--- a/claim/group_test.go
+++ b/claim/group_test.go
@@ -106,31 +106,29 @@
 		},
 	}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			simulate(t, func(w *world) {
-				r := &recorder{
-					Table: w.table,
-				}
-				a, b := w.openOn(r, "a", mechanisms{}), w.open("b", mechanisms{})
-				takeAll(b, test.others)
-				w.sleep(time.Second)
-				w.faults(platform.Faults{
-					Delay: 5 * time.Millisecond,
-				})
-				r.starts, r.rows = nil, nil
-				start := time.Now()
-				go take(a, "first")
-				w.sleep(time.Millisecond)
-				assert.DeepEqual(t, tally(takeAll(a, test.keys)), test.want)
-				mustGrant(t, take(a, "last"))
-				var starts []int
-				for _, s := range r.starts {
-					starts = append(starts, int(s.Sub(start).Milliseconds()))
-				}
-				assert.DeepEqual(t, starts, test.starts)
-				assert.DeepEqual(t, r.rows, test.rows)
-				assert.Equal(t, r.most, 1, "transactions in flight")
+		simulateCase(t, test.name, func(t *testing.T, w *world) {
+			r := &recorder{
+				Table: w.table,
+			}
+			a, b := w.openOn(r, "a", mechanisms{}), w.open("b", mechanisms{})
+			takeAll(b, test.others)
+			w.sleep(time.Second)
+			w.faults(platform.Faults{
+				Delay: 5 * time.Millisecond,
 			})
+			r.starts, r.rows = nil, nil
+			start := time.Now()
+			go take(a, "first")
+			w.sleep(time.Millisecond)
+			assert.DeepEqual(t, tally(takeAll(a, test.keys)), test.want)
+			mustGrant(t, take(a, "last"))
+			var starts []int
+			for _, s := range r.starts {
+				starts = append(starts, int(s.Sub(start).Milliseconds()))
+			}
+			assert.DeepEqual(t, starts, test.starts)
+			assert.DeepEqual(t, r.rows, test.rows)
+			assert.Equal(t, r.most, 1, "transactions in flight")
 		})
 	}
 }
--- a/claim/ledger_test.go
+++ b/claim/ledger_test.go
@@ -15,6 +15,34 @@
 	"skylarkbeam/timer"
 )
 
+// Each of these switches one mechanism off, as a control.
+var (
+	checksOff = mechanisms{
+		check: true,
+	}
+	readBackOff = mechanisms{
+		readBack: true,
+	}
+	fenceOff = mechanisms{
+		fence: true,
+	}
+	refusalOff = mechanisms{
+		refuse: true,
+	}
+)
+
+// switched has all mechanisms on, and each of those that keep claims unique and free switched off.
+var switched = map[string]mechanisms{
+	"all mechanisms": {},
+	"checks off":     checksOff,
+	"read-back off":  readBackOff,
+	"fence off":      fenceOff,
+}
+
+var downFault = platform.Faults{
+	Down: true,
+}
+
 // world is a table with ledgers, inside a bubble of synctest.
 type world struct {
 	t      *testing.T
@@ -36,6 +64,12 @@
 	})
 }
 
+// simulateCase runs a subtest in simulated time.
+func simulateCase(t *testing.T, name string, run func(t *testing.T, w *world)) {
+	t.Helper()
+	t.Run(name, func(t *testing.T) { simulate(t, func(w *world) { run(t, w) }) })
+}
+
 // open returns a ledger that is registered and waits for calls.
 func (w *world) open(entry string, off mechanisms) *Ledger {
 	return w.openOn(w.table, entry, off)
@@ -167,34 +201,30 @@
 			other:  "mismatch",
 		},
 		{
-			name: "running, checks off",
-			end:  nothing,
-			off: mechanisms{
-				check: true,
-			},
+			name:  "running, checks off",
+			end:   nothing,
+			off:   checksOff,
 			same:  "busy a",
 			other: "granted",
 		},
 	}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			simulate(t, func(w *world) {
-				a, b := w.open("a", test.off), w.open("b", test.off)
-				if test.digest == "" {
-					test.digest = "digest"
-				}
-				c := mustGrant(t, take(a, "k"))
-				assert.Equal(t, name(take(a, "k")), "busy a")
-				w.sleep(time.Second) // The next group waits for its turn no longer.
-				test.end(c)
-				if test.wait > 0 {
-					w.sleep(test.wait)
-				}
-				assert.Equal(t, name(a.Take(context.Background(), "k", test.digest)), test.same)
-				if test.other != "" {
-					assert.Equal(t, name(b.Take(context.Background(), "k", test.digest)), test.other)
-				}
-			})
+		simulateCase(t, test.name, func(t *testing.T, w *world) {
+			a, b := w.open("a", test.off), w.open("b", test.off)
+			if test.digest == "" {
+				test.digest = "digest"
+			}
+			c := mustGrant(t, take(a, "k"))
+			assert.Equal(t, name(take(a, "k")), "busy a")
+			w.sleep(time.Second) // The next group waits for its turn no longer.
+			test.end(c)
+			if test.wait > 0 {
+				w.sleep(test.wait)
+			}
+			assert.Equal(t, name(a.Take(context.Background(), "k", test.digest)), test.same)
+			if test.other != "" {
+				assert.Equal(t, name(b.Take(context.Background(), "k", test.digest)), test.other)
+			}
 		})
 	}
 }
--- a/claim/lost_test.go
+++ b/claim/lost_test.go
@@ -25,73 +25,69 @@
 	}
 }
 
+// loss is a claim whose answer is lost.
+type loss struct {
+	name  string
+	point platform.Point
+	off   mechanisms
+	take  string // want at the ledger itself, if the table can be read
+	later string // want at another ledger after the release and the late effect
+}
+
+// losses has the mechanisms on, and each one off where the fault shows that it prevents.
+var losses = []loss{
+	{
+		name:  "answer lost",
+		point: platform.PointAfter,
+		take:  "granted",
+		later: "granted",
+	},
+	{
+		name:  "request lost",
+		point: platform.PointBefore,
+		take:  "granted",
+		later: "granted",
+	},
+	{
+		name:  "request late",
+		point: platform.PointLate,
+		take:  "granted",
+		later: "granted",
+	},
+	{
+		name:  "answer lost, read-back off",
+		point: platform.PointAfter,
+		off:   readBackOff,
+		take:  "busy a",
+		later: "busy a",
+	},
+	{
+		name:  "request late, fence off",
+		point: platform.PointLate,
+		off:   fenceOff,
+		take:  "granted",
+		later: "busy a",
+	},
+}
+
 // Guards against a key that stays blocked although its call was refused or released, after the answer of its claim was
 // lost. Without the read-back a claim that took effect blocks its own retry; without the fence a claim that takes
 // effect late blocks the key after its release.
 func TestLostAnswer(t *testing.T) {
-	tests := []struct {
-		name  string
-		point platform.Point
-		off   mechanisms
-		take  string // want at the ledger itself
-		later string // want at another ledger after the release and the late effect
-	}{
-		{
-			name:  "answer lost",
-			point: platform.PointAfter,
-			off:   mechanisms{},
-			take:  "granted",
-			later: "granted",
-		},
-		{
-			name:  "request lost",
-			point: platform.PointBefore,
-			off:   mechanisms{},
-			take:  "granted",
-			later: "granted",
-		},
-		{
-			name:  "request late",
-			point: platform.PointLate,
-			off:   mechanisms{},
-			take:  "granted",
-			later: "granted",
-		},
-		{
-			name:  "answer lost, read-back off",
-			point: platform.PointAfter,
-			off: mechanisms{
-				readBack: true,
-			},
-			take:  "busy a",
-			later: "busy a",
-		},
-		{
-			name:  "request late, fence off",
-			point: platform.PointLate,
-			off: mechanisms{
-				fence: true,
-			},
-			take:  "granted",
-			later: "busy a",
-		},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			simulate(t, func(w *world) {
-				a, b := w.open("a", test.off), w.open("b", mechanisms{})
-				w.faults(loseNext(test.point))
-				start := time.Now()
-				d := take(a, "k")
-				assert.Equal(t, name(d), test.take)
-				assert.Assert(t, time.Since(start) <= waitLimit)
-				if g, ok := d.(*Granted); ok {
-					assert.Equal(t, name(take(b, "k")), "busy a", "while the first call runs")
-					g.Claim.Release()
-				}
-				w.sleep(time.Minute)
-				assert.Equal(t, name(take(b, "k")), test.later)
-			})
+	for _, test := range losses {
+		simulateCase(t, test.name, func(t *testing.T, w *world) {
+			a, b := w.open("a", test.off), w.open("b", mechanisms{})
+			w.faults(loseNext(test.point))
+			start := time.Now()
+			d := take(a, "k")
+			assert.Equal(t, name(d), test.take)
+			assert.Assert(t, time.Since(start) <= waitLimit)
+			if g, ok := d.(*Granted); ok {
+				assert.Equal(t, name(take(b, "k")), "busy a", "while the first call runs")
+				g.Claim.Release()
+			}
+			w.sleep(time.Minute)
+			assert.Equal(t, name(take(b, "k")), test.later)
 		})
 	}
 }
@@ -99,66 +95,23 @@
 // Guards against a key that stays blocked after a commit whose fate an outage hid, and against one that is given away
 // while the fate is unknown.
 func TestLostAnswerInOutage(t *testing.T) {
-	tests := []struct {
-		name  string
-		point platform.Point
-		off   mechanisms
-		later string
-	}{
-		{
-			name:  "answer lost",
-			point: platform.PointAfter,
-			off:   mechanisms{},
-			later: "granted",
-		},
-		{
-			name:  "request lost",
-			point: platform.PointBefore,
-			off:   mechanisms{},
-			later: "granted",
-		},
-		{
-			name:  "request late",
-			point: platform.PointLate,
-			off:   mechanisms{},
-			later: "granted",
-		},
-		{
-			name:  "answer lost, read-back off",
-			point: platform.PointAfter,
-			off: mechanisms{
-				readBack: true,
-			},
-			later: "busy a",
-		},
-		{
-			name:  "request late, fence off",
-			point: platform.PointLate,
-			off: mechanisms{
-				fence: true,
-			},
-			later: "busy a",
-		},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			simulate(t, func(w *world) {
-				a, b := w.open("a", test.off), w.open("b", mechanisms{})
-				table := &cuttable{
-					Table: w.table,
-				}
-				a.options.Table = table
-				table.cutAfterCommit.Store(true)
-				w.faults(loseNext(test.point))
-				assert.Equal(t, name(take(a, "k")), "unavailable")
-				start := time.Now()
-				assert.Equal(t, name(take(a, "k")), "unavailable")
-				assert.Equal(t, time.Since(start), time.Duration(0), "a call waited for a table that is down")
-				w.sleep(5 * time.Second)
-				table.cut.Store(false)
-				w.sleep(time.Minute)
-				assert.Equal(t, name(take(b, "k")), test.later)
-			})
+	for _, test := range losses {
+		simulateCase(t, test.name, func(t *testing.T, w *world) {
+			a, b := w.open("a", test.off), w.open("b", mechanisms{})
+			table := &cuttable{
+				Table: w.table,
+			}
+			a.options.Table = table
+			table.cutAfterCommit.Store(true)
+			w.faults(loseNext(test.point))
+			assert.Equal(t, name(take(a, "k")), "unavailable")
+			start := time.Now()
+			assert.Equal(t, name(take(a, "k")), "unavailable")
+			assert.Equal(t, time.Since(start), time.Duration(0), "a call waited for a table that is down")
+			w.sleep(5 * time.Second)
+			table.cut.Store(false)
+			w.sleep(time.Minute)
+			assert.Equal(t, name(take(b, "k")), test.later)
 		})
 	}
 }
@@ -183,15 +136,13 @@
 	}
 	for _, test := range tests {
 		for _, point := range []platform.Point{platform.PointAfter, platform.PointBefore, platform.PointLate} {
-			t.Run(test.name+" "+string(point), func(t *testing.T) {
-				simulate(t, func(w *world) {
-					a, b := w.open("a", mechanisms{}), w.open("b", mechanisms{})
-					c := mustGrant(t, take(a, "k"))
-					w.faults(loseNext(point))
-					test.end(c)
-					w.sleep(time.Minute)
-					assert.Equal(t, name(take(b, "k")), test.later)
-				})
+			simulateCase(t, test.name+" "+string(point), func(t *testing.T, w *world) {
+				a, b := w.open("a", mechanisms{}), w.open("b", mechanisms{})
+				c := mustGrant(t, take(a, "k"))
+				w.faults(loseNext(point))
+				test.end(c)
+				w.sleep(time.Minute)
+				assert.Equal(t, name(take(b, "k")), test.later)
 			})
 		}
 	}
--- a/claim/machine_test.go
+++ b/claim/machine_test.go
@@ -211,49 +211,19 @@
 	assert.NilError(t, flag.Set("rapid.nofailfile", "true"))
 	assert.NilError(t, flag.Set("rapid.checks", "500"))
 	t.Logf("seed %d", seed)
-	tests := []struct {
-		name string
-		off  mechanisms
-		fail bool
-	}{
-		{
-			name: "all mechanisms",
-		},
-		{
-			name: "checks off",
-			off: mechanisms{
-				check: true,
-			},
-			fail: true,
-		},
-		{
-			name: "read-back off",
-			off: mechanisms{
-				readBack: true,
-			},
-			fail: true,
-		},
-		{
-			name: "fence off",
-			off: mechanisms{
-				fence: true,
-			},
-			fail: true,
-		},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
+	for name, off := range switched {
+		t.Run(name, func(t *testing.T) {
 			simulation.Run(t, func(t *testing.T) {
 				m := &machine{
 					timers: timer.New(),
-					off:    test.off,
+					off:    off,
 				}
 				tb := &quietTB{
 					TB: t,
 				}
 				rapid.Check(tb, m.run)
 				t.Log(lastLine(tb.log.String()))
-				assert.Equal(t, tb.failed, test.fail, "%s", &tb.log)
+				assert.Equal(t, tb.failed, off != mechanisms{}, "%s", &tb.log)
 			})
 		})
 	}
--- a/claim/outage_test.go
+++ b/claim/outage_test.go
@@ -51,9 +51,6 @@
 // Guards against calls that wait while the table is known to be down. Without the refusal they wait for as long as
 // their callers let them.
 func TestOutage(t *testing.T) {
-	down := platform.Faults{
-		Down: true,
-	}
 	silent := platform.Faults{
 		Delay: 30 * time.Minute,
 	}
@@ -66,59 +63,51 @@
 	}{
 		{
 			name:   "down",
-			faults: down,
-			off:    mechanisms{},
+			faults: downFault,
 		},
 		{
 			name:   "silent",
 			faults: silent,
-			off:    mechanisms{},
 			first:  waitLimit,
 		},
 		{
 			name:   "down, refusal off",
-			faults: down,
-			off: mechanisms{
-				refuse: true,
-			},
-			first: 2 * time.Second,
-			later: 2 * time.Second,
+			faults: downFault,
+			off:    refusalOff,
+			first:  2 * time.Second,
+			later:  2 * time.Second,
 		},
 		{
 			name:   "silent, refusal off",
 			faults: silent,
-			off: mechanisms{
-				refuse: true,
-			},
-			first: waitLimit,
-			later: 2 * time.Second,
+			off:    refusalOff,
+			first:  waitLimit,
+			later:  2 * time.Second,
 		},
 	}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			simulate(t, func(w *world) {
-				a := w.open("a", test.off)
-				waits := func(key string) time.Duration {
-					ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-					defer cancel()
-					start := time.Now()
-					assert.Equal(t, name(a.Take(ctx, key, "digest")), "unavailable")
-					return time.Since(start)
-				}
-				c := mustGrant(t, take(a, "finished"))
-				w.sleep(time.Second)
-				w.faults(test.faults)
-				assert.Equal(t, waits("k1"), test.first)
-				assert.Equal(t, waits("k2"), test.later)
-				c.Finish(200, "", []byte("x"))
-				w.sleep(time.Hour)
-				assert.Equal(t, waits("k3"), test.later)
-				w.faults(platform.Faults{})
-				w.sleep(time.Second)
-				mustGrant(t, take(a, "k1"))
-				mustGrant(t, take(a, "k2"))
-				assert.Equal(t, name(take(w.open("b", mechanisms{}), "finished")), "done 200 x omitted=false")
-			})
+		simulateCase(t, test.name, func(t *testing.T, w *world) {
+			a := w.open("a", test.off)
+			waits := func(key string) time.Duration {
+				ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+				defer cancel()
+				start := time.Now()
+				assert.Equal(t, name(a.Take(ctx, key, "digest")), "unavailable")
+				return time.Since(start)
+			}
+			c := mustGrant(t, take(a, "finished"))
+			w.sleep(time.Second)
+			w.faults(test.faults)
+			assert.Equal(t, waits("k1"), test.first)
+			assert.Equal(t, waits("k2"), test.later)
+			c.Finish(200, "", []byte("x"))
+			w.sleep(time.Hour)
+			assert.Equal(t, waits("k3"), test.later)
+			w.faults(platform.Faults{})
+			w.sleep(time.Second)
+			mustGrant(t, take(a, "k1"))
+			mustGrant(t, take(a, "k2"))
+			assert.Equal(t, name(take(w.open("b", mechanisms{}), "finished")), "done 200 x omitted=false")
 		})
 	}
 }
@@ -130,11 +119,7 @@
 		w.faults(platform.Faults{
 			Hold: 100 * time.Millisecond,
 		})
-		time.AfterFunc(50*time.Millisecond, func() {
-			w.faults(platform.Faults{
-				Down: true,
-			})
-		})
+		time.AfterFunc(50*time.Millisecond, func() { w.faults(downFault) })
 		start := time.Now()
 		assert.Equal(t, name(take(a, "k")), "unavailable")
 		assert.Assert(t, time.Since(start) <= waitLimit)
@@ -172,9 +157,7 @@
 		<-a.Done()
 		assert.Equal(t, name(take(a, "k3")), "unavailable")
 		assert.Equal(t, name(take(b, "k1")), "done 200  omitted=false")
-		w.faults(platform.Faults{
-			Down: true,
-		})
+		w.faults(downFault)
 		second.Release()
 		start := time.Now()
 		d.Close()
--- a/claim/owner_test.go
+++ b/claim/owner_test.go
@@ -17,7 +17,6 @@
 	}{
 		{
 			name:  "claim kept",
-			off:   mechanisms{},
 			other: "busy a",
 		},
 		{
@@ -29,13 +28,11 @@
 		},
 	}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			simulate(t, func(w *world) {
-				a, b := w.open("a", test.off), w.open("b", test.off)
-				c := mustGrant(t, take(a, "k"))
-				w.sleep(time.Until(c.Until()) - time.Second)
-				assert.Equal(t, name(take(b, "k")), test.other)
-			})
+		simulateCase(t, test.name, func(t *testing.T, w *world) {
+			a, b := w.open("a", test.off), w.open("b", test.off)
+			c := mustGrant(t, take(a, "k"))
+			w.sleep(time.Until(c.Until()) - time.Second)
+			assert.Equal(t, name(take(b, "k")), test.other)
 		})
 	}
 }
@@ -53,45 +50,37 @@
 		{
 			name: "finish",
 			end:  finish,
-			off:  mechanisms{},
 			want: "busy b",
 		},
 		{
 			name: "release",
 			end:  (*Claim).Release,
-			off:  mechanisms{},
 			want: "busy b",
 		},
 		{
 			name: "finish, checks off",
 			end:  finish,
-			off: mechanisms{
-				check: true,
-			},
+			off:  checksOff,
 			want: "done 200 late omitted=false",
 		},
 		{
 			name: "release, checks off",
 			end:  (*Claim).Release,
-			off: mechanisms{
-				check: true,
-			},
+			off:  checksOff,
 			want: "granted",
 		},
 	}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			simulate(t, func(w *world) {
-				a, b, d := w.open("a", test.off), w.open("b", mechanisms{}), w.open("d", mechanisms{})
-				c := mustGrant(t, take(a, "k"))
-				w.sleep(time.Until(c.Until()))
-				assert.Equal(t, name(take(b, "k")), "busy a", "the claim outlives the time to dispatch")
-				w.sleep(expiryMargin)
-				mustGrant(t, take(b, "k"))
-				test.end(c)
-				w.sleep(time.Second)
-				assert.Equal(t, name(take(d, "k")), test.want)
-			})
+		simulateCase(t, test.name, func(t *testing.T, w *world) {
+			a, b, d := w.open("a", test.off), w.open("b", mechanisms{}), w.open("d", mechanisms{})
+			c := mustGrant(t, take(a, "k"))
+			w.sleep(time.Until(c.Until()))
+			assert.Equal(t, name(take(b, "k")), "busy a", "the claim outlives the time to dispatch")
+			w.sleep(expiryMargin)
+			mustGrant(t, take(b, "k"))
+			test.end(c)
+			w.sleep(time.Second)
+			assert.Equal(t, name(take(d, "k")), test.want)
 		})
 	}
 }
--- a/claim/race_test.go
+++ b/claim/race_test.go
@@ -42,73 +42,40 @@
 // them, when two entries race for 1000 keys and the answers of 20% of the transactions are lost.
 func TestRace(t *testing.T) {
 	const seed, keys, tries = 20261204, 1000, 6
-	tests := []struct {
-		name    string
-		off     mechanisms
-		double  bool
-		blocked bool
-	}{
-		{
-			name: "all mechanisms",
-		},
-		{
-			name: "checks off",
-			off: mechanisms{
-				check: true,
-			},
-			double: true,
-		},
-		{
-			name: "read-back off",
-			off: mechanisms{
-				readBack: true,
-			},
-			blocked: true,
-		},
-		{
-			name: "fence off",
-			off: mechanisms{
-				fence: true,
-			},
-			blocked: true,
-		},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			simulate(t, func(w *world) {
-				ledgers := []*Ledger{w.open("a", test.off), w.open("b", test.off)}
-				w.faults(platform.Faults{
-					Delay: 5 * time.Millisecond,
-					Lose: platform.Loss{
-						Rate:  0.2,
-						Seed:  seed,
-						Point: platform.PointAny,
-						Late:  300 * time.Millisecond,
-					},
-				})
-				g := &grants{
-					live: map[string]int{},
-					done: map[string]bool{},
-				}
-				var calls sync.WaitGroup
-				for i := range keys {
-					for j, l := range ledgers {
-						random := rand.New(rand.NewPCG(seed, uint64(2*i+j)))
-						calls.Go(func() { g.contend(l, fmt.Sprint("k", i), tries, random) })
-					}
-				}
-				calls.Wait()
-				counters := w.table.Counters()
-				w.faults(platform.Faults{})
-				w.sleep(time.Minute)
-				blocked := g.blocked(w.open("c", mechanisms{}))
-				t.Logf("seed %d: %d grants, %d double, %d keys blocked, %+v", seed, g.all, g.double, blocked, counters)
-				assert.Assert(t, g.all >= keys)
-				assert.Equal(t, g.double > 0, test.double, "double grants")
-				if !test.double {
-					assert.Equal(t, blocked > 0, test.blocked, "blocked keys")
-				}
+	for name, off := range switched {
+		simulateCase(t, name, func(t *testing.T, w *world) {
+			ledgers := []*Ledger{w.open("a", off), w.open("b", off)}
+			w.faults(platform.Faults{
+				Delay: 5 * time.Millisecond,
+				Lose: platform.Loss{
+					Rate:  0.2,
+					Seed:  seed,
+					Point: platform.PointAny,
+					Late:  300 * time.Millisecond,
+				},
 			})
+			g := &grants{
+				live: map[string]int{},
+				done: map[string]bool{},
+			}
+			var calls sync.WaitGroup
+			for i := range keys {
+				for j, l := range ledgers {
+					random := rand.New(rand.NewPCG(seed, uint64(2*i+j)))
+					calls.Go(func() { g.contend(l, fmt.Sprint("k", i), tries, random) })
+				}
+			}
+			calls.Wait()
+			counters := w.table.Counters()
+			w.faults(platform.Faults{})
+			w.sleep(time.Minute)
+			blocked := g.blocked(w.open("c", mechanisms{}))
+			t.Logf("seed %d: %d grants, %d double, %d keys blocked, %+v", seed, g.all, g.double, blocked, counters)
+			assert.Assert(t, g.all >= keys)
+			assert.Equal(t, g.double > 0, off.check, "double grants")
+			if !off.check {
+				assert.Equal(t, blocked > 0, off.readBack || off.fence, "blocked keys")
+			}
 		})
 	}
 }
--- a/claim/table_test.go
+++ b/claim/table_test.go
@@ -116,22 +116,20 @@
 		},
 	}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			simulate(t, func(w *world) {
-				table := &scripted{
-					Table: w.table,
-				}
-				a := w.openOn(table, "a", mechanisms{})
-				if test.prepare != nil {
-					test.prepare(w)
-				}
-				if test.commit != nil {
-					table.next.Store(&test.commit)
-				}
-				assert.Equal(t, name(take(a, "k")), test.first)
-				w.sleep(time.Second)
-				assert.Equal(t, name(take(a, "k")), test.second)
-			})
+		simulateCase(t, test.name, func(t *testing.T, w *world) {
+			table := &scripted{
+				Table: w.table,
+			}
+			a := w.openOn(table, "a", mechanisms{})
+			if test.prepare != nil {
+				test.prepare(w)
+			}
+			if test.commit != nil {
+				table.next.Store(&test.commit)
+			}
+			assert.Equal(t, name(take(a, "k")), test.first)
+			w.sleep(time.Second)
+			assert.Equal(t, name(take(a, "k")), test.second)
 		})
 	}
 }
