--- a/route/cold_test.go
+++ b/route/cold_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -28,28 +29,12 @@
 // Guards against two owners at once: the old one's calls end with its lease, the new one waits. In the control the new
 // owner does not wait, and the target that bears one call gets two.
 func TestOwnerChange(t *testing.T) {
-	const lease, wait = 4 * time.Second, 5 * time.Second
-	tests := []struct {
-		name string
-		wait time.Duration
-		want int
-	}{
-		{
-			name: "wait",
-			wait: wait,
-			want: 1,
-		},
-		{
-			name: "no wait",
-			wait: 0,
-			want: 2,
-		},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
+	const lease = 4 * time.Second
+	for wait, want := range map[time.Duration]int{5 * time.Second: 1, 0: 2} {
+		t.Run(fmt.Sprint("wait ", wait), func(t *testing.T) {
 			tables := []*Table{
 				coldTable(leased(epoch, epoch.Add(lease))),
-				coldTable(leased(epoch.Add(time.Second+test.wait), epoch.Add(time.Minute))),
+				coldTable(leased(epoch.Add(time.Second+wait), epoch.Add(time.Minute))),
 			}
 			most := 0
 			var open []*Permit
@@ -73,7 +58,7 @@
 				}
 				most = max(most, len(open))
 			}
-			assert.Equal(t, test.want, most)
+			assert.Equal(t, want, most)
 		})
 	}
 }
@@ -82,72 +67,31 @@
 // timed anew for a new instance.
 func TestWarming(t *testing.T) {
 	table := coldTable(leased(epoch, epoch.Add(time.Hour)))
-	steps := []struct {
+	type step struct {
 		after    time.Duration
 		instance string
 		phase    outcome.Phase
 		want     Event
-	}{
-		{
-			after:    0,
-			instance: "a",
-			phase:    outcome.PhaseWarm,
-			want:     Fell{"t0", "a"},
-		},
-		{
-			after:    time.Millisecond,
-			instance: "a",
-			phase:    outcome.PhaseWarm,
-			want:     nil,
-		},
-		{
-			after:    500 * time.Millisecond,
-			instance: "b",
-			phase:    outcome.PhaseWarm,
-			want:     Fell{"t0", "b"},
-		},
-		{
-			after:    time.Millisecond,
-			instance: "b",
-			phase:    outcome.PhaseCold,
-			want:     nil,
-		},
-		{
-			after:    999 * time.Millisecond,
-			instance: "b",
-			phase:    outcome.PhaseWarm,
-			want:     nil,
-		},
-		{
-			after:    2 * time.Millisecond,
-			instance: "b",
-			phase:    outcome.PhaseCold,
-			want:     nil,
-		},
-		{
-			after:    time.Millisecond,
-			instance: "b",
-			phase:    outcome.PhaseUnknown,
-			want:     Warmed{"t0", "b"},
-		},
-		{
-			after:    4 * time.Second,
-			instance: "b",
-			phase:    outcome.PhaseCold,
-			want:     Fell{"t0", "b"},
-		},
-		{
-			after:    time.Millisecond,
-			instance: "b",
-			phase:    outcome.PhaseCold,
-			want:     nil,
-		},
-		{
-			after:    2 * time.Second,
-			instance: "b",
-			phase:    outcome.PhaseUnknown,
-			want:     Warmed{"t0", "b"},
-		},
+	}
+	report := func(after time.Duration, instance string, phase outcome.Phase, want Event) step {
+		return step{
+			after:    after,
+			instance: instance,
+			phase:    phase,
+			want:     want,
+		}
+	}
+	steps := []step{
+		report(0, "a", outcome.PhaseWarm, Fell{"t0", "a"}),
+		report(time.Millisecond, "a", outcome.PhaseWarm, nil),
+		report(500*time.Millisecond, "b", outcome.PhaseWarm, Fell{"t0", "b"}),
+		report(time.Millisecond, "b", outcome.PhaseCold, nil),
+		report(999*time.Millisecond, "b", outcome.PhaseWarm, nil),
+		report(2*time.Millisecond, "b", outcome.PhaseCold, nil),
+		report(time.Millisecond, "b", outcome.PhaseUnknown, Warmed{"t0", "b"}),
+		report(4*time.Second, "b", outcome.PhaseCold, Fell{"t0", "b"}),
+		report(time.Millisecond, "b", outcome.PhaseCold, nil),
+		report(2*time.Second, "b", outcome.PhaseUnknown, Warmed{"t0", "b"}),
 	}
 	now := epoch
 	for i, step := range steps {
@@ -175,16 +119,12 @@
 	old, _ := table.Pick(now.Add(rampTime), "stock", Query{})
 	assert.Equal(t, "a", old.Instance)
 	now = now.Add(2 * rampTime)
-	assert.Equal(t, Fell{"t0", "b"}, table.Observe(now, "t0", outcome.Report{
-		Instance: "b",
-	}))
+	assert.Equal(t, Fell{"t0", "b"}, table.Observe(now, "t0", from("b")))
 	_, reason := table.Pick(now, "stock", Query{})
 	assert.Equal(t, outcome.Cold, reason)
 	table.SetWarm(now, "t0", "b")
 	assert.Equal(t, nil, old.Done(now, Result{
-		Report: outcome.Report{
-			Instance: "a",
-		},
+		Report: from("a"),
 	}))
 	table.SetFallen(now, "t0", "a")
 	table.SetWarm(now, "t0", "a")
@@ -213,29 +153,23 @@
 			if p.Target == "t0" {
 				n++
 			}
-			p.Done(now.Add(after), Result{
-				Latency: time.Millisecond,
-			})
+			p.Done(now.Add(after), took(time.Millisecond))
 		}
 		return n
 	}
+	observe := func(after time.Duration, phase outcome.Phase) {
+		report := from("a")
+		report.Phase = phase
+		table.Observe(now.Add(after), "t0", report)
+	}
 	early, late := used(0), used(rampTime)
 	assert.Assert(t, early > 0 && early < 150, "early %d", early)
 	assert.Assert(t, late > 350, "late %d", late)
-	table.Observe(now.Add(10*time.Second), "t0", outcome.Report{
-		Instance: "a",
-		Phase:    outcome.PhaseDraining,
-	})
+	observe(10*time.Second, outcome.PhaseDraining)
 	assert.Equal(t, 0, used(11*time.Second))
-	table.Observe(now.Add(12*time.Second), "t0", outcome.Report{
-		Instance: "a",
-		Phase:    outcome.PhaseWarm,
-	})
+	observe(12*time.Second, outcome.PhaseWarm)
 	assert.Equal(t, 0, used(13*time.Second))
-	table.Observe(now.Add(30*time.Second), "t0", outcome.Report{
-		Instance: "a",
-		Phase:    outcome.PhaseWarm,
-	})
+	observe(30*time.Second, outcome.PhaseWarm)
 	assert.Assert(t, used(60*time.Second) > 0)
 }
 
--- a/route/policy_test.go
+++ b/route/policy_test.go
@@ -32,9 +32,7 @@
 			Idempotent: idempotent,
 		})
 		got[p.Target]++
-		r := Result{
-			Latency: 5 * time.Millisecond,
-		}
+		r := took(5 * time.Millisecond)
 		if slow[p.Target] {
 			r.Latency *= 10
 		}
@@ -51,21 +49,14 @@
 func TestEjection(t *testing.T) {
 	table := warmTable(4)
 	now, _ := drive(table, epoch.Add(time.Minute), 500, true, nil, nil)
-	now, got := drive(table, now, 1000, true, nil, map[string]bool{
-		"t0": true,
-	})
+	now, got := drive(table, now, 1000, true, nil, map[string]bool{"t0": true})
 	assert.Assert(t, got["t0"] > 0 && got["t0"] < 60, "one failing: %v", got)
 	_, back := drive(table, now.Add(ejectLimit), 2000, true, nil, nil)
 	assert.Assert(t, back["t0"] > 100, "recovered: %v", back)
 
 	table = warmTable(4)
 	now, _ = drive(table, epoch.Add(time.Minute), 500, true, nil, nil)
-	all := map[string]bool{
-		"t0": true,
-		"t1": true,
-		"t2": true,
-		"t3": true,
-	}
+	all := map[string]bool{"t0": true, "t1": true, "t2": true, "t3": true}
 	now, _ = drive(table, now, 400, true, nil, all)
 	ejected := 0
 	for _, s := range table.Status(now) {
@@ -81,9 +72,7 @@
 // Guards against a straggler that keeps its load, or gets none after it has recovered. Calls that cannot be hedged come
 // back later.
 func TestSlowTarget(t *testing.T) {
-	slow := map[string]bool{
-		"t0": true,
-	}
+	slow := map[string]bool{"t0": true}
 	table := warmTable(4)
 	now, _ := drive(table, epoch.Add(time.Minute), 1000, true, nil, nil)
 	now, got := drive(table, now, 500, true, slow, nil)
@@ -154,9 +143,7 @@
 			},
 			"fall": func(t *rapid.T) {
 				instance++
-				table.Observe(now, name(), outcome.Report{
-					Instance: fmt.Sprint(instance),
-				})
+				table.Observe(now, name(), from(fmt.Sprint(instance)))
 			},
 			"wait": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
@@ -186,9 +173,7 @@
 		for range before {
 			table.Pick(epoch, "stock", Query{})
 		}
-		table.Observe(epoch, "t0", outcome.Report{
-			Instance: "b",
-		})
+		table.Observe(epoch, "t0", from("b"))
 		cold := 0
 		for range rapid.IntRange(0, 50).Draw(t, "calls") {
 			if p, _ := table.Pick(epoch, "stock", Query{}); p != nil && p.Cold {
@@ -208,9 +193,7 @@
 			for n := range 300 {
 				now := epoch.Add(time.Duration(n) * time.Millisecond)
 				if p, _ := table.Pick(now, "stock", Query{}); p != nil {
-					p.Done(now, Result{
-						Latency: time.Millisecond,
-					})
+					p.Done(now, took(time.Millisecond))
 				}
 				table.Observe(now, fmt.Sprintf("t%d", i), outcome.Report{
 					Instance: "a",
@@ -229,53 +212,39 @@
 	}
 }
 
+// warmServices returns a table with warm targets, spread over services, and the targets.
+func warmServices(services, targets int) (*Table, []Target) {
+	table := New(Options{
+		Entries: 6,
+	})
+	list := specs(targets)
+	for i := range list {
+		list[i].Service = fmt.Sprintf("s%d", i%services)
+	}
+	table.SetTargets(epoch, list)
+	for _, spec := range list {
+		table.SetWarm(epoch, spec.Name, "a")
+	}
+	return table, list
+}
+
 // BenchmarkPick measures one call, Pick and Done, for growing numbers of services and targets.
 func BenchmarkPick(b *testing.B) {
-	for _, size := range []struct{ services, targets int }{{
-		services: 1,
-		targets:  10,
-	}, {
-		services: 3,
-		targets:  30,
-	}, {
-		services: 120,
-		targets:  600,
-	}, {
-		services: 120,
-		targets:  6000,
-	}, {
-		services: 1,
-		targets:  600,
-	}} {
-		b.Run(fmt.Sprintf("services=%d/targets=%d", size.services, size.targets), func(b *testing.B) {
-			table := New(Options{
-				Entries: 6,
-			})
-			list := specs(size.targets)
-			names := make([]string, size.services)
-			for i := range names {
-				names[i] = fmt.Sprintf("s%d", i)
-			}
-			for i := range list {
-				list[i].Service = names[i%size.services]
-			}
-			table.SetTargets(epoch, list)
-			for _, spec := range list {
-				table.SetWarm(epoch, spec.Name, "a")
-			}
+	for _, size := range [][2]int{{1, 10}, {3, 30}, {120, 600}, {120, 6000}, {1, 600}} {
+		services, targets := size[0], size[1]
+		b.Run(fmt.Sprintf("services=%d/targets=%d", services, targets), func(b *testing.B) {
+			table, list := warmServices(services, targets)
 			now := epoch.Add(time.Minute)
-			r := Result{
-				Latency: time.Millisecond,
-				Report: outcome.Report{
-					Instance: "a",
-					Phase:    outcome.PhaseWarm,
-					Slots:    2,
-				},
+			r := took(time.Millisecond)
+			r.Report = outcome.Report{
+				Instance: "a",
+				Phase:    outcome.PhaseWarm,
+				Slots:    2,
 			}
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				now = now.Add(10 * time.Microsecond)
-				p, _ := table.Pick(now, names[i%size.services], Query{})
+				p, _ := table.Pick(now, list[i%services].Service, Query{})
 				p.Done(now, r)
 			}
 		})
@@ -286,24 +255,12 @@
 func BenchmarkPickParallel(b *testing.B) {
 	for _, services := range []int{1, 120} {
 		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
-			table := New(Options{
-				Entries: 6,
-			})
-			list := specs(600)
-			for i := range list {
-				list[i].Service = fmt.Sprintf("s%d", i%services)
-			}
-			table.SetTargets(epoch, list)
-			for _, spec := range list {
-				table.SetWarm(epoch, spec.Name, "a")
-			}
+			table, list := warmServices(services, 600)
 			now := epoch.Add(time.Minute)
 			b.RunParallel(func(pb *testing.PB) {
 				for i := 0; pb.Next(); i++ {
 					p, _ := table.Pick(now, list[i%services].Service, Query{})
-					p.Done(now, Result{
-						Latency: time.Millisecond,
-					})
+					p.Done(now, took(time.Millisecond))
 				}
 			})
 		})
--- a/route/repeats_test.go
+++ b/route/repeats_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,30 +10,11 @@
 
 // Guards against a setting of the retry budget that has no effect, and against one that is exceeded.
 func TestSetRepeats(t *testing.T) {
-	tests := []struct {
-		name  string
-		share float64
-		want  int
-	}{
-		{
-			name: "none",
-		},
-		{
-			name:  "a twentieth",
-			share: 0.05,
-			want:  10,
-		},
-		{
-			name:  "a fifth",
-			share: 0.2,
-			want:  40,
-		},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
+	for share, want := range map[float64]int{0: 0, 0.05: 10, 0.2: 40} {
+		t.Run(fmt.Sprint(share), func(t *testing.T) {
 			now := time.Unix(0, 0)
 			table := New(Options{})
-			table.SetRepeats(tt.share)
+			table.SetRepeats(share)
 			table.SetTargets(now, []Target{
 				{
 					Name:    "a",
@@ -45,27 +27,16 @@
 			repeats := 0
 			for range 200 {
 				now = now.Add(10 * time.Millisecond)
-				p, reason := table.Pick(now, "stock", Query{
-					Idempotent: true,
-				})
+				p, reason := table.Pick(now, "stock", idempotent)
 				assert.Assert(t, p != nil, "refused: %s", reason)
-				p.Done(now, Result{
-					Kind:    Succeeded,
-					Latency: time.Millisecond,
-				})
-				again := table.Repeat(now, "stock", Query{
-					Idempotent: true,
-				})
-				if again != nil {
+				p.Done(now, took(time.Millisecond))
+				if again := table.Repeat(now, "stock", idempotent); again != nil {
 					repeats++
-					again.Done(now, Result{
-						Kind:    Succeeded,
-						Latency: time.Millisecond,
-					})
+					again.Done(now, took(time.Millisecond))
 				}
 			}
 			// One token may be short of a whole one because the shares are not exact in binary.
-			assert.Assert(t, repeats == tt.want || repeats == tt.want-1, "%d repeats of 200 first attempts, want %d", repeats, tt.want)
+			assert.Assert(t, repeats == want || repeats == want-1, "%d repeats of 200 first attempts, want %d", repeats, want)
 		})
 	}
 }
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -28,6 +28,24 @@
 	return list
 }
 
+// took is the result of a call that succeeded after a time.
+func took(latency time.Duration) Result {
+	return Result{
+		Latency: latency,
+	}
+}
+
+// from is a report of an instance that says nothing about its phase and its load.
+func from(instance string) outcome.Report {
+	return outcome.Report{
+		Instance: instance,
+	}
+}
+
+var idempotent = Query{
+	Idempotent: true,
+}
+
 // Guards against refusals with a reason that sends the caller or the operator the wrong way.
 func TestPickReasons(t *testing.T) {
 	drained := specs(1)
@@ -41,19 +59,13 @@
 		want    outcome.Reason
 	}{
 		{
-			name:    "no such service",
-			targets: nil,
-			warm:    false,
-			leaving: false,
-			calls:   0,
-			want:    outcome.Service,
+			name: "no such service",
+			want: outcome.Service,
 		},
 		{
 			name:    "drained",
 			targets: drained,
 			warm:    true,
-			leaving: false,
-			calls:   0,
 			want:    outcome.Drained,
 		},
 		{
@@ -61,22 +73,17 @@
 			targets: specs(1),
 			warm:    true,
 			leaving: true,
-			calls:   0,
 			want:    outcome.Drained,
 		},
 		{
 			name:    "cold and not owned",
 			targets: specs(1),
-			warm:    false,
-			leaving: false,
-			calls:   0,
 			want:    outcome.Cold,
 		},
 		{
 			name:    "all in use",
 			targets: specs(1),
 			warm:    true,
-			leaving: false,
 			calls:   2,
 			want:    outcome.Queue,
 		},
@@ -84,9 +91,7 @@
 			name:    "free",
 			targets: specs(1),
 			warm:    true,
-			leaving: false,
 			calls:   1,
-			want:    "",
 		},
 	}
 	for _, test := range tests {
@@ -103,9 +108,7 @@
 			for range 40 { // lets the limit of the new target grow to its end
 				now = now.Add(rampTime)
 				if p, _ := table.Pick(now, "stock", Query{}); p != nil {
-					p.Done(now, Result{
-						Latency: time.Millisecond,
-					})
+					p.Done(now, took(time.Millisecond))
 				}
 			}
 			for range 2 * test.calls {
--- a/share/scheduler_test.go
+++ b/share/scheduler_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -25,9 +26,7 @@
 
 // Guards against an Admit that leaves its place in the queue behind, or waits past the deadline.
 func TestAdmitGivesUp(t *testing.T) {
-	s := newScheduler(1, map[string]float64{
-		"a": 1,
-	})
+	s := newScheduler(1, map[string]float64{"a": 1})
 	first, refusal := s.Admit(context.Background(), "a", time.Now().Add(time.Minute))
 	assert.Assert(t, refusal == nil)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
@@ -42,10 +41,7 @@
 
 // Guards against a refusal with a reason that blames the wrong side, or without an estimate of when to come back.
 func TestRefusals(t *testing.T) {
-	shares := map[string]float64{
-		"large": 0.5,
-		"small": 0.1,
-	}
+	shares := map[string]float64{"large": 0.5, "small": 0.1}
 	tests := []struct {
 		name    string
 		caller  string
@@ -55,28 +51,22 @@
 		atLeast time.Duration
 	}{
 		{
-			name:    "free",
-			caller:  "small",
-			flood:   0,
-			left:    time.Second,
-			want:    "",
-			atLeast: 0,
+			name:   "free",
+			caller: "small",
+			left:   time.Second,
 		},
 		{
 			name:    "too little time to run",
 			caller:  "small",
-			flood:   0,
 			left:    5 * time.Millisecond,
 			want:    outcome.Deadline,
 			atLeast: retryFloor,
 		},
 		{
-			name:    "small behind a flood",
-			caller:  "small",
-			flood:   200,
-			left:    100 * time.Millisecond,
-			want:    "",
-			atLeast: 0,
+			name:   "small behind a flood",
+			caller: "small",
+			flood:  200,
+			left:   100 * time.Millisecond,
 		},
 		{
 			name:    "too little time to wait",
@@ -116,32 +106,11 @@
 // Guards against shares that are counted in calls: a caller with long calls gets as many slots for its time as one with
 // short calls, and a share that is not used goes to the others.
 func TestSharesOfTime(t *testing.T) {
-	tests := []struct {
-		name    string
-		callers []string
-		want    float64 // part of the slots' time of the caller "long"
-	}{
-		{
-			name:    "both",
-			callers: []string{"long", "short"},
-			want:    0.5,
-		},
-		{
-			name:    "alone",
-			callers: []string{"long"},
-			want:    1,
-		},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			s := newScheduler(4, map[string]float64{
-				"long":  0.4,
-				"short": 0.4,
-			})
-			work := map[string]time.Duration{
-				"long":  20 * time.Millisecond,
-				"short": 2 * time.Millisecond,
-			}
+	// The part of the slots' time of the caller "long", alone and beside another.
+	for callers, want := range map[string]float64{"long": 1, "long short": 0.5} {
+		t.Run(callers, func(t *testing.T) {
+			s := newScheduler(4, map[string]float64{"long": 0.4, "short": 0.4})
+			work := map[string]time.Duration{"long": 20 * time.Millisecond, "short": 2 * time.Millisecond}
 			held := map[string]time.Duration{}
 			type running struct {
 				ticket *Ticket
@@ -149,7 +118,7 @@
 			}
 			var open []running
 			for now := epoch; now.Before(epoch.Add(5 * time.Second)); now = now.Add(time.Millisecond) {
-				for _, name := range test.callers {
+				for _, name := range strings.Fields(callers) {
 					for s.callers[name] == nil || s.callers[name].waiting.Len() < 10 {
 						ticket, refusal := s.Enqueue(now, name, now.Add(time.Minute))
 						assert.Assert(t, refusal == nil, "%v", refusal)
@@ -172,7 +141,7 @@
 				}
 			}
 			have := held["long"].Seconds() / (held["long"] + held["short"]).Seconds()
-			assert.Assert(t, have > test.want-0.05 && have < test.want+0.05, "want %v, have %v", test.want, have)
+			assert.Assert(t, have > want-0.05 && have < want+0.05, "want %v, have %v", want, have)
 		})
 	}
 }
@@ -277,10 +246,7 @@
 
 // Guards against data races and lost wake-ups between concurrent calls.
 func TestConcurrentAdmit(t *testing.T) {
-	s := newScheduler(3, map[string]float64{
-		"c0": 0.3,
-		"c1": 0.3,
-	})
+	s := newScheduler(3, map[string]float64{"c0": 0.3, "c1": 0.3})
 	var wg sync.WaitGroup
 	for i := range 16 {
 		wg.Go(func() {
