Shorten the tests of fleet

compare, which runs each scenario with a mechanism and without it, had a table of two cases with a type of its own; tables of a name and one value took four lines a case; three polls over all entries were written out; and the search for a target that a process owns stood in two tests.

compare loops over on and off; TestOwnership, TestAnswerDuringPause and TestModelControl have their cases in maps; TestLostAnswer builds its cases with a function; waitAll, node.owned and world.faults are the common parts. The limits of the polls are as before.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"testing"
 	"time"
 
@@ -11,33 +10,16 @@
 	"skylarkbeam/platform"
 )
 
-// variant is a run with a mechanism on or off; the fault shows only when it is off.
-type variant struct {
-	name   string
-	change func(l *limits)
-	fault  bool
-}
-
 // compare runs a scenario with a mechanism and as a control without it. The scenario reports whether the fault occurred.
 func compare(t *testing.T, names string, off func(l *limits), scenario func(t *testing.T, w *world) (fault bool)) {
-	tests := []variant{
-		{
-			name:   "on",
-			change: func(*limits) {},
-			fault:  false,
-		},
-		{
-			name:   "off",
-			change: off,
-			fault:  true,
-		},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
+	for _, on := range []bool{true, false} {
+		t.Run(map[bool]string{true: "on", false: "off"}[on], func(t *testing.T) {
 			l := usual()
-			tt.change(&l)
+			if !on {
+				off(&l)
+			}
 			simulate(t, l, names, func(t *testing.T, w *world) {
-				assert.Equal(t, tt.fault, scenario(t, w))
+				assert.Equal(t, !on, scenario(t, w))
 			})
 		})
 	}
@@ -125,35 +107,25 @@
 
 // Guards against a change that is made twice, lost or reported wrongly when the table's answer is lost.
 func TestLostAnswer(t *testing.T) {
-	tests := []struct {
+	type test struct {
 		name    string
 		point   platform.Point
 		cut     bool // the table is out of reach after the loss until the context ends
 		version uint64
-	}{
-		{
-			name:    "took effect",
-			point:   platform.PointAfter,
-			version: 1,
-		},
-		{
-			// Version 1 is the neutral write.
-			name:    "did not take effect",
-			point:   platform.PointBefore,
-			version: 2,
-		},
-		{
-			name:    "took effect, no answer in time",
-			point:   platform.PointAfter,
-			cut:     true,
-			version: 1,
-		},
-		{
-			name:    "did not take effect, no answer in time",
-			point:   platform.PointBefore,
-			cut:     true,
-			version: 1,
-		},
+	}
+	lost := func(name string, point platform.Point, cut bool, version uint64) test {
+		return test{
+			name:    name,
+			point:   point,
+			cut:     cut,
+			version: version,
+		}
+	}
+	tests := []test{
+		lost("took effect", platform.PointAfter, false, 1),
+		lost("did not take effect", platform.PointBefore, false, 2), // Version 1 is the neutral write.
+		lost("took effect, no answer in time", platform.PointAfter, true, 1),
+		lost("did not take effect, no answer in time", platform.PointBefore, true, 1),
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -386,41 +358,19 @@
 // Guards against cold targets that stay without an owner after a kill, and against an owner that goes on after a pause
 // or without the table.
 func TestOwnership(t *testing.T) {
-	owned := func(w *world, n *node) string {
-		i := slices.IndexFunc(targets(50), n.owns)
-		return targets(50)[i]
+	faults := map[string]func(n *node){
+		"kill":                     func(n *node) { n.kill() },
+		"pause":                    func(n *node) { n.pause() },
+		"leave":                    func(n *node) { n.fleet.Leave() },
+		"partition from the table": func(n *node) { n.cut(true, 0) },
+		"partition from both":      func(n *node) { n.cut(true, n.alone()) },
 	}
-	tests := []struct {
-		name  string
-		fault func(n *node)
-	}{
-		{
-			name:  "kill",
-			fault: func(n *node) { n.kill() },
-		},
-		{
-			name:  "pause",
-			fault: func(n *node) { n.pause() },
-		},
-		{
-			name:  "leave",
-			fault: func(n *node) { n.fleet.Leave() },
-		},
-		{
-			name:  "partition from the table",
-			fault: func(n *node) { n.cut(true, 0) },
-		},
-		{
-			name:  "partition from both",
-			fault: func(n *node) { n.cut(true, n.alone()) },
-		},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
 			simulate(t, usual(), "abc", func(t *testing.T, w *world) {
 				a, b, c := w.nodes["a"], w.nodes["b"], w.nodes["c"]
-				target, kept := owned(w, a), owned(w, b)
-				tt.fault(a)
+				target, kept := a.owned(), b.owned()
+				fault(a)
 				start := w.timers.Now()
 				moved := func() bool { return b.owns(target) || c.owns(target) }
 				for !moved() && w.timers.Now().Sub(start) < 20*time.Second {
@@ -440,30 +390,18 @@
 // Guards against an answer that was under way while the process was paused and that renews contact and a lease when it
 // wakes, though both have passed to others.
 func TestAnswerDuringPause(t *testing.T) {
-	tests := []struct {
-		name  string
-		table bool
-	}{
-		{
-			name:  "from the table",
-			table: true,
-		},
-		{
-			name: "from the peers",
-		},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
+	for name, table := range map[string]bool{"from the table": true, "from the peers": false} {
+		t.Run(name, func(t *testing.T) {
 			compare(t, "abc", func(l *limits) { l.arrival = true }, func(t *testing.T, w *world) bool {
 				a, b, c := w.nodes["a"], w.nodes["b"], w.nodes["c"]
-				target := targets(50)[slices.IndexFunc(targets(50), c.owns)]
-				if tt.table {
+				target := c.owned()
+				if table {
 					c.late.Store(int64(900 * time.Millisecond))
 				} else {
 					c.slowPeers.Store(int64(900 * time.Millisecond))
 				}
 				time.Sleep(1500 * time.Millisecond)
-				c.cut(!tt.table, 0)
+				c.cut(!table, 0)
 				c.pause()
 				assert.Assert(t, accepted(t, a.drain("cairns", 0)).Force)
 				time.Sleep(goneTime + waitTime + 3*time.Second)
@@ -471,7 +409,7 @@
 				c.cut(true, c.alone())
 				c.wake()
 				time.Sleep(10 * time.Millisecond)
-				assert.Equal(t, tt.table && c.contact(), c.owns(target), "contact and lease come from the same read")
+				assert.Equal(t, table && c.contact(), c.owns(target), "contact and lease come from the same read")
 				return c.contact() && !c.drained("cairns")
 			})
 		})
--- a/fleet/http_test.go
+++ b/fleet/http_test.go
@@ -75,6 +75,19 @@
 	return f
 }
 
+// waitAll polls until something holds for all entries.
+func waitAll(t *testing.T, all []*Fleet, limit time.Duration, holds func(f *Fleet) bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, f := range all {
+			if !holds(f) {
+				return poll.Continue("%s has %d members and version %d", f.opt.Name, len(f.Members()), f.State().Version)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(limit))
+}
+
 // Guards against messages that do not survive real HTTP: three entries on loopback form a fleet and spread settings.
 func TestHTTP(t *testing.T) {
 	connect := servePlatform(t)
@@ -82,28 +95,15 @@
 	for _, name := range []string{"a", "b", "c"} {
 		all = append(all, serve(t, name, connect(NewClient(nil)), metrics.NewSet()))
 	}
-	within := poll.WithTimeout(20 * time.Second)
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		for _, f := range all {
-			if len(f.Members()) != 3 || !f.Contact(time.Now()) {
-				return poll.Continue("%s knows %d members", f.opt.Name, len(f.Members()))
-			}
-		}
-		return poll.Success()
-	}, within)
+	waitAll(t, all, 20*time.Second, func(f *Fleet) bool { return len(f.Members()) == 3 && f.Contact(time.Now()) })
 	settings := []byte(strings.Repeat("{}\n", 1000))
 	d := accepted(t, all[0].Apply(context.Background(), Change{
 		ID:  "one",
 		Who: "operator",
 	}, settings))
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		for _, f := range all {
-			if f.State().Version != d.Version || string(f.State().Settings) != string(settings) {
-				return poll.Continue("%s runs version %d", f.opt.Name, f.State().Version)
-			}
-		}
-		return poll.Success()
-	}, within)
+	waitAll(t, all, 20*time.Second, func(f *Fleet) bool {
+		return f.State().Version == d.Version && string(f.State().Settings) == string(settings)
+	})
 }
 
 var measure = flag.Duration("measure", 0, "measure the cost of control for this time in each case")
@@ -113,56 +113,29 @@
 	if *measure == 0 {
 		t.Skip("run with -measure=20s")
 	}
-	tests := []struct {
-		entries, facts int
-	}{
-		{
-			entries: 3,
-		},
-		{
-			entries: 6,
-		},
-		{
-			entries: 12,
-		},
-		{
-			entries: 6,
-			facts:   300,
-		},
-		{
-			entries: 6,
-			facts:   600,
-		},
-	}
 	fmt.Println("entries facts phase | B/s: sent to peers, to table, received from peers, from table | messages/s reads/s writes/s CPU% heap-KB, all per node")
-	for _, tt := range tests {
-		t.Run(fmt.Sprint(tt.entries, tt.facts), func(t *testing.T) {
+	for _, size := range [][2]int{{3, 0}, {6, 0}, {12, 0}, {6, 300}, {6, 600}} {
+		entries, facts := size[0], size[1]
+		t.Run(fmt.Sprint(entries, facts), func(t *testing.T) {
 			connect, tableBytes := servePlatform(t), metrics.NewSet()
 			set := metrics.NewSet()
 			before := heap()
 			var all []*Fleet
-			for i := range tt.entries {
+			for i := range entries {
 				all = append(all, serve(t, fmt.Sprintf("cairns-%d", i), connect(NewClient(tableBytes)), set))
 			}
 			time.Sleep(4 * time.Second)
-			for _, target := range targets(tt.facts) {
+			for _, target := range targets(facts) {
 				all[0].Announce(target, newIncarnation())
 			}
-			if tt.facts > 0 {
-				report(tt.entries, tt.facts, "spread", set, tableBytes, before)
+			if facts > 0 {
+				report(entries, facts, "spread", set, tableBytes, before)
 			}
 			start := time.Now()
-			poll.WaitOn(t, func(poll.LogT) poll.Result {
-				for _, f := range all {
-					if f.warm.digest() != all[0].warm.digest() {
-						return poll.Continue("%s lacks facts", f.opt.Name)
-					}
-				}
-				return poll.Success()
-			}, poll.WithTimeout(5*time.Minute))
+			waitAll(t, all, 5*time.Minute, func(f *Fleet) bool { return f.warm.digest() == all[0].warm.digest() })
 			time.Sleep(3 * time.Second)
 			fmt.Printf("same facts after another %v\n", time.Since(start).Round(time.Second))
-			report(tt.entries, tt.facts, "steady", set, tableBytes, before)
+			report(entries, facts, "steady", set, tableBytes, before)
 		})
 	}
 }
--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -254,23 +254,14 @@
 
 // Shows that the model finds the faults that the rules prevent: each rule is switched off in turn.
 func TestModelControl(t *testing.T) {
-	tests := []struct {
-		name   string
-		change func(*limits)
-	}{
-		{
-			name:   "a new owner does not wait",
-			change: func(l *limits) { l.wait = 0 },
-		},
-		{
-			name:   "contact lasts for 30 s",
-			change: func(l *limits) { l.contact = 30 * time.Second },
-		},
+	tests := map[string]func(*limits){
+		"a new owner does not wait": func(l *limits) { l.wait = 0 },
+		"contact lasts for 30 s":    func(l *limits) { l.contact = 30 * time.Second },
 	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
 			l := usual()
-			tt.change(&l)
+			change(&l)
 			for seed := range 200 {
 				if broken, _ := explore(t, l, schedules.Example(seed)); broken != "" {
 					t.Logf("seed %d: %s", seed, broken)
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -346,6 +346,9 @@
 	return ok
 }
 
+// owned returns a target that this process owns.
+func (n *node) owned() string { return targets(50)[slices.IndexFunc(targets(50), n.owns)] }
+
 // drain drains a failure domain through this process.
 func (n *node) drain(id string, base uint64) Decision {
 	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
@@ -369,22 +372,23 @@
 }
 
 func (w *world) lose(point platform.Point, late time.Duration) {
-	err := w.memory.SetFaults(platform.Faults{
+	w.faults(platform.Faults{
 		Lose: platform.Loss{
 			Next:  1,
 			Point: point,
 			Late:  late,
 		},
 	})
-	if err != nil {
-		panic(err)
-	}
 }
 
 func (w *world) down(down bool) {
-	if err := w.memory.SetFaults(platform.Faults{
+	w.faults(platform.Faults{
 		Down: down,
-	}); err != nil {
+	})
+}
+
+func (w *world) faults(f platform.Faults) {
+	if err := w.memory.SetFaults(f); err != nil {
 		panic(err)
 	}
 }
