Shorten the tests of entry

Requests of the same caller were written out over five lines each, and the table of TestFaults repeated one outcome for ten of its twelve faults.

get, book and within build requests; startStock starts the deployment of three targets that two files set up; TestFaults has a list of faults in the same order, and an outcome that is "unknown" for all but the two first; TestRefusals names the outage of the table by a field in place of two functions, and ends it after the last case.

--- a/entry/call_test.go
+++ b/entry/call_test.go
@@ -38,6 +38,27 @@
 	return string(standin.Want(q.method, q.path, q.key, []byte(q.body)))
 }
 
+// get returns a read by the caller "web".
+func get(path string) request {
+	return request{
+		method: "GET",
+		path:   path,
+		caller: "web",
+	}
+}
+
+// book returns a booking by the caller "web".
+func book(key string) request {
+	q := get("/stock/1")
+	q.method, q.key = "POST", key
+	return q
+}
+
+func (q request) within(timeout string) request {
+	q.timeout = timeout
+	return q
+}
+
 // client does not repeat anything by itself, because the bodies of its requests cannot be read again.
 var client = &http.Client{
 	Timeout:   20 * time.Second,
@@ -94,15 +115,20 @@
 
 // faulty is a deployment whose targets the test gives faults.
 func faulty(t *testing.T) *deployment.Deployment {
-	return start(t, deployment.Options{
+	return startStock(t, standin.Switches{
+		Slots: 4,
+	})
+}
+
+// startStock starts a deployment with one service of three targets.
+func startStock(tb testing.TB, switches standin.Switches) *deployment.Deployment {
+	return start(tb, deployment.Options{
 		Services: []deployment.Service{
 			{
-				Name:    "stock",
-				Targets: 3,
-				Work:    2 * time.Millisecond,
-				Switches: standin.Switches{
-					Slots: 4,
-				},
+				Name:     "stock",
+				Targets:  3,
+				Work:     2 * time.Millisecond,
+				Switches: switches,
 			},
 		},
 	})
@@ -126,70 +152,20 @@
 func TestFaults(t *testing.T) {
 	d := faulty(t)
 	e := d.Entries[0]
-	tests := []struct {
-		fault standin.Fault
-		// once is the outcome of a booking.
-		once string
-	}{
-		{
-			fault: standin.FaultNone,
-			once:  "answered",
-		},
-		{
-			fault: standin.FaultShed,
-			once:  "answered", // it was not run, so it may be sent again
-		},
-		{
-			fault: standin.FaultClose,
-			once:  "unknown",
-		},
-		{
-			fault: standin.FaultDrop,
-			once:  "unknown",
-		},
-		{
-			fault: standin.FaultReset,
-			once:  "unknown",
-		},
-		{
-			fault: standin.FaultHead,
-			once:  "unknown",
-		},
-		{
-			fault: standin.FaultEmpty,
-			once:  "unknown",
-		},
-		{
-			fault: standin.FaultCut,
-			once:  "unknown",
-		},
-		{
-			fault: standin.FaultChunk,
-			once:  "unknown",
-		},
-		{
-			fault: standin.FaultPlain,
-			once:  "unknown",
-		},
-		{
-			fault: standin.FaultCross,
-			once:  "unknown",
-		},
-		{
-			fault: standin.FaultGarbage,
-			once:  "unknown",
-		},
+	faults := []standin.Fault{
+		standin.FaultNone, standin.FaultShed, standin.FaultClose, standin.FaultDrop, standin.FaultReset, standin.FaultHead,
+		standin.FaultEmpty, standin.FaultCut, standin.FaultChunk, standin.FaultPlain, standin.FaultCross, standin.FaultGarbage,
 	}
-	for i, tt := range tests {
-		t.Run("read "+string(tt.fault), func(t *testing.T) {
-			q := request{
-				method: "GET",
-				path:   fmt.Sprintf("/stock/%d", i),
-				caller: "web",
-			}
+	for i, fault := range faults {
+		once := "unknown" // the outcome of a booking
+		if fault == standin.FaultNone || fault == standin.FaultShed {
+			once = "answered" // A call that was shed was not run, so it may be sent again.
+		}
+		t.Run("read "+string(fault), func(t *testing.T) {
+			q := get(fmt.Sprintf("/stock/%d", i))
 			// A budget of a tenth allows a repeat only after some first attempts.
 			earnRepeats(t, e, q)
-			oneTarget(d, tt.fault)
+			oneTarget(d, fault)
 			for range 6 {
 				r := send(context.Background(), e, q)
 				assert.NilError(t, r.err)
@@ -198,7 +174,7 @@
 			}
 			clear(d)
 		})
-		t.Run("booking "+string(tt.fault), func(t *testing.T) {
+		t.Run("booking "+string(fault), func(t *testing.T) {
 			q := request{
 				method: "POST",
 				path:   fmt.Sprintf("/stock/%d", i),
@@ -206,27 +182,23 @@
 				key:    fmt.Sprintf("order-%d", i),
 				body:   "2 poles",
 			}
-			earnRepeats(t, e, request{
-				method: "GET",
-				path:   "/stock/x",
-				caller: "web",
-			})
-			next(d, tt.fault)
+			earnRepeats(t, e, get("/stock/x"))
+			next(d, fault)
 			r := send(context.Background(), e, q)
 			// A refusal may have many causes on a busy machine, and three targets that shed are one of them. Whatever the
 			// cause, nothing has run, so the call is sent again.
 			for n := 0; r.outcome() == "not-run" && n < 10; n++ {
 				assert.Equal(t, runs(d, q.key), 0)
 				time.Sleep(20 * time.Millisecond)
-				if tt.fault != standin.FaultShed {
-					next(d, tt.fault)
+				if fault != standin.FaultShed {
+					next(d, fault)
 				}
 				r = send(context.Background(), e, q)
 			}
 			clear(d)
 			assert.NilError(t, r.err)
-			assert.Equal(t, r.outcome(), tt.once, "status %d reason %s", r.status, r.reason())
-			if tt.once == "answered" {
+			assert.Equal(t, r.outcome(), once, "status %d reason %s", r.status, r.reason())
+			if once == "answered" {
 				assert.Equal(t, r.body, q.whole())
 				assert.Equal(t, runs(d, q.key), 1)
 			}
@@ -234,7 +206,7 @@
 			time.Sleep(50 * time.Millisecond)
 			before := runs(d, q.key)
 			again := send(context.Background(), e, q)
-			assert.Equal(t, again.outcome(), tt.once)
+			assert.Equal(t, again.outcome(), once)
 			assert.Equal(t, runs(d, q.key), before)
 			assert.Assert(t, before <= 1, "the booking ran %d times", before)
 		})
@@ -277,20 +249,15 @@
 	e := d.Entries[0]
 	tests := []struct {
 		name   string
-		before func()
-		after  func()
+		down   bool // whether the table is
 		q      request
 		status int
 		reason string
 		retry  bool
 	}{
 		{
-			name: "unknown path",
-			q: request{
-				method: "GET",
-				path:   "/tickets",
-				caller: "web",
-			},
+			name:   "unknown path",
+			q:      get("/tickets"),
 			status: 404,
 			reason: "service",
 		},
@@ -305,54 +272,28 @@
 			reason: "caller",
 		},
 		{
-			name: "booking without key",
-			q: request{
-				method: "POST",
-				path:   "/stock/1",
-				caller: "web",
-			},
+			name:   "booking without key",
+			q:      book(""),
 			status: 400,
 			reason: "key",
 		},
 		{
-			name: "malformed timeout",
-			q: request{
-				method:  "GET",
-				path:    "/stock/1",
-				caller:  "web",
-				timeout: "soon",
-			},
+			name:   "malformed timeout",
+			q:      get("/stock/1").within("soon"),
 			status: 400,
 			reason: "invalid",
 		},
 		{
-			name: "no time left",
-			q: request{
-				method:  "GET",
-				path:    "/stock/1",
-				caller:  "web",
-				timeout: "10us",
-			},
+			name:   "no time left",
+			q:      get("/stock/1").within("10us"),
 			status: 503,
 			reason: "deadline",
 			retry:  true,
 		},
 		{
-			name: "table down",
-			before: func() {
-				assert.NilError(t, d.Platform.SetFaults(platform.Faults{
-					Down: true,
-				}))
-			},
-			after: func() {
-				assert.NilError(t, d.Platform.SetFaults(platform.Faults{}))
-			},
-			q: request{
-				method: "POST",
-				path:   "/stock/1",
-				caller: "web",
-				key:    "down",
-			},
+			name:   "table down",
+			down:   true,
+			q:      book("down"),
 			status: 503,
 			reason: "table",
 			retry:  true,
@@ -360,10 +301,9 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			if tt.before != nil {
-				tt.before()
-				defer tt.after()
-			}
+			assert.NilError(t, d.Platform.SetFaults(platform.Faults{
+				Down: tt.down,
+			}))
 			name := fmt.Sprintf("skylarkbeam_refusals_total{reason=%q}", tt.reason)
 			assert.Equal(t, metric(t, e, name), "0")
 			r := send(context.Background(), e, tt.q)
@@ -375,6 +315,7 @@
 			assert.Equal(t, metric(t, e, name), "1")
 		})
 	}
+	assert.NilError(t, d.Platform.SetFaults(platform.Faults{}))
 }
 
 // Guards against a booking that stays unknown because its caller's connection broke while it ran.
@@ -384,12 +325,7 @@
 	for _, s := range d.Targets {
 		s.Target.Set(func(s *standin.Switches) { s.Work = standin.Duration(200 * time.Millisecond) })
 	}
-	q := request{
-		method: "POST",
-		path:   "/stock/1",
-		caller: "web",
-		key:    "gone",
-	}
+	q := book("gone")
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
 	assert.Assert(t, send(ctx, e, q).err != nil, "the first caller was to go away")
@@ -405,11 +341,7 @@
 func TestStreamedBreak(t *testing.T) {
 	d := faulty(t)
 	e := d.Entries[0]
-	q := request{
-		method: "GET",
-		path:   "/stock/manual?size=4000000",
-		caller: "web",
-	}
+	q := get("/stock/manual?size=4000000")
 	r := send(context.Background(), e, q)
 	assert.NilError(t, r.err)
 	assert.Assert(t, r.body == q.whole(), "%d bytes are not the wanted ones", len(r.body))
@@ -425,11 +357,7 @@
 func TestHedge(t *testing.T) {
 	d := faulty(t)
 	e := d.Entries[0]
-	q := request{
-		method: "GET",
-		path:   "/stock/1",
-		caller: "web",
-	}
+	q := get("/stock/1")
 	for range 300 {
 		assert.Equal(t, send(context.Background(), e, q).outcome(), "answered")
 	}
@@ -452,23 +380,15 @@
 func TestNotRunIsTrue(t *testing.T) {
 	d := faulty(t)
 	e := d.Entries[0]
-	q := request{
-		method: "GET",
-		path:   "/stock/1",
-		caller: "web",
-	}
+	q := get("/stock/1")
 	ranWithoutAnswer := 0
 	for range 6 {
 		earnRepeats(t, e, q)
-		setFault(d, "stock-1", standin.FaultDrop)
-		setFault(d, "stock-2", standin.FaultShed)
-		setFault(d, "stock-3", standin.FaultShed)
+		setFaults(d, standin.FaultDrop, standin.FaultShed, standin.FaultShed)
 		before := requestRuns(d)
 		r := send(context.Background(), e, q)
 		ran := requestRuns(d) - before
-		for name := range d.Targets {
-			setFault(d, name, standin.FaultNone)
-		}
+		setFaults(d, standin.FaultNone, standin.FaultNone, standin.FaultNone)
 		if r.outcome() == "not-run" {
 			assert.Equal(t, ran, 0, "a read was answered not-run, reason %s, and ran %d times", r.reason(), ran)
 		}
@@ -481,9 +401,11 @@
 	assert.Assert(t, ranWithoutAnswer > 0, "no read met the situation that the test is for")
 }
 
-// setFault sets the fault of all calls at a target.
-func setFault(d *deployment.Deployment, name string, f standin.Fault) {
-	d.Targets[name].Target.Set(func(s *standin.Switches) { s.Fault = f })
+// setFaults sets the fault of all calls at each target.
+func setFaults(d *deployment.Deployment, faults ...standin.Fault) {
+	for i, f := range faults {
+		d.Targets[fmt.Sprint("stock-", i+1)].Target.Set(func(s *standin.Switches) { s.Fault = f })
+	}
 }
 
 // requestRuns returns how many calls ran at all targets.
--- a/entry/cold_test.go
+++ b/entry/cold_test.go
@@ -9,7 +9,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"skylarkbeam/deployment"
 	"skylarkbeam/standin"
 )
 
@@ -17,27 +16,14 @@
 // went away, a hedge was faster, the connection broke or went silent, or the time was over. The targets take 20 ms to
 // stop a call that was given up.
 func TestColdGivenUp(t *testing.T) {
-	d := start(t, deployment.Options{
-		Services: []deployment.Service{
-			{
-				Name:    "stock",
-				Targets: 3,
-				Work:    2 * time.Millisecond,
-				Switches: standin.Switches{
-					Slots:  4,
-					Bear:   1,
-					Work:   standin.Duration(2 * time.Millisecond),
-					Linger: standin.Duration(20 * time.Millisecond),
-				},
-			},
-		},
+	d := startStock(t, standin.Switches{
+		Slots:  4,
+		Bear:   1,
+		Work:   standin.Duration(2 * time.Millisecond),
+		Linger: standin.Duration(20 * time.Millisecond),
 	})
 	e := d.Entries[0]
-	q := request{
-		method: "GET",
-		path:   "/stock/1",
-		caller: "web",
-	}
+	q := get("/stock/1")
 	for range 100 {
 		assert.Equal(t, send(context.Background(), e, q).outcome(), "answered")
 	}
