--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -1,10 +1,8 @@
 package fleet
 
 import (
-	"flag"
 	"fmt"
 	"maps"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -16,17 +14,8 @@
 	"skylarkbeam/simulation"
 )
 
-// modelSeed fixes the schedules of the model tests; rapid prints it with a failure.
-const modelSeed = "20261204"
-
-func TestMain(m *testing.M) {
-	// The command line overrides these.
-	flag.Set("rapid.seed", modelSeed)
-	flag.Set("rapid.checks", "40")
-	flag.Parse()
-	fmt.Println("rapid.seed", flag.Lookup("rapid.seed").Value)
-	os.Exit(m.Run())
-}
+// The seed fixes the schedules of the model tests.
+func TestMain(m *testing.M) { simulation.Main(m, "20261204", "rapid.checks", "40") }
 
 // event is one fault or request, and the time until the next one.
 type event struct {
--- a/route/main_test.go
+++ b/route/main_test.go
@@ -1,20 +1,9 @@
 package route
 
 import (
-	"flag"
-	"fmt"
-	"os"
 	"testing"
+
+	"skylarkbeam/simulation"
 )
 
-// TestMain fixes the seed of the property tests, so that a failure can be repeated.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		if err := f.Value.Set("1"); err != nil {
-			panic(err)
-		}
-	}
-	fmt.Println("rapid seed", flag.Lookup("rapid.seed").Value)
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { simulation.Main(m, "1") }
--- a/setting/settings_test.go
+++ b/setting/settings_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"net/netip"
 	"os"
@@ -13,17 +12,11 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"skylarkbeam/simulation"
 )
 
-func TestMain(m *testing.M) {
-	// A seed given on the command line is parsed later and wins.
-	seed := "4120"
-	if err := flag.Set("rapid.seed", seed); err != nil {
-		panic(err)
-	}
-	fmt.Println("default of rapid.seed:", seed)
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { simulation.Main(m, "4120") }
 
 // valid returns settings in which every field is set, without faults.
 func valid() *Settings {
--- a/simulation/simulation.go
+++ b/simulation/simulation.go
@@ -1,4 +1,4 @@
-// Package simulation runs tests in simulated time.
+// Package simulation runs tests in simulated time and fixes the seeds of property tests.
 //
 // # Usage
 //
--- a/target/pool_test.go
+++ b/target/pool_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
-	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,19 +16,11 @@
 	"gotest.tools/v3/poll"
 
 	"skylarkbeam/outcome"
+	"skylarkbeam/simulation"
 	"skylarkbeam/standin"
 )
 
-const seed = "20260731"
-
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = f.Value.Set(seed)
-	}
-	fmt.Println("rapid seed", flag.Lookup("rapid.seed").Value)
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { simulation.Main(m, "20260731") }
 
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
 
