Build the longest tables of claim, fleet and share with functions

TestRepeat, TestOwnershipHistory and the TestRefusals of share repeated four to seven fields in every case.

A function builds the usual case; the cases that differ in another field set it by name. In TestOwnershipHistory the last moment without ownership is one millisecond before the first one with it, as it was in each case, and 0 in the one case without a gap. In TestRefusals the least estimate of a refusal was retryFloor in every case that is refused, so the comparison names it.

--- a/claim/ledger_test.go
+++ b/claim/ledger_test.go
@@ -130,7 +130,7 @@
 	nothing := func(*Claim) {}
 	finish := func(c *Claim) { c.Finish(201, "text/plain", []byte("booked")) }
 	large := func(c *Claim) { c.Finish(201, "", []byte(strings.Repeat("x", MaxAnswer+1))) }
-	tests := []struct {
+	type test struct {
 		name   string
 		end    func(*Claim)
 		wait   time.Duration
@@ -138,82 +138,40 @@
 		off    mechanisms
 		same   string // want at the same ledger
 		other  string // want at another ledger, unless it depends on the order of two transactions
-	}{
-		{
-			name:  "running",
-			end:   nothing,
-			wait:  time.Hour,
-			same:  "busy a",
-			other: "busy a",
-		},
-		{
-			name: "finished just now",
-			end:  finish,
-			same: "done 201 text/plainbooked omitted=false",
-		},
-		{
-			name:  "finished",
-			end:   finish,
-			wait:  time.Second,
-			same:  "done 201 text/plainbooked omitted=false",
-			other: "done 201 text/plainbooked omitted=false",
-		},
-		{
-			name:  "finished with a large answer",
-			end:   large,
-			wait:  time.Second,
-			same:  "done 201  omitted=true",
-			other: "done 201  omitted=true",
-		},
-		{
-			name: "released just now",
-			end:  (*Claim).Release,
-			same: "unavailable",
-		},
-		{
-			name:  "released",
-			end:   (*Claim).Release,
-			wait:  time.Second,
-			same:  "granted",
-			other: "busy a",
-		},
-		{
-			name:  "abandoned",
-			end:   (*Claim).Abandon,
-			wait:  23 * time.Hour,
-			same:  "busy a",
-			other: "busy a",
-		},
-		{
-			name:   "another request",
-			end:    nothing,
-			digest: "other",
-			wait:   time.Second,
-			same:   "mismatch",
-			other:  "mismatch",
-		},
-		{
-			name:   "another request, finished",
-			end:    finish,
-			digest: "other",
-			wait:   time.Second,
-			same:   "mismatch",
-			other:  "mismatch",
-		},
-		{
-			name:  "running, checks off",
-			end:   nothing,
-			off:   checksOff,
-			same:  "busy a",
-			other: "granted",
-		},
+	}
+	repeat := func(name string, end func(*Claim), wait time.Duration, same, other string) test {
+		return test{
+			name:   name,
+			end:    end,
+			wait:   wait,
+			digest: "digest",
+			same:   same,
+			other:  other,
+		}
+	}
+	mismatch := func(name string, end func(*Claim)) test {
+		r := repeat(name, end, time.Second, "mismatch", "mismatch")
+		r.digest = "other"
+		return r
+	}
+	unchecked := repeat("running, checks off", nothing, 0, "busy a", "granted")
+	unchecked.off = checksOff
+	const small, omitted = "done 201 text/plainbooked omitted=false", "done 201  omitted=true"
+	tests := []test{
+		repeat("running", nothing, time.Hour, "busy a", "busy a"),
+		repeat("finished just now", finish, 0, small, ""),
+		repeat("finished", finish, time.Second, small, small),
+		repeat("finished with a large answer", large, time.Second, omitted, omitted),
+		repeat("released just now", (*Claim).Release, 0, "unavailable", ""),
+		repeat("released", (*Claim).Release, time.Second, "granted", "busy a"),
+		repeat("abandoned", (*Claim).Abandon, 23*time.Hour, "busy a", "busy a"),
+		mismatch("another request", nothing),
+		mismatch("another request, finished", finish),
+		unchecked,
 	}
 	for _, test := range tests {
 		simulateCase(t, test.name, func(t *testing.T, w *world) {
 			a, b := w.open("a", test.off), w.open("b", test.off)
-			if test.digest == "" {
-				test.digest = "digest"
-			}
 			c := mustGrant(t, take(a, "k"))
 			assert.Equal(t, name(take(a, "k")), "busy a")
 			w.sleep(time.Second) // The next group waits for its turn no longer.
--- a/fleet/ownership_test.go
+++ b/fleet/ownership_test.go
@@ -10,62 +10,49 @@
 // Guards against an owner that starts before the lease of another one has certainly ended, and against a needless gap.
 func TestOwnershipHistory(t *testing.T) {
 	const self, other = "self", "other"
-	view := func(number uint64, owner string) Roster {
-		return Roster{
-			View: number,
-			Members: map[string]Record{
-				"entry": {
-					Incarnation: owner,
-					State:       RecordStateActive,
-				},
-			},
-		}
-	}
 	type learned struct {
 		at     time.Duration
 		roster Roster
 	}
-	tests := []struct {
+	at := func(at time.Duration, view uint64, owner string) learned {
+		return learned{
+			at: at,
+			roster: Roster{
+				View: view,
+				Members: map[string]Record{
+					"entry": {
+						Incarnation: owner,
+						State:       RecordStateActive,
+					},
+				},
+			},
+		}
+	}
+	type test struct {
 		name   string
 		views  []learned
 		before time.Duration // the last moment without ownership, if any
 		after  time.Duration // the first moment with it
-	}{
-		{
-			name:   "start",
-			views:  []learned{{0, view(1, self)}},
-			before: 4999 * time.Millisecond,
-			after:  5 * time.Second,
-		},
-		{
-			name:   "taken over",
-			views:  []learned{{0, view(1, other)}, {10 * time.Second, view(2, self)}},
-			before: 14999 * time.Millisecond,
-			after:  15 * time.Second,
-		},
-		{
-			name:  "unchanged",
-			views: []learned{{0, view(1, self)}, {10 * time.Second, view(2, self)}},
-			after: 10 * time.Second,
-		},
-		{
-			name:   "missed a view",
-			views:  []learned{{0, view(1, self)}, {10 * time.Second, view(3, self)}},
-			before: 14999 * time.Millisecond,
-			after:  15 * time.Second,
-		},
-		{
-			name:   "unchanged soon after taken over",
-			views:  []learned{{0, view(1, other)}, {10 * time.Second, view(2, self)}, {12 * time.Second, view(3, self)}},
-			before: 14999 * time.Millisecond,
-			after:  15 * time.Second,
-		},
-		{
-			name:   "lost for a moment",
-			views:  []learned{{0, view(1, self)}, {10 * time.Second, view(2, other)}, {11 * time.Second, view(3, self)}},
-			before: 15999 * time.Millisecond,
-			after:  16 * time.Second,
-		},
+	}
+	from := func(name string, after time.Duration, views ...learned) test {
+		return test{
+			name:   name,
+			views:  views,
+			before: after - time.Millisecond,
+			after:  after,
+		}
+	}
+	unchanged := from("unchanged", 10*time.Second, at(0, 1, self), at(10*time.Second, 2, self))
+	unchanged.before = 0
+	tests := []test{
+		from("start", 5*time.Second, at(0, 1, self)),
+		from("taken over", 15*time.Second, at(0, 1, other), at(10*time.Second, 2, self)),
+		unchanged,
+		from("missed a view", 15*time.Second, at(0, 1, self), at(10*time.Second, 3, self)),
+		from("unchanged soon after taken over", 15*time.Second,
+			at(0, 1, other), at(10*time.Second, 2, self), at(12*time.Second, 3, self)),
+		from("lost for a moment", 16*time.Second,
+			at(0, 1, self), at(10*time.Second, 2, other), at(11*time.Second, 3, self)),
 	}
 	start := time.Now()
 	for _, tt := range tests {
--- a/share/scheduler_test.go
+++ b/share/scheduler_test.go
@@ -42,48 +42,28 @@
 // Guards against a refusal with a reason that blames the wrong side, or without an estimate of when to come back.
 func TestRefusals(t *testing.T) {
 	shares := map[string]float64{"large": 0.5, "small": 0.1}
-	tests := []struct {
-		name    string
-		caller  string
-		flood   int // calls of the large caller before
-		left    time.Duration
-		want    outcome.Reason
-		atLeast time.Duration
-	}{
-		{
-			name:   "free",
-			caller: "small",
-			left:   time.Second,
-		},
-		{
-			name:    "too little time to run",
-			caller:  "small",
-			left:    5 * time.Millisecond,
-			want:    outcome.Deadline,
-			atLeast: retryFloor,
-		},
-		{
-			name:   "small behind a flood",
-			caller: "small",
-			flood:  200,
-			left:   100 * time.Millisecond,
-		},
-		{
-			name:    "too little time to wait",
-			caller:  "small",
-			flood:   200,
-			left:    11 * time.Millisecond,
-			want:    outcome.Deadline,
-			atLeast: retryFloor,
-		},
-		{
-			name:    "beyond the share",
-			caller:  "large",
-			flood:   200,
-			left:    100 * time.Millisecond,
-			want:    outcome.Share,
-			atLeast: retryFloor,
-		},
+	type test struct {
+		name   string
+		caller string
+		flood  int // calls of the large caller before
+		left   time.Duration
+		want   outcome.Reason
+	}
+	call := func(name, caller string, flood int, left time.Duration, want outcome.Reason) test {
+		return test{
+			name:   name,
+			caller: caller,
+			flood:  flood,
+			left:   left,
+			want:   want,
+		}
+	}
+	tests := []test{
+		call("free", "small", 0, time.Second, ""),
+		call("too little time to run", "small", 0, 5*time.Millisecond, outcome.Deadline),
+		call("small behind a flood", "small", 200, 100*time.Millisecond, ""),
+		call("too little time to wait", "small", 200, 11*time.Millisecond, outcome.Deadline),
+		call("beyond the share", "large", 200, 100*time.Millisecond, outcome.Share),
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -98,7 +78,7 @@
 				return
 			}
 			assert.Equal(t, test.want, refusal.Reason)
-			assert.Assert(t, refusal.RetryAfter >= test.atLeast)
+			assert.Assert(t, refusal.RetryAfter >= retryFloor)
 		})
 	}
 }
