Split the longest functions of target and fleet

Pool.Trim and Pool.suspect had the same body but for the time they compare with. Pool.exchange was 66 lines long and Fleet.attempt 71.

dropBefore is the common body; the reason why a silent connection closes others stands at its call. awaitByte has the first-byte limit of exchange: conn.until, to which it returns, is the deadline that exchange has set before. rejection has the three answers of attempt that depend on the state that was read alone, in the same order. exchange has 60 lines now, attempt 57. Behaviour is unchanged.

--- a/fleet/change.go
+++ b/fleet/change.go
@@ -162,22 +162,8 @@
 		}
 		*lost = nil
 	}
-	if t.document.Origin > c.Base {
-		return &Conflict{
-			Who:     t.document.Who,
-			What:    t.document.What,
-			Version: t.document.Origin,
-		}, nil
-	}
-	if c.Base > t.document.Version {
-		return &Refused{
-			Reason: fmt.Sprintf("base %d is newer than the state, version %d", c.Base, t.document.Version),
-		}, nil
-	}
-	if f.limits.quorum && !f.quorum(ctx, t) {
-		return &Refused{
-			Reason: "fewer than half of the members answer",
-		}, nil
+	if decision := f.rejection(ctx, t, c); decision != nil {
+		return decision, nil
 	}
 	next := t.document.edited(func(d *Document) {
 		edit(d)
@@ -217,6 +203,28 @@
 	return f.force(ctx, next.Version), nil
 }
 
+// rejection returns why a change cannot be made on the state that was read, or nil if it can.
+func (f *Fleet) rejection(ctx context.Context, t table, c Change) Decision {
+	if t.document.Origin > c.Base {
+		return &Conflict{
+			Who:     t.document.Who,
+			What:    t.document.What,
+			Version: t.document.Origin,
+		}
+	}
+	if c.Base > t.document.Version {
+		return &Refused{
+			Reason: fmt.Sprintf("base %d is newer than the state, version %d", c.Base, t.document.Version),
+		}
+	}
+	if f.limits.quorum && !f.quorum(ctx, t) {
+		return &Refused{
+			Reason: "fewer than half of the members answer",
+		}
+	}
+	return nil
+}
+
 // transaction writes a document as the head and to the log, based on what was read.
 func (f *Fleet) transaction(t table, next Document) platform.Transaction {
 	value := encode(next)
--- a/target/conn.go
+++ b/target/conn.go
@@ -159,6 +159,17 @@
 	return c.bw.Flush()
 }
 
+// awaitByte waits for the first byte of an answer until limit, which is before the end of the time for the request.
+func (c *conn) awaitByte(limit time.Time) error {
+	if err := c.nc.SetReadDeadline(limit); err != nil {
+		return err
+	}
+	if _, err := c.br.Peek(1); err != nil {
+		return err
+	}
+	return c.nc.SetReadDeadline(c.until)
+}
+
 // read reads the head of the answer to the prepared request. Informational answers are skipped.
 func (c *conn) read() (*http.Response, error) {
 	c.head = maxHead
--- a/target/pool.go
+++ b/target/pool.go
@@ -136,16 +136,7 @@
 
 // Trim closes idle connections that have not been used for a while. It is meant to be called every few seconds.
 func (p *Pool) Trim() {
-	before := p.opts.Timers.Now().Add(-idleLimit)
-	p.mu.Lock()
-	n := 0
-	for n < len(p.idle) && p.idle[n].answered.Before(before) {
-		n++
-	}
-	old := append([]*conn(nil), p.idle[:n]...)
-	p.idle = append(p.idle[:0], p.idle[n:]...)
-	p.mu.Unlock()
-	p.drop(old...)
+	p.dropBefore(p.opts.Timers.Now().Add(-idleLimit))
 }
 
 // reuse returns an idle connection that may carry call, or nil if there is none. It closes the idle connections that it
@@ -221,12 +212,12 @@
 	return p.report.Instance != "" && !p.asked.Before(c.dialed) && !p.off.evidence
 }
 
-// suspect closes the idle connections that have not answered since the given time, at which a request was written that
-// got no answer: connections tend to go silent together.
-func (p *Pool) suspect(since time.Time) {
+// dropBefore closes the idle connections whose last answer came before the given time. The list has the oldest answers
+// first.
+func (p *Pool) dropBefore(limit time.Time) {
 	p.mu.Lock()
 	n := 0
-	for n < len(p.idle) && p.idle[n].answered.Before(since) {
+	for n < len(p.idle) && p.idle[n].answered.Before(limit) {
 		n++
 	}
 	old := append([]*conn(nil), p.idle[:n]...)
--- a/target/send.go
+++ b/target/send.go
@@ -72,7 +72,8 @@
 			return first
 		}
 		p.opts.OnRetry(o.Reason)
-		p.suspect(now)
+		// Connections tend to go silent together, so those that have not answered since then are closed.
+		p.dropBefore(now)
 		second := p.sendFresh(ctx, call, deadline, nil)
 		if _, ok := second.(*outcome.NotRun); ok && !p.off.unknown {
 			return first
@@ -359,13 +360,7 @@
 	}
 	// A target may refuse a call before it has read the whole body, so an answer is looked for after a failed write too.
 	if writeErr == nil && firstByte.Before(deadline) {
-		if err := c.nc.SetReadDeadline(firstByte); err != nil {
-			return fail(failure(err))
-		}
-		if _, err := c.br.Peek(1); err != nil {
-			return fail(failure(err))
-		}
-		if err := c.nc.SetReadDeadline(deadline); err != nil {
+		if err := c.awaitByte(firstByte); err != nil {
 			return fail(failure(err))
 		}
 	}
