Merge repeated blocks in entry and in tests of the command

Entry.attempt gave up a permit in two places with the same seven lines, and change_test.go polled the drained domains of all entries twice.

BenchmarkControl was compiled, not run.

--- a/cmd/skylarkbeam/change_test.go
+++ b/cmd/skylarkbeam/change_test.go
@@ -54,15 +54,7 @@
 		p.kill(e)
 		p.entries[i] = p.startEntryAt(e.name, e.domain, e.caller, e.control)
 	}
-	p.until("each new process has the accepted change", func() bool {
-		for _, e := range p.entries {
-			s := p.status(e)
-			if s == nil || !slices.Equal(s.Domains, []string{domains[winner]}) {
-				return false
-			}
-		}
-		return true
-	})
+	p.untilDrained("each new process has the accepted change", domains[winner])
 
 	// Control: with the present version as its base the other change is accepted too.
 	p.until("the other change is accepted", func() bool {
@@ -70,12 +62,16 @@
 		t.Logf("control: %s", out)
 		return err == nil
 	})
-	p.until("both changes are in force everywhere", func() bool {
-		for _, e := range p.entries {
-			if s := p.status(e); s == nil || !slices.Equal(s.Domains, domains) {
-				return false
-			}
-		}
-		return true
+	p.untilDrained("both changes are in force everywhere", domains...)
+}
+
+// untilDrained waits until the drained domains are exactly these at all entries.
+func (p *processes) untilDrained(what string, domains ...string) {
+	p.t.Helper()
+	p.until(what, func() bool {
+		return !slices.ContainsFunc(p.entries, func(e *entryProcess) bool {
+			s := p.status(e)
+			return s == nil || !slices.Equal(s.Domains, domains)
+		})
 	})
 }
--- a/cmd/skylarkbeam/control_test.go
+++ b/cmd/skylarkbeam/control_test.go
@@ -86,25 +86,18 @@
 //
 //	go test ./cmd/skylarkbeam -run '^$' -bench Control -benchtime 1x
 func BenchmarkControl(b *testing.B) {
-	tests := []sizes{
-		{
-			entries:  6,
+	small := func(entries int) sizes {
+		return sizes{
+			entries:  entries,
 			services: 3,
 			targets:  30,
 			callers:  8,
-		},
-		{
-			entries:  3,
-			services: 3,
-			targets:  30,
-			callers:  8,
-		},
-		{
-			entries:  12,
-			services: 3,
-			targets:  30,
-			callers:  8,
-		},
+		}
+	}
+	tests := []sizes{
+		small(6),
+		small(3),
+		small(12),
 		{
 			entries:  6,
 			services: 30,
--- a/cmd/skylarkbeam/drain_test.go
+++ b/cmd/skylarkbeam/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -291,11 +292,7 @@
 func (a *arrivals) snapshot() map[string]bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	keys := map[string]bool{}
-	for key := range a.known {
-		keys[key] = true
-	}
-	return keys
+	return maps.Clone(a.known)
 }
 
 // since returns the keys that are not in a snapshot.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -51,12 +51,7 @@
 	start := e.timers.Now()
 	if !e.contact(start) {
 		// The process may have been paused since the call was let in, most likely while it waited for its claim.
-		permit.Done(start, route.Result{
-			Kind: route.Canceled,
-		})
-		return &outcome.NotRun{
-			Reason: outcome.Isolated,
-		}
+		return unused(permit, start, outcome.Isolated)
 	}
 	deadline := c.deadline
 	if !permit.Until.IsZero() && permit.Until.Before(deadline) {
@@ -68,12 +63,7 @@
 	// The present view, because the table that gave the permit follows the present settings.
 	p := e.view.Load().pools[permit.Target]
 	if p == nil {
-		permit.Done(start, route.Result{
-			Kind: route.Canceled,
-		})
-		return &outcome.NotRun{
-			Reason: outcome.Dial,
-		}
+		return unused(permit, start, outcome.Dial)
 	}
 	release := func() {}
 	if deadline.Before(c.deadline) {
@@ -102,6 +92,16 @@
 	return e.receive(ctx, c, p.Send(ctx, m), end)
 }
 
+// unused returns a permit before anything was sent, and why.
+func unused(permit *route.Permit, now time.Time, reason outcome.Reason) *outcome.NotRun {
+	permit.Done(now, route.Result{
+		Kind: route.Canceled,
+	})
+	return &outcome.NotRun{
+		Reason: reason,
+	}
+}
+
 // detach makes an attempt at a cold target, which goes on when ctx ends, as with a faster hedge: only its answer tells
 // that the target can bear the next call. A target takes time to stop a call whose connection was closed.
 func (e *Entry) detach(ctx context.Context, deadline time.Time, attempt func(context.Context) outcome.Outcome) outcome.Outcome {
