--- a/entry/cold_test.go
+++ b/entry/cold_test.go
@@ -19,27 +19,14 @@
 // stop a call that was given up.
 func TestColdGivenUp(t *testing.T) {
 	t.Parallel()
-	d := start(t, deployment.Options{
-		Services: []deployment.Service{
-			{
-				Name:    "stock",
-				Targets: 3,
-				Work:    2 * time.Millisecond,
-				Switches: standin.Switches{
-					Slots:  4,
-					Bear:   1,
-					Work:   standin.Duration(2 * time.Millisecond),
-					Linger: standin.Duration(20 * time.Millisecond),
-				},
-			},
-		},
+	d := startStock(t, standin.Switches{
+		Slots:  4,
+		Bear:   1,
+		Work:   standin.Duration(2 * time.Millisecond),
+		Linger: standin.Duration(20 * time.Millisecond),
 	})
 	e := d.Entries[0]
-	q := request{
-		method: "GET",
-		path:   "/stock/1",
-		caller: "web",
-	}
+	q := get("/stock/1")
 	for range 100 {
 		assert.Equal(t, send(context.Background(), e, q).outcome(), "answered")
 	}
@@ -101,11 +88,7 @@
 		},
 	})
 	fallen := d.Targets["stock-1"].Target
-	q := request{
-		method: "GET",
-		path:   "/stock/1",
-		caller: "web",
-	}
+	q := get("/stock/1")
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	for _, e := range d.Entries {
--- a/share/scheduler_test.go
+++ b/share/scheduler_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -25,9 +26,7 @@
 
 // Guards against an Admit that leaves its place in the queue behind, or waits past the deadline.
 func TestAdmitGivesUp(t *testing.T) {
-	s := newScheduler(1, map[string]float64{
-		"a": 1,
-	})
+	s := newScheduler(1, map[string]float64{"a": 1})
 	first, refusal := s.Admit(context.Background(), "a", time.Now().Add(time.Minute))
 	assert.Assert(t, refusal == nil)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
@@ -42,58 +41,29 @@
 
 // Guards against a refusal with a reason that blames the wrong side, or without an estimate of when to come back.
 func TestRefusals(t *testing.T) {
-	shares := map[string]float64{
-		"large": 0.5,
-		"small": 0.1,
+	shares := map[string]float64{"large": 0.5, "small": 0.1}
+	type test struct {
+		name   string
+		caller string
+		flood  int // calls of the large caller before
+		left   time.Duration
+		want   outcome.Reason
+	}
+	call := func(name, caller string, flood int, left time.Duration, want outcome.Reason) test {
+		return test{
+			name:   name,
+			caller: caller,
+			flood:  flood,
+			left:   left,
+			want:   want,
+		}
 	}
-	tests := []struct {
-		name    string
-		caller  string
-		flood   int // calls of the large caller before
-		left    time.Duration
-		want    outcome.Reason
-		atLeast time.Duration
-	}{
-		{
-			name:    "free",
-			caller:  "small",
-			flood:   0,
-			left:    time.Second,
-			want:    "",
-			atLeast: 0,
-		},
-		{
-			name:    "too little time to run",
-			caller:  "small",
-			flood:   0,
-			left:    5 * time.Millisecond,
-			want:    outcome.Deadline,
-			atLeast: retryFloor,
-		},
-		{
-			name:    "small behind a flood",
-			caller:  "small",
-			flood:   200,
-			left:    100 * time.Millisecond,
-			want:    "",
-			atLeast: 0,
-		},
-		{
-			name:    "too little time to wait",
-			caller:  "small",
-			flood:   200,
-			left:    11 * time.Millisecond,
-			want:    outcome.Deadline,
-			atLeast: retryFloor,
-		},
-		{
-			name:    "beyond the share",
-			caller:  "large",
-			flood:   200,
-			left:    100 * time.Millisecond,
-			want:    outcome.Share,
-			atLeast: retryFloor,
-		},
+	tests := []test{
+		call("free", "small", 0, time.Second, ""),
+		call("too little time to run", "small", 0, 5*time.Millisecond, outcome.Deadline),
+		call("small behind a flood", "small", 200, 100*time.Millisecond, ""),
+		call("too little time to wait", "small", 200, 11*time.Millisecond, outcome.Deadline),
+		call("beyond the share", "large", 200, 100*time.Millisecond, outcome.Share),
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -108,7 +78,7 @@
 				return
 			}
 			assert.Equal(t, test.want, refusal.Reason)
-			assert.Assert(t, refusal.RetryAfter >= test.atLeast)
+			assert.Assert(t, refusal.RetryAfter >= retryFloor)
 		})
 	}
 }
@@ -116,32 +86,11 @@
 // Guards against shares that are counted in calls: a caller with long calls gets as many slots for its time as one with
 // short calls, and a share that is not used goes to the others.
 func TestSharesOfTime(t *testing.T) {
-	tests := []struct {
-		name    string
-		callers []string
-		want    float64 // part of the slots' time of the caller "long"
-	}{
-		{
-			name:    "both",
-			callers: []string{"long", "short"},
-			want:    0.5,
-		},
-		{
-			name:    "alone",
-			callers: []string{"long"},
-			want:    1,
-		},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			s := newScheduler(4, map[string]float64{
-				"long":  0.4,
-				"short": 0.4,
-			})
-			work := map[string]time.Duration{
-				"long":  20 * time.Millisecond,
-				"short": 2 * time.Millisecond,
-			}
+	// The part of the slots' time of the caller "long", alone and beside another.
+	for callers, want := range map[string]float64{"long": 1, "long short": 0.5} {
+		t.Run(callers, func(t *testing.T) {
+			s := newScheduler(4, map[string]float64{"long": 0.4, "short": 0.4})
+			work := map[string]time.Duration{"long": 20 * time.Millisecond, "short": 2 * time.Millisecond}
 			held := map[string]time.Duration{}
 			type running struct {
 				ticket *Ticket
@@ -149,7 +98,7 @@
 			}
 			var open []running
 			for now := epoch; now.Before(epoch.Add(5 * time.Second)); now = now.Add(time.Millisecond) {
-				for _, name := range test.callers {
+				for _, name := range strings.Fields(callers) {
 					for s.callers[name] == nil || s.callers[name].waiting.Len() < 10 {
 						ticket, refusal := s.Enqueue(now, name, now.Add(time.Minute))
 						assert.Assert(t, refusal == nil, "%v", refusal)
@@ -172,7 +121,7 @@
 				}
 			}
 			have := held["long"].Seconds() / (held["long"] + held["short"]).Seconds()
-			assert.Assert(t, have > test.want-0.05 && have < test.want+0.05, "want %v, have %v", test.want, have)
+			assert.Assert(t, have > want-0.05 && have < want+0.05, "want %v, have %v", want, have)
 		})
 	}
 }
@@ -277,10 +226,7 @@
 
 // Guards against data races and lost wake-ups between concurrent calls.
 func TestConcurrentAdmit(t *testing.T) {
-	s := newScheduler(3, map[string]float64{
-		"c0": 0.3,
-		"c1": 0.3,
-	})
+	s := newScheduler(3, map[string]float64{"c0": 0.3, "c1": 0.3})
 	var wg sync.WaitGroup
 	for i := range 16 {
 		wg.Go(func() {
--- a/target/repeat_test.go
+++ b/target/repeat_test.go
@@ -70,7 +70,7 @@
 			// The repeat is for reused connections only.
 			o, ok := pool.Send(context.Background(), call).(*outcome.Answered)
 			assert.Assert(t, ok)
-			assert.NilError(t, drainBody(o))
+			assert.NilError(t, drain(o))
 			call.Path = "/call"
 			call.Repeat = tt.repeat
 			call.Header = http.Header{
@@ -78,7 +78,7 @@
 			}
 			switch o := pool.Send(context.Background(), call).(type) {
 			case *outcome.Answered:
-				assert.NilError(t, drainBody(o))
+				assert.NilError(t, drain(o))
 				assert.Assert(t, !tt.repeat)
 			case *outcome.Unknown:
 				assert.Assert(t, tt.repeat)
