Keep the answer of a cold target when its attempt ends

Cause: an attempt whose deadline is earlier than that of the call gets a context of its own, and the end of the attempt releases it. For an attempt at a cold target, detach waits for this context, so the release passed for a caller that went away: if detach saw it before the result, a call that was answered in whole failed or became unknown, reason canceled. It needs a call whose deadline is later than the end of the lease (4 s) or of its claim.

Ruled out: the cuts of the forwarders, which had ended and only close connections; a caller that went away, because it got the answer.

Change: an attempt at a cold target takes its deadline from detach, which ends it at the same moment, and waits for the context of the call.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -76,7 +76,9 @@
 		}
 	}
 	release := func() {}
-	if deadline.Before(c.deadline) {
+	// An attempt at a cold target gets its deadline from detach. There the release at its end would pass for a caller that
+	// went away, and an answer that has arrived for one that has not.
+	if deadline.Before(c.deadline) && !permit.Cold {
 		// A point in time, not a duration: a process that was paused here must not extend a lease.
 		ctx, release = context.WithDeadline(ctx, deadline)
 	}
--- a/entry/cold_test.go
+++ b/entry/cold_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"skylarkbeam/deployment"
+	"skylarkbeam/setting"
 	"skylarkbeam/standin"
 )
 
@@ -76,3 +77,35 @@
 	assert.Assert(t, counts.Runs > 10, "%d runs", counts.Runs)
 	assert.Equal(t, counts.Violations, 0, counts.Last)
 }
+
+// Guards against an answer of a cold target that is lost because the end of its own attempt passes for a caller that went
+// away. The deadline is longer than a lease, so that the attempt has a deadline of its own.
+func TestColdAnswered(t *testing.T) {
+	d := start(t, deployment.Options{
+		Services: []deployment.Service{
+			{
+				Name:    "stock",
+				Targets: 1,
+			},
+		},
+	})
+	class, service := d.Settings.Classes["web"], d.Settings.Services["stock"]
+	class.Deadline, service.Deadline = setting.Duration(30*time.Second), setting.Duration(30*time.Second)
+	d.Settings.Classes["web"], d.Settings.Services["stock"] = class, service
+	assert.NilError(t, d.Apply(context.Background()))
+	cold := d.Targets["stock-1"].Target
+	cold.Set(func(s *standin.Switches) { s.Cold, s.Warmup = standin.Duration(time.Minute), 0 })
+	cold.Restart(false)
+	kinds := map[string]int{}
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); {
+		a := send(context.Background(), d.Entries[0], request{
+			method: "GET",
+			path:   "/stock/1",
+			caller: "web",
+		})
+		kinds[a.outcome()+" "+a.header.Get("Skylarkbeam-Reason")]++
+	}
+	t.Logf("answers: %v", kinds)
+	assert.Assert(t, kinds["answered "] > 0)
+	assert.Equal(t, kinds["failed canceled"]+kinds["unknown canceled"], 0)
+}
