Build further test tables with functions

newLoss, refused and faulty build the cases of the lost answers, of TestRefusals in entry and of TestValidate. In TestRefusals the header Retry-After is wanted in just the cases with status 503, and the table is down in the one with reason table, as before. TestReady no longer names the result without the check, which was "whole" in every case.

--- a/claim/lost_test.go
+++ b/claim/lost_test.go
@@ -34,40 +34,23 @@
 	later string // want at another ledger after the release and the late effect
 }
 
+func newLoss(name string, point platform.Point, off mechanisms, take, later string) loss {
+	return loss{
+		name:  name,
+		point: point,
+		off:   off,
+		take:  take,
+		later: later,
+	}
+}
+
 // losses has the mechanisms on, and each one off where the fault shows that it prevents.
 var losses = []loss{
-	{
-		name:  "answer lost",
-		point: platform.PointAfter,
-		take:  "granted",
-		later: "granted",
-	},
-	{
-		name:  "request lost",
-		point: platform.PointBefore,
-		take:  "granted",
-		later: "granted",
-	},
-	{
-		name:  "request late",
-		point: platform.PointLate,
-		take:  "granted",
-		later: "granted",
-	},
-	{
-		name:  "answer lost, read-back off",
-		point: platform.PointAfter,
-		off:   readBackOff,
-		take:  "busy a",
-		later: "busy a",
-	},
-	{
-		name:  "request late, fence off",
-		point: platform.PointLate,
-		off:   fenceOff,
-		take:  "granted",
-		later: "busy a",
-	},
+	newLoss("answer lost", platform.PointAfter, mechanisms{}, "granted", "granted"),
+	newLoss("request lost", platform.PointBefore, mechanisms{}, "granted", "granted"),
+	newLoss("request late", platform.PointLate, mechanisms{}, "granted", "granted"),
+	newLoss("answer lost, read-back off", platform.PointAfter, readBackOff, "busy a", "busy a"),
+	newLoss("request late, fence off", platform.PointLate, fenceOff, "granted", "busy a"),
 }
 
 // Guards against a key that stays blocked although its call was refused or released, after the answer of its claim was
--- a/entry/call_test.go
+++ b/entry/call_test.go
@@ -247,57 +247,33 @@
 func TestRefusals(t *testing.T) {
 	d := faulty(t)
 	e := d.Entries[0]
-	tests := []struct {
+	type test struct {
 		name   string
 		down   bool // whether the table is
 		q      request
 		status int
 		reason string
 		retry  bool
-	}{
-		{
-			name:   "unknown path",
-			q:      get("/tickets"),
-			status: 404,
-			reason: "service",
-		},
-		{
-			name: "unknown caller",
-			q: request{
-				method: "GET",
-				path:   "/stock/1",
-				caller: "nobody",
-			},
-			status: 400,
-			reason: "caller",
-		},
-		{
-			name:   "booking without key",
-			q:      book(""),
-			status: 400,
-			reason: "key",
-		},
-		{
-			name:   "malformed timeout",
-			q:      get("/stock/1").within("soon"),
-			status: 400,
-			reason: "invalid",
-		},
-		{
-			name:   "no time left",
-			q:      get("/stock/1").within("10us"),
-			status: 503,
-			reason: "deadline",
-			retry:  true,
-		},
-		{
-			name:   "table down",
-			down:   true,
-			q:      book("down"),
-			status: 503,
-			reason: "table",
-			retry:  true,
-		},
+	}
+	refused := func(name string, q request, status int, reason string) test {
+		return test{
+			name:   name,
+			down:   reason == "table",
+			q:      q,
+			status: status,
+			reason: reason,
+			retry:  status == http.StatusServiceUnavailable,
+		}
+	}
+	stranger := get("/stock/1")
+	stranger.caller = "nobody"
+	tests := []test{
+		refused("unknown path", get("/tickets"), 404, "service"),
+		refused("unknown caller", stranger, 400, "caller"),
+		refused("booking without key", book(""), 400, "key"),
+		refused("malformed timeout", get("/stock/1").within("soon"), 400, "invalid"),
+		refused("no time left", get("/stock/1").within("10us"), 503, "deadline"),
+		refused("table down", book("down"), 503, "table"),
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -9,8 +9,11 @@
 	"gotest.tools/v3/assert"
 
 	"skylarkbeam/outcome"
+	"skylarkbeam/simulation"
 )
 
+func TestMain(m *testing.M) { simulation.Main(m, "1") }
+
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func specs(n int) []Target {
--- a/setting/settings_test.go
+++ b/setting/settings_test.go
@@ -116,43 +116,31 @@
 // Guards against settings built in code that pass although a folder with the same values would be refused. The check of
 // the unchanged settings is the control.
 func TestValidate(t *testing.T) {
-	tests := []struct {
-		name   string
+	type test struct {
 		change func(s *Settings)
 		want   string
-	}{
-		{
-			name:   "unchanged",
-			change: func(*Settings) {},
-		},
-		{
-			name:   "schema",
-			change: func(s *Settings) { s.Limits.Keep = 0 },
-			want:   "limits.keep: must be longer than 0s",
-		},
-		{
-			name:   "reference",
-			change: func(s *Settings) { delete(s.Classes, "guest") },
-			want:   `callers.web.class: unknown class "guest"`,
-		},
-		{
-			name: "shares",
-			change: func(s *Settings) {
-				for i := range 10 {
-					s.Callers[fmt.Sprint(i)] = s.Callers["web"]
-				}
-			},
-			want: "classes: the shares of all callers add up to 1.1, more than 1",
-		},
-		{
-			name:   "no defaults",
-			change: func(s *Settings) { s.Limits = Limits{} },
-			want: "limits.contact: must be longer than 0s\n" +
-				"limits.isolation: must be one of stop, serve, not \"\"\nlimits.keep: must be longer than 0s",
-		},
 	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
+	faulty := func(want string, change func(s *Settings)) test {
+		return test{
+			change: change,
+			want:   want,
+		}
+	}
+	tests := map[string]test{
+		"unchanged": faulty("", func(*Settings) {}),
+		"schema":    faulty("limits.keep: must be longer than 0s", func(s *Settings) { s.Limits.Keep = 0 }),
+		"reference": faulty(`callers.web.class: unknown class "guest"`, func(s *Settings) { delete(s.Classes, "guest") }),
+		"shares": faulty("classes: the shares of all callers add up to 1.1, more than 1", func(s *Settings) {
+			for i := range 10 {
+				s.Callers[fmt.Sprint(i)] = s.Callers["web"]
+			}
+		}),
+		"no defaults": faulty("limits.contact: must be longer than 0s\n"+
+			"limits.isolation: must be one of stop, serve, not \"\"\nlimits.keep: must be longer than 0s",
+			func(s *Settings) { s.Limits = Limits{} }),
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
 			s := valid()
 			test.change(s)
 			assert.Equal(t, s.Validate().Error(), test.want)
--- a/share/main_test.go
+++ /dev/null
@@ -1,9 +0,0 @@
-package share
-
-import (
-	"testing"
-
-	"skylarkbeam/simulation"
-)
-
-func TestMain(m *testing.M) { simulation.Main(m, "1") }
--- a/share/scheduler_test.go
+++ b/share/scheduler_test.go
@@ -12,8 +12,11 @@
 	"pgregory.net/rapid"
 
 	"skylarkbeam/outcome"
+	"skylarkbeam/simulation"
 )
 
+func TestMain(m *testing.M) { simulation.Main(m, "1") }
+
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func newScheduler(capacity float64, shares map[string]float64) *Scheduler {
--- a/target/ready_test.go
+++ b/target/ready_test.go
@@ -21,43 +21,37 @@
 		instance bool // the connection must be checked
 		asks     int  // how often the right is still there
 		want     string
-		wantOff  string
 		runs     int // with the right asked for at each write
 	}{
 		{
-			name:    "new connection",
-			asks:    1,
-			want:    "not-run isolated",
-			wantOff: "whole",
+			name: "new connection",
+			asks: 1,
+			want: "not-run isolated",
 		},
 		{
-			name:    "reused connection",
-			idle:    true,
-			asks:    1,
-			want:    "not-run isolated",
-			wantOff: "whole",
+			name: "reused connection",
+			idle: true,
+			asks: 1,
+			want: "not-run isolated",
 		},
 		{
 			name:     "checked connection",
 			instance: true,
 			asks:     1,
 			want:     "not-run isolated",
-			wantOff:  "whole",
 		},
 		{
-			name:    "repeat after a silent connection",
-			idle:    true,
-			silent:  true,
-			asks:    2,
-			want:    "unknown silent",
-			wantOff: "whole",
+			name:   "repeat after a silent connection",
+			idle:   true,
+			silent: true,
+			asks:   2,
+			want:   "unknown silent",
 		},
 		{
-			name:    "right that stays",
-			asks:    9,
-			want:    "whole",
-			wantOff: "whole",
-			runs:    1,
+			name: "right that stays",
+			asks: 9,
+			want: "whole",
+			runs: 1,
 		},
 	}
 	for _, tt := range tests {
@@ -85,7 +79,7 @@
 				}
 				want, runs := tt.want, tt.runs
 				if off {
-					want, runs = tt.wantOff, 1
+					want, runs = "whole", 1
 				}
 				expect(t, p, call, want)
 				assert.Equal(t, target.Counts().Runs, runs)
