Let marked calls wait, and apply a changed usual time to connections

A read on a reused connection is given up after ten times the usual time of the service, so that it can be sent again; a marked call is not sent again, so it was given up for nothing. The test meant to give calls a minute. It raised the deadlines only. Found on the way: a change of the usual time in the settings did not reach the connection pools that existed. Change: no first-byte timeout for marked calls; a pool is replaced when that time changes; the test raises the usual time.

--- a/deployment/chain_calls_test.go
+++ b/deployment/chain_calls_test.go
@@ -81,15 +81,15 @@
 	c.waitCanceled(t, chainLevels)
 }
 
-// Guards against reads that go on at the levels below after the caller has gone away. The deadline is far off, so that it
-// cannot end them.
+// Guards against reads that go on at the levels below after the caller has gone away. The deadline is far off, and so is the
+// time after which a read on a reused connection is given up, so that neither can end them.
 func TestChainCallerGone(t *testing.T) {
 	c := startChain(t, chainLevels, standin.Switches{})
 	class := c.Settings.Classes["web"]
 	class.Deadline = setting.Duration(time.Minute)
 	c.Settings.Classes["web"] = class
 	for name, s := range c.Settings.Services {
-		s.Deadline = setting.Duration(time.Minute)
+		s.Deadline, s.Work = setting.Duration(time.Minute), setting.Duration(3*time.Second)
 		c.Settings.Services[name] = s
 	}
 	assert.NilError(t, c.Apply(t.Context()))
--- a/entry/view.go
+++ b/entry/view.go
@@ -49,6 +49,7 @@
 	*target.Pool
 	spec        setting.Target
 	connections int
+	silence     time.Duration
 }
 
 // contact tells whether new work may be sent now. It first puts a state that has just arrived in force: contact that
@@ -165,8 +166,9 @@
 	t := spec.Targets[name]
 	entries := max(len(settings.Entries), 1)
 	connections := max(spec.Connections/entries, 1)
+	silence := max(silenceFactor*time.Duration(spec.Work), silenceFloor)
 	budget := e.budget(now, name, spec.Probes/entries)
-	if have := old.pools[name]; have != nil && have.spec == t && have.connections == connections {
+	if have := old.pools[name]; have != nil && have.spec == t && have.connections == connections && have.silence == silence {
 		return have
 	}
 	return &pool{
@@ -176,13 +178,14 @@
 			Connections: connections,
 			Probes:      budget,
 			Timers:      e.timers,
-			Silence:     max(silenceFactor*time.Duration(spec.Work), silenceFloor),
+			Silence:     silence,
 			OnReport:    func(r outcome.Report) { e.reported(name, r) },
 			MayRetry:    func() bool { return e.table.Spend(serviceName) },
 			OnRetry:     e.counters.Retried,
 		}),
 		spec:        t,
 		connections: connections,
+		silence:     silence,
 	}
 }
 
--- a/target/send.go
+++ b/target/send.go
@@ -266,7 +266,8 @@
 // sendOn sends a call on a connection and passes the connection on to the answer's body, or releases or closes it.
 func (p *Pool) sendOn(ctx context.Context, c *conn, call *Call, deadline time.Time, reused bool) outcome.Outcome {
 	firstByte := deadline
-	if reused && call.Idempotent && !p.off.silence {
+	// A marked call is not sent again, so giving it up early would gain nothing.
+	if reused && call.Idempotent && !call.Repeat && !p.off.silence {
 		if t := p.opts.Timers.Now().Add(p.opts.Silence); t.Before(deadline) {
 			firstByte = t
 		}
