Read the instance of a connection before its release

go test -race ./target failed in 1 of 2 runs with a data race in TestRestartUnderLoad: Pool.check read conn.instance after it had released the connection to the idle list, while another call that had taken it from there wrote the field in sendOn. The report of the refusal could name a wrong instance.

check keeps the instance in a variable before the release. No new test: TestRestartUnderLoad shows the fault under the race detector.

--- a/target/send.go
+++ b/target/send.go
@@ -181,12 +181,13 @@
 	if c.instance == call.Instance {
 		return c, nil
 	}
-	// The connection stays: it leads to the new instance.
+	// The connection stays: it leads to the new instance. Once it is released, another call may use and change it.
+	instance := c.instance
 	p.release(c)
 	report, _ := p.Report()
-	if report.Instance != c.instance {
+	if report.Instance != instance {
 		report = outcome.Report{
-			Instance: c.instance,
+			Instance: instance,
 		}
 	}
 	return nil, &outcome.NotRun{
