Keep a slow platform beyond the limit of a request in its test

The platform answered after 2 s, which is just the limit of a request, and this time an answer came first: the log shows the drain in force 5 s after the start, at entries that the negative control expects not to know of it. The failed test left its load running, whose next failed read ended the test program. Change: answers come after 2.5 s in the slow phase; the checks are the same. A load ends with its test at the latest.

--- a/cmd/skylarkbeam/cold_test.go
+++ b/cmd/skylarkbeam/cold_test.go
@@ -86,7 +86,7 @@
 	p.control(kept, "POST", "reset", "")
 	p.restart(kept, false)
 	client := newClient(time.Second)
-	plain := startLoad(6, func(_, _ int, _ *rand.Rand) { p.direct(client, kept, "GET", "/availability/x", "") })
+	plain := startLoad(p.t, 6, func(_, _ int, _ *rand.Rand) { p.direct(client, kept, "GET", "/availability/x", "") })
 	time.Sleep(300 * time.Millisecond)
 	plain.stop()
 	sum, text = p.violations([]string{kept})
--- a/cmd/skylarkbeam/domain_test.go
+++ b/cmd/skylarkbeam/domain_test.go
@@ -229,7 +229,7 @@
 		}
 	}
 	scan()
-	c.load = startLoad(1, func(_, _ int, _ *rand.Rand) {
+	c.load = startLoad(p.t, 1, func(_, _ int, _ *rand.Rand) {
 		scan()
 		time.Sleep(10 * time.Millisecond)
 	})
--- a/cmd/skylarkbeam/drain_test.go
+++ b/cmd/skylarkbeam/drain_test.go
@@ -37,7 +37,7 @@
 	}
 	a.scan()
 	clear(a.last)
-	a.load = startLoad(1, func(_, _ int, _ *rand.Rand) {
+	a.load = startLoad(p.t, 1, func(_, _ int, _ *rand.Rand) {
 		a.scan()
 		time.Sleep(50 * time.Millisecond)
 	})
@@ -92,7 +92,7 @@
 func (p *processes) mixedLoad(workers int, seen func(*entryProcess, result)) *load {
 	client := newClient(2 * time.Second)
 	n := len(p.entries)
-	return startLoad(workers*n, func(w, i int, random *rand.Rand) {
+	return startLoad(p.t, workers*n, func(w, i int, random *rand.Rand) {
 		e := p.entry(1 + w%n)
 		key := fmt.Sprintf("%s/%d-%d", e.name, w, i)
 		method, path := "GET", "/availability/x"
--- a/cmd/skylarkbeam/flood_test.go
+++ b/cmd/skylarkbeam/flood_test.go
@@ -70,7 +70,7 @@
 	}
 	measure := func(send func(string, int, int, *rand.Rand) (result, bool), flood int) (small, large *latencies) {
 		small, large = newLatencies(), newLatencies()
-		floods := startLoad(flood, func(w, i int, random *rand.Rand) {
+		floods := startLoad(p.t, flood, func(w, i int, random *rand.Rand) {
 			r, ok := send("reeftravel", w, i, random)
 			large.add(r, ok)
 			if !ok {
@@ -79,7 +79,7 @@
 		})
 		// The flood is in full swing before the small caller is measured.
 		time.Sleep(time.Second)
-		calls := startLoad(6, func(w, i int, random *rand.Rand) {
+		calls := startLoad(p.t, 6, func(w, i int, random *rand.Rand) {
 			start := time.Now()
 			r, ok := send("web", w, i, random)
 			small.add(r, ok)
--- a/cmd/skylarkbeam/leave_test.go
+++ b/cmd/skylarkbeam/leave_test.go
@@ -79,7 +79,7 @@
 	long, longResults := p.longCalls(p.entries[2:], []string{busy}, 7*time.Second)
 	assert.Assert(t, len(long) > 0)
 	calls := p.mixedLoad(2, func(*entryProcess, result) {})
-	load := startLoad(6, func(w, i int, _ *rand.Rand) {
+	load := startLoad(p.t, 6, func(w, i int, _ *rand.Rand) {
 		p.call(p.client, p.entry(3+w%3).caller, "GET", "/documents/x", "reeftravel", fmt.Sprintf("%s/d-%d-%d", p.entry(3+w%3).name, w, i), "")
 		time.Sleep(10 * time.Millisecond)
 	})
--- a/cmd/skylarkbeam/load_test.go
+++ b/cmd/skylarkbeam/load_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -153,12 +154,14 @@
 
 // load runs workers until it is stopped.
 type load struct {
+	once    sync.Once
 	done    chan struct{}
 	workers sync.WaitGroup
 }
 
-// startLoad calls work again and again in each worker, with a random sequence of the worker's own.
-func startLoad(workers int, work func(worker, i int, random *rand.Rand)) *load {
+// startLoad calls work again and again in each worker, with a random sequence of the worker's own, until the end of the test
+// at the latest: a worker that reports a failure after that ends the whole test program.
+func startLoad(t testing.TB, workers int, work func(worker, i int, random *rand.Rand)) *load {
 	l := &load{
 		done: make(chan struct{}),
 	}
@@ -175,11 +178,12 @@
 			}
 		})
 	}
+	t.Cleanup(l.stop)
 	return l
 }
 
 func (l *load) stop() {
-	close(l.done)
+	l.once.Do(func() { close(l.done) })
 	l.workers.Wait()
 }
 
--- a/cmd/skylarkbeam/once_test.go
+++ b/cmd/skylarkbeam/once_test.go
@@ -95,7 +95,7 @@
 	p := startProcesses(t, `{}`)
 	t.Logf("seed %d", seed)
 	targets := p.targetsOf("reservations")
-	losses := startLoad(1, func(_, _ int, random *rand.Rand) {
+	losses := startLoad(p.t, 1, func(_, _ int, random *rand.Rand) {
 		p.control(targets[random.IntN(len(targets))], "POST", "next?fault=drop", "")
 		time.Sleep(60 * time.Millisecond)
 	})
@@ -107,7 +107,7 @@
 	seen := newTally()
 	var mu sync.Mutex
 	var all []booked
-	bookings := startLoad(12, func(w, i int, random *rand.Rand) {
+	bookings := startLoad(p.t, 12, func(w, i int, random *rand.Rand) {
 		key := fmt.Sprintf("once-%d-%d", w, i)
 		b := c.book(key, random, func() result {
 			e := p.entry(1 + random.IntN(6))
@@ -174,7 +174,7 @@
 	client := newClient(time.Second)
 	var mu sync.Mutex
 	var all []booked
-	bookings := startLoad(4, func(w, i int, random *rand.Rand) {
+	bookings := startLoad(p.t, 4, func(w, i int, random *rand.Rand) {
 		key := fmt.Sprintf("false-%d-%d", w, i)
 		b := c.book(key, random, func() result {
 			target := targets[random.IntN(len(targets))]
@@ -211,12 +211,12 @@
 
 // plainBookings shows that the faults at the targets make a client that repeats on any error run bookings twice.
 func (p *processes) plainBookings(t *testing.T, targets []string) {
-	losses := startLoad(1, func(_, _ int, random *rand.Rand) {
+	losses := startLoad(p.t, 1, func(_, _ int, random *rand.Rand) {
 		p.control(targets[random.IntN(len(targets))], "POST", "next?fault=drop", "")
 		time.Sleep(20 * time.Millisecond)
 	})
 	client := newClient(time.Second)
-	bookings := startLoad(12, func(w, i int, random *rand.Rand) {
+	bookings := startLoad(p.t, 12, func(w, i int, random *rand.Rand) {
 		for range 5 {
 			r := p.direct(client, targets[random.IntN(len(targets))], "POST", "/reservations/x", fmt.Sprintf("plain-%d-%d", w, i))
 			if r.err == nil && r.status == 200 {
--- a/cmd/skylarkbeam/pairs_test.go
+++ b/cmd/skylarkbeam/pairs_test.go
@@ -69,7 +69,7 @@
 	// Longer than the contact time: from now on only the entries confirm the state to each other.
 	time.Sleep(6 * time.Second)
 	kinds := newTally()
-	calls := startLoad(8, func(w, i int, _ *rand.Rand) {
+	calls := startLoad(p.t, 8, func(w, i int, _ *rand.Rand) {
 		e := live[w%len(live)]
 		path := fmt.Sprintf("/availability/%d-%d", w, i)
 		r := p.call(client, e.caller, "GET", path, "web", "", "")
@@ -95,8 +95,8 @@
 	t.Logf("during the outage: %v; after it each of %d bookings ran once", kinds, len(live))
 }
 
-// Guards against new work in a failure domain that is drained while the platform answers after 2 s, which is too late for
-// the entries, and an entry is killed: the command must say that the drain was accepted once the platform answers after
+// Guards against new work in a failure domain that is drained while the platform answers after 2.5 s, which is too late for
+// the entries (their limit is 2 s), and an entry is killed: the command must say that the drain was accepted once the platform answers after
 // 1 s, and from 5 s after that on there is no new work. The negative control is the time before: the command is not
 // decided, and each living entry has contact through its peers and sends calls to the failure domain.
 func TestDrainSlowPlatform(t *testing.T) {
@@ -107,7 +107,7 @@
 	calls := p.mixedLoad(2, func(e *entryProcess, r result) { kinds.add(e.name + " " + r.kind()) })
 	a := p.follow(p.targetsIn(func(_, domain string) bool { return domain == "cairns" }))
 	live := p.entries[:5]
-	p.faults(`{"hold":"2s"}`)
+	p.faults(`{"hold":"2500ms"}`)
 	p.kill(p.entry(6))
 	var out string
 	var err error
--- a/cmd/skylarkbeam/probes_test.go
+++ b/cmd/skylarkbeam/probes_test.go
@@ -30,7 +30,7 @@
 	all := p.targetsIn(func(_, _ string) bool { return true })
 	// The settings came into force after the entries had started with the same budget, so nothing is exempt.
 	calls := p.mixedLoad(4, func(*entryProcess, result) {})
-	restarts := startLoad(1, func(_, _ int, random *rand.Rand) {
+	restarts := startLoad(p.t, 1, func(_, _ int, random *rand.Rand) {
 		p.restart(all[random.IntN(len(all))], false)
 		time.Sleep(40 * time.Millisecond)
 	})
@@ -58,7 +58,7 @@
 	assert.Assert(t, total > 0)
 	p.control(name, "POST", "reset", "")
 	client := newClient(time.Second)
-	uncoordinated := startLoad(6, func(_, _ int, _ *rand.Rand) {
+	uncoordinated := startLoad(p.t, 6, func(_, _ int, _ *rand.Rand) {
 		resp, err := client.Get("http://" + p.targets[name] + "/skylarkbeam/load")
 		if assert.Check(t, err) {
 			resp.Body.Close()
--- a/cmd/skylarkbeam/versions_test.go
+++ b/cmd/skylarkbeam/versions_test.go
@@ -37,7 +37,7 @@
 
 func (p *processes) followVersions() *versions {
 	v := &versions{}
-	v.load = startLoad(len(p.entries), func(w, _ int, _ *rand.Rand) {
+	v.load = startLoad(p.t, len(p.entries), func(w, _ int, _ *rand.Rand) {
 		e := p.entry(1 + w)
 		// A process that knows no state yet has neither a version nor contact.
 		if s := p.status(e); s != nil && (s.Contact || s.Version > 0) {
--- a/cmd/skylarkbeam/whole_test.go
+++ b/cmd/skylarkbeam/whole_test.go
@@ -63,7 +63,7 @@
 	}
 	faults := []standin.Fault{standin.FaultCut, standin.FaultChunk, standin.FaultCross, standin.FaultLate, standin.FaultFreeze}
 	injected := newTally()
-	injector := startLoad(1, func(_, i int, random *rand.Rand) {
+	injector := startLoad(p.t, 1, func(_, i int, random *rand.Rand) {
 		fault := faults[i%len(faults)]
 		injected.add(string(fault))
 		target := documents[random.IntN(len(documents))]
@@ -76,7 +76,7 @@
 	})
 	results := newTally()
 	client := newClient(5 * time.Second)
-	calls := startLoad(12, func(w, i int, random *rand.Rand) {
+	calls := startLoad(p.t, 12, func(w, i int, random *rand.Rand) {
 		size := 2 << 10
 		if random.IntN(2) == 0 {
 			size = 2 << 20
