Use the usual terms for falls

Cause: read as a newcomer, names such as tell, hear, told, risen, succeed, life and visit needed an explanation.

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -36,7 +36,7 @@
 	relayed uint64
 	steady  time.Time
 	seen    map[string]string
-	fell    map[ended]int
+	fell    map[fallenInstance]int
 	// watched is when its beats were first looked at, beaten when one was new.
 	watched time.Time
 	beaten  time.Time
@@ -46,7 +46,7 @@
 	used time.Time
 }
 
-func newPeer(incarnation string, now time.Time, fallen map[ended]int) *peer {
+func newPeer(incarnation string, now time.Time, fallen map[fallenInstance]int) *peer {
 	return &peer{
 		incarnation: incarnation,
 		since:       now,
@@ -178,7 +178,7 @@
 	p.reply = *reply
 	p.leaving = p.leaving || reply.Leaving
 	confirm(p)
-	f.told(p, message.Fell)
+	f.confirmFalls(p, message.Fell)
 	for _, sighting := range message.Seen {
 		if p.seen[sighting.Target] == sighting.Instance {
 			delete(p.seen, sighting.Target)
@@ -268,7 +268,7 @@
 		list, last := f.warm.since(p.relayed, name, p.reply.Digest, true, limit)
 		m.Warm, confirm = list, func(p *peer) { p.relayed = max(p.relayed, last) }
 	}
-	m.Fell = p.falls()
+	m.Fell = p.pendingFalls()
 	for target, instance := range p.seen {
 		m.Seen = append(m.Seen, Fact{
 			Target:   target,
@@ -281,7 +281,7 @@
 // absorb takes over the facts of a message.
 func (f *Fleet) absorb(m *Message) {
 	f.learn(m.Warm, m.Entry)
-	f.hear(m.Fell)
+	f.mergeFalls(m.Fell)
 	if f.opt.Seen != nil {
 		for _, sighting := range m.Seen {
 			f.opt.Seen(sighting.Target, sighting.Instance)
@@ -297,7 +297,7 @@
 }
 
 func (f *Fleet) warmed(fresh Fact) {
-	f.risen(fresh)
+	f.forgetFalls(fresh)
 	if f.opt.Warmed != nil {
 		f.opt.Warmed(fresh.Target, fresh.Instance, fresh.Falls)
 	}
--- a/fleet/falls.go
+++ b/fleet/falls.go
@@ -6,15 +6,15 @@
 )
 
 const (
-	// tellInterval is the least time between two extra rounds of exchanges, so that the falls of many targets at once
+	// pushInterval is the least time between two extra rounds of exchanges, so that the falls of many targets at once
 	// share messages.
-	tellInterval = 50 * time.Millisecond
+	pushInterval = 50 * time.Millisecond
 	// maxFalls bounds the falls in one message. A failure domain of 100 targets takes four messages to each peer.
 	maxFalls = 25
 )
 
-// ended is an instance of a target that was warm.
-type ended struct {
+// fallenInstance is an instance of a target that was warm.
+type fallenInstance struct {
 	target   string
 	instance string
 }
@@ -24,7 +24,7 @@
 func (f *Fleet) Fell(target, instance string, falls int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	e := ended{
+	e := fallenInstance{
 		target:   target,
 		instance: instance,
 	}
@@ -36,29 +36,29 @@
 		p.fell[e] = falls
 	}
 	select {
-	case f.news <- struct{}{}:
+	case f.fallsPending <- struct{}{}:
 	default:
 	}
 }
 
-// tell exchanges with the peers that have not confirmed a fall. One that does not answer is told again with the next
+// pushFalls exchanges with the peers that have not confirmed a fall. One that does not answer is told again with the next
 // round.
-func (f *Fleet) tell() {
+func (f *Fleet) pushFalls() {
 	defer f.tasks.Done()
 	for {
 		select {
-		case <-f.news:
+		case <-f.fallsPending:
 		case <-f.ctx.Done():
 			return
 		}
-		for _, to := range f.untold() {
+		for _, to := range f.unconfirmed() {
 			f.tasks.Add(1)
 			go func() {
 				defer f.tasks.Done()
 				f.exchange(f.ctx, to)
 			}()
 		}
-		pause := time.NewTimer(tellInterval)
+		pause := time.NewTimer(pushInterval)
 		select {
 		case <-pause.C:
 		case <-f.ctx.Done():
@@ -68,7 +68,7 @@
 	}
 }
 
-func (f *Fleet) untold() []address {
+func (f *Fleet) unconfirmed() []address {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	var list []address
@@ -83,8 +83,8 @@
 	return list
 }
 
-// falls returns what a peer has not confirmed, as far as it fits into a message. The caller holds the lock.
-func (p *peer) falls() []Fact {
+// pendingFalls returns what a peer has not confirmed, as far as it fits into a message. The caller holds the lock.
+func (p *peer) pendingFalls() []Fact {
 	var list []Fact
 	for e, falls := range p.fell {
 		if len(list) == maxFalls {
@@ -95,33 +95,33 @@
 	return list
 }
 
-// told removes what a peer has confirmed. The caller holds the lock.
-func (f *Fleet) told(p *peer, list []Fact) {
+// confirmFalls removes what a peer has confirmed. The caller holds the lock.
+func (f *Fleet) confirmFalls(p *peer, list []Fact) {
 	for _, x := range list {
-		e := x.ended()
+		e := x.key()
 		if p.fell[e] == x.Falls {
 			delete(p.fell, e)
 		}
 	}
 	if len(p.fell) > 0 {
 		select {
-		case f.news <- struct{}{}:
+		case f.fallsPending <- struct{}{}:
 		default:
 		}
 	}
 }
 
-// hear takes over the falls of a message. Peers need not be told of them: the sender tells all.
-func (f *Fleet) hear(list []Fact) {
+// mergeFalls takes over the falls of a message. Peers need not be told of them: the sender tells all.
+func (f *Fleet) mergeFalls(list []Fact) {
 	for _, x := range list {
 		// The sender may not have heard yet that the instance is warm again.
 		if f.warm.covers(x) {
 			continue
 		}
 		f.mu.Lock()
-		news := x.Falls > f.fallen[x.ended()]
+		news := x.Falls > f.fallen[x.key()]
 		if news {
-			f.fallen[x.ended()] = x.Falls
+			f.fallen[x.key()] = x.Falls
 		}
 		f.mu.Unlock()
 		if news && f.opt.Fell != nil {
@@ -130,23 +130,23 @@
 	}
 }
 
-// risen forgets the falls that a warm fact supersedes.
-func (f *Fleet) risen(x Fact) {
+// forgetFalls forgets the falls that a warm fact supersedes.
+func (f *Fleet) forgetFalls(x Fact) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	maps.DeleteFunc(f.fallen, func(e ended, falls int) bool {
+	maps.DeleteFunc(f.fallen, func(e fallenInstance, falls int) bool {
 		return e.target == x.Target && (e.instance != x.Instance || falls <= x.Falls)
 	})
 }
 
-func (f Fact) ended() ended {
-	return ended{
+func (f Fact) key() fallenInstance {
+	return fallenInstance{
 		target:   f.Target,
 		instance: f.Instance,
 	}
 }
 
-func (e ended) fact(falls int) Fact {
+func (e fallenInstance) fact(falls int) Fact {
 	return Fact{
 		Target:   e.target,
 		Instance: e.instance,
--- a/fleet/falls_test.go
+++ b/fleet/falls_test.go
@@ -27,7 +27,7 @@
 		time.Sleep(2300 * time.Millisecond)
 		b.fleet.Fell("target-0", "first", 1)
 		b.fleet.Fell("target-1", "first", 1)
-		time.Sleep(2 * tellInterval)
+		time.Sleep(2 * pushInterval)
 		assert.Assert(t, a.fell("target-0", "first") && a.fell("target-1", "first"))
 		assert.Assert(t, !c.fell("target-0", "first"))
 		c.cut(false, 0)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -202,13 +202,13 @@
 
 	warm facts
 	// fallen holds the falls of instances since they were warm.
-	fallen map[ended]int
+	fallen map[fallenInstance]int
 
 	ctx    context.Context
 	cancel context.CancelFunc
 	kick   chan struct{}
-	// news wakes the task that tells of falls.
-	news chan struct{}
+	// fallsPending wakes the task that tells of falls.
+	fallsPending chan struct{}
 	// fetching has room for the fetches of the state that may be under way.
 	fetching chan struct{}
 	tasks    sync.WaitGroup
@@ -230,23 +230,23 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Fleet{
-		opt:         opt,
-		limits:      l,
-		incarnation: newIncarnation(),
-		serve:       opt.Serve,
-		counters:    newCounters(opt.Metrics),
-		log:         opt.Logger.With(zap.String("entry", opt.Name)),
-		changed:     make(chan struct{}),
-		peers:       map[string]*peer{},
-		lastHeard:   map[string]time.Time{},
-		absent:      map[string]time.Time{},
-		ctx:         ctx,
-		cancel:      cancel,
-		fallen:      map[ended]int{},
-		kick:        make(chan struct{}, 1),
-		news:        make(chan struct{}, 1),
-		fetching:    make(chan struct{}, l.fetches),
-		done:        make(chan struct{}),
+		opt:          opt,
+		limits:       l,
+		incarnation:  newIncarnation(),
+		serve:        opt.Serve,
+		counters:     newCounters(opt.Metrics),
+		log:          opt.Logger.With(zap.String("entry", opt.Name)),
+		changed:      make(chan struct{}),
+		peers:        map[string]*peer{},
+		lastHeard:    map[string]time.Time{},
+		absent:       map[string]time.Time{},
+		ctx:          ctx,
+		cancel:       cancel,
+		fallen:       map[fallenInstance]int{},
+		kick:         make(chan struct{}, 1),
+		fallsPending: make(chan struct{}, 1),
+		fetching:     make(chan struct{}, l.fetches),
+		done:         make(chan struct{}),
 	}
 	f.warm.known = map[string]*fact{}
 	f.state.Store(&State{})
@@ -254,7 +254,7 @@
 	go f.every("fleet poll", pollInterval, f.poll)
 	go f.every("fleet exchange", exchangeInterval, f.tick)
 	go f.maintain()
-	go f.tell()
+	go f.pushFalls()
 	go func() {
 		f.tasks.Wait()
 		close(f.done)
--- a/route/service.go
+++ b/route/service.go
@@ -201,7 +201,7 @@
 		if !idempotent {
 			chance = coldChanceOnce
 		}
-		if spare || t.present(now) >= t.allowed() || gated && s.rand.Float64() > chance {
+		if spare || t.occupied(now) >= t.allowed() || gated && s.rand.Float64() > chance {
 			return false
 		}
 		var owned bool
--- a/route/target.go
+++ b/route/target.go
@@ -56,9 +56,9 @@
 	falls int
 	// warm holds the last instances known to be warm, with their falls then, past those known to be gone, and fallen
 	// those that fell, with their falls.
-	warm    [4]life
+	warm    [4]generation
 	past    [4]string
-	fallen  [4]life
+	fallen  [4]generation
 	warmAt  time.Time
 	leaving bool
 	// draining is the last time at which the instance reported to drain.
@@ -101,16 +101,16 @@
 	t.Slots = max(spec.Slots, 1)
 }
 
-// life is an instance of a target after so many falls. Both what is warm and what has fallen are facts that never become
+// generation is an instance of a target after so many falls. Both what is warm and what has fallen are facts that never become
 // false, so they can arrive in any order.
-type life struct {
+type generation struct {
 	instance string
 	falls    int
 }
 
 // isWarm tells whether the current instance is known to be warm.
 func (t *target) isWarm() bool {
-	return t.instance != "" && slices.ContainsFunc(t.warm[:], func(l life) bool {
+	return t.instance != "" && slices.ContainsFunc(t.warm[:], func(l generation) bool {
 		return l.instance == t.instance && l.falls >= t.falls
 	})
 }
@@ -125,7 +125,7 @@
 
 func (t *target) setWarm(now time.Time, instance string, falls int) {
 	was := t.isWarm()
-	remember(&t.warm, life{
+	remember(&t.warm, generation{
 		instance: instance,
 		falls:    falls,
 	})
@@ -142,7 +142,7 @@
 
 // setFalls takes note that the instance has fallen cold again, or ended, after it was warm.
 func (t *target) setFalls(instance string, falls int) {
-	remember(&t.fallen, life{
+	remember(&t.fallen, generation{
 		instance: instance,
 		falls:    falls,
 	})
@@ -192,7 +192,7 @@
 	}
 	var e Event
 	if r.Instance != t.instance {
-		e = t.succeed(now, r.Instance)
+		e = t.changeInstance(now, r.Instance)
 	}
 	if sent.After(t.seen) {
 		t.seen = sent
@@ -216,8 +216,8 @@
 	return e
 }
 
-// succeed takes note of a new instance.
-func (t *target) succeed(now time.Time, instance string) Event {
+// changeInstance takes note of a new instance.
+func (t *target) changeInstance(now time.Time, instance string) Event {
 	fell := Fell{
 		Target:   t.Name,
 		Instance: instance,
@@ -309,9 +309,9 @@
 	return e
 }
 
-// present returns how many calls of this entry the cold target may have, those included whose attempts have ended without
+// occupied returns how many calls of this entry the cold target may have, those included whose attempts have ended without
 // telling whether the call has.
-func (t *target) present(now time.Time) int {
+func (t *target) occupied(now time.Time) int {
 	t.running = slices.DeleteFunc(t.running, func(until time.Time) bool { return !now.Before(until) })
 	return t.inflight + len(t.running)
 }
--- a/standin/call.go
+++ b/standin/call.go
@@ -50,7 +50,7 @@
 	if !t.thaw(ctx) {
 		panic(http.ErrAbortHandler)
 	}
-	v := &visit{
+	v := &inbound{
 		id:    r.Header.Get("Skylarkbeam-Request"),
 		key:   r.Header.Get("Skylarkbeam-Key"),
 		start: time.Now(),
@@ -80,8 +80,8 @@
 	t.respond(w, r, newAnswer(r, body), fault)
 }
 
-// visit is one call from its arrival to its end.
-type visit struct {
+// inbound is one call from its arrival to its end.
+type inbound struct {
 	id, key string
 	start   time.Time
 	ctx     context.Context
@@ -89,12 +89,12 @@
 }
 
 // String implements fmt.Stringer.
-func (v *visit) String() string {
+func (v *inbound) String() string {
 	return fmt.Sprintf("%s %q for %s, canceled %t", v.id, v.key, time.Since(v.start), v.ctx.Err() != nil)
 }
 
 // enter waits for a slot. The call has certainly not run if it returns false.
-func (t *Target) enter(v *visit) bool {
+func (t *Target) enter(v *inbound) bool {
 	t.mu.Lock()
 	if t.dead(v.ctx) {
 		t.mu.Unlock()
@@ -149,7 +149,7 @@
 	return false
 }
 
-func (t *Target) leave(v *visit) {
+func (t *Target) leave(v *inbound) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.active--
--- a/standin/target.go
+++ b/standin/target.go
@@ -72,8 +72,8 @@
 type life struct {
 	instance string
 	start    time.Time
-	cold     time.Duration   // how long it is cold; a later change of the switch must not make a warm process cold
-	present  map[*visit]bool // running or queued
+	cold     time.Duration     // how long it is cold; a later change of the switch must not make a warm process cold
+	present  map[*inbound]bool // running or queued
 }
 
 // New returns a target that starts now.
@@ -100,7 +100,7 @@
 		instance: hex.EncodeToString(b[:]),
 		start:    time.Now(),
 		cold:     time.Duration(cold),
-		present:  map[*visit]bool{},
+		present:  map[*inbound]bool{},
 	}
 }
 
