Check in one place that a command takes no arguments

Cause: demo, serve, status and version each had the same check, beside oneFolder for commands with an argument. Change: noArguments serves all four; messages, usage texts and exit status are the same. TestUsage covers all four now.

--- a/cmd/skylarkbeam/command.go
+++ b/cmd/skylarkbeam/command.go
@@ -100,3 +100,14 @@
 	}
 	return args[0], nil
 }
+
+// noArguments returns an error if a command that takes no arguments has some.
+func noArguments(args []string, name, usage string) error {
+	if len(args) == 0 {
+		return nil
+	}
+	return &usageError{
+		reason: name + " takes no arguments",
+		usage:  usage,
+	}
+}
--- a/cmd/skylarkbeam/command_test.go
+++ b/cmd/skylarkbeam/command_test.go
@@ -81,6 +81,9 @@
 		"show a b":    "need one folder of settings, not 2 arguments",
 		"show -xml a": "flag provided but not defined: -xml",
 		"version 1":   "version takes no arguments",
+		"status 1":    "status takes no arguments",
+		"serve 1":     "serve takes no arguments",
+		"demo 1":      "demo takes no arguments",
 	}
 	for args, want := range wrong {
 		status, stdout, stderr := runArgs(args)
--- a/cmd/skylarkbeam/demo.go
+++ b/cmd/skylarkbeam/demo.go
@@ -42,11 +42,8 @@
 	var keep bool
 	command := newCommand(s, "demo", "run a whole deployment in one process", demoUsage,
 		func(ctx context.Context, args []string) error {
-			if len(args) > 0 {
-				return &usageError{
-					reason: "demo takes no arguments",
-					usage:  demoUsage,
-				}
+			if err := noArguments(args, "demo", demoUsage); err != nil {
+				return err
 			}
 			return demo(ctx, s.Out, keep)
 		})
--- a/cmd/skylarkbeam/serve.go
+++ b/cmd/skylarkbeam/serve.go
@@ -68,11 +68,8 @@
 	var f serveFlags
 	command := newCommand(s, "serve", "run an entry process", serveUsage,
 		func(ctx context.Context, args []string) error {
-			if len(args) > 0 {
-				return &usageError{
-					reason: "serve takes no arguments",
-					usage:  serveUsage,
-				}
+			if err := noArguments(args, "serve", serveUsage); err != nil {
+				return err
 			}
 			return serve(ctx, f)
 		})
--- a/cmd/skylarkbeam/status.go
+++ b/cmd/skylarkbeam/status.go
@@ -38,11 +38,8 @@
 	var events int
 	command := newCommand(s, "status", "show what an entry knows and does", statusUsage,
 		func(ctx context.Context, args []string) error {
-			if len(args) > 0 {
-				return &usageError{
-					reason: "status takes no arguments",
-					usage:  statusUsage,
-				}
+			if err := noArguments(args, "status", statusUsage); err != nil {
+				return err
 			}
 			status, err := o.status(ctx)
 			if err != nil {
--- a/cmd/skylarkbeam/version.go
+++ b/cmd/skylarkbeam/version.go
@@ -21,11 +21,8 @@
 func newVersion(s streams) *ffcli.Command {
 	return newCommand(s, "version", "print the version of the program", versionUsage,
 		func(_ context.Context, args []string) error {
-			if len(args) > 0 {
-				return &usageError{
-					reason: "version takes no arguments",
-					usage:  versionUsage,
-				}
+			if err := noArguments(args, "version", versionUsage); err != nil {
+				return err
 			}
 			fmt.Fprintf(s.Out, "skylarkbeam %s %s %s/%s\n", revision(), runtime.Version(), runtime.GOOS, runtime.GOARCH)
 			return nil
