Wake the task that pushes falls in one place

Cause: Fell and confirmFalls sent the same non-blocking wake-up, written twice. Change: wakePush serves both; behaviour is the same. Measured: go test -race -count=1 -run 'Fell|Falls|Model|HTTP|Form' ./fleet passes.

--- a/fleet/falls.go
+++ b/fleet/falls.go
@@ -35,6 +35,11 @@
 	for _, p := range f.peers {
 		p.fell[e] = falls
 	}
+	f.wakePush()
+}
+
+// wakePush wakes pushFalls. A wake-up that is already pending covers this one.
+func (f *Fleet) wakePush() {
 	select {
 	case f.fallsPending <- struct{}{}:
 	default:
@@ -104,10 +109,7 @@
 		}
 	}
 	if len(p.fell) > 0 {
-		select {
-		case f.fallsPending <- struct{}{}:
-		default:
-		}
+		f.wakePush()
 	}
 }
 
