--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -10,7 +10,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"gotest.tools/v3/assert"
 
-	"skylarkbeam/platform"
+	"skylarkbeam/store"
 	"skylarkbeam/timer"
 )
 
@@ -79,7 +79,7 @@
 
 func benchmark(b *testing.B, off mechanisms, rate int) {
 	timers := timer.New()
-	table := platform.NewMemory(timers)
+	table := store.NewMemory(timers)
 	l := &load{
 		rate:  rate,
 		waits: hdrhistogram.New(1, time.Minute.Microseconds(), 3),
@@ -96,7 +96,7 @@
 		l.ledgers = append(l.ledgers, ledger)
 	}
 	time.Sleep(100 * time.Millisecond)
-	assert.NilError(b, table.SetFaults(platform.Faults{
+	assert.NilError(b, table.SetFaults(store.Faults{
 		Delay:  5 * time.Millisecond,
 		Writes: 300,
 	}))
--- a/claim/group_test.go
+++ b/claim/group_test.go
@@ -9,12 +9,12 @@
 
 	"gotest.tools/v3/assert"
 
-	"skylarkbeam/platform"
+	"skylarkbeam/store"
 )
 
 // recorder notes the transactions that a ledger commits.
 type recorder struct {
-	platform.Table
+	store.Table
 
 	mu       sync.Mutex
 	starts   []time.Time
@@ -23,7 +23,7 @@
 	most     int
 }
 
-func (r *recorder) Commit(ctx context.Context, tx platform.Transaction) (platform.Result, error) {
+func (r *recorder) Commit(ctx context.Context, tx store.Transaction) (store.Result, error) {
 	r.mu.Lock()
 	r.starts = append(r.starts, time.Now())
 	r.rows = append(r.rows, len(tx.Checks)+len(tx.Puts)+len(tx.Deletes))
@@ -113,7 +113,7 @@
 			a, b := w.openOn(r, "a", mechanisms{}), w.open("b", mechanisms{})
 			takeAll(b, test.others)
 			w.sleep(time.Second)
-			w.faults(platform.Faults{
+			w.faults(store.Faults{
 				Delay: 5 * time.Millisecond,
 			})
 			r.starts, r.rows = nil, nil
@@ -141,7 +141,7 @@
 			Table: w.table,
 		}
 		a := w.openOn(r, "a", mechanisms{})
-		w.faults(platform.Faults{
+		w.faults(store.Faults{
 			Writes: 1,
 		})
 		mustGrant(t, take(a, "first"))
@@ -150,7 +150,7 @@
 		assert.DeepEqual(t, tally(takeAll(a, []string{"k1", "k2"})), map[string]int{"unavailable": 2})
 		assert.Assert(t, time.Since(start) <= waitLimit)
 		assert.Assert(t, len(r.starts) <= 5, "%d writes to a table that throttles", len(r.starts))
-		w.faults(platform.Faults{})
+		w.faults(store.Faults{})
 		mustGrant(t, take(a, "k1"))
 	})
 }
--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -9,7 +9,7 @@
 
 	"go.uber.org/zap"
 
-	"skylarkbeam/platform"
+	"skylarkbeam/store"
 	"skylarkbeam/timer"
 )
 
@@ -31,7 +31,7 @@
 
 // Options has what a Ledger needs.
 type Options struct {
-	Table platform.Table
+	Table store.Table
 	// Entry is the name of the entry, Incarnation is unique for each start of its process.
 	Entry       string
 	Incarnation string
--- a/claim/ledger_test.go
+++ b/claim/ledger_test.go
@@ -10,8 +10,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"skylarkbeam/platform"
 	"skylarkbeam/simulation"
+	"skylarkbeam/store"
 	"skylarkbeam/timer"
 )
 
@@ -39,7 +39,7 @@
 	"fence off":      fenceOff,
 }
 
-var downFault = platform.Faults{
+var downFault = store.Faults{
 	Down: true,
 }
 
@@ -47,7 +47,7 @@
 type world struct {
 	t      *testing.T
 	timers *timer.Service
-	table  *platform.Memory
+	table  *store.Memory
 	opened int
 }
 
@@ -59,7 +59,7 @@
 		run(&world{
 			t:      t,
 			timers: timers,
-			table:  platform.NewMemory(timers),
+			table:  store.NewMemory(timers),
 		})
 	})
 }
@@ -75,7 +75,7 @@
 	return w.openOn(w.table, entry, off)
 }
 
-func (w *world) openOn(table platform.Table, entry string, off mechanisms) *Ledger {
+func (w *world) openOn(table store.Table, entry string, off mechanisms) *Ledger {
 	w.opened++
 	l := Open(Options{
 		Table:       table,
@@ -92,7 +92,7 @@
 	return l
 }
 
-func (w *world) faults(f platform.Faults) { assert.NilError(w.t, w.table.SetFaults(f)) }
+func (w *world) faults(f store.Faults) { assert.NilError(w.t, w.table.SetFaults(f)) }
 
 func (w *world) sleep(d time.Duration) {
 	time.Sleep(d)
--- a/claim/lost_test.go
+++ b/claim/lost_test.go
@@ -11,13 +11,13 @@
 
 	"gotest.tools/v3/assert"
 
-	"skylarkbeam/platform"
+	"skylarkbeam/store"
 	"skylarkbeam/timer"
 )
 
-func loseNext(point platform.Point) platform.Faults {
-	return platform.Faults{
-		Lose: platform.Loss{
+func loseNext(point store.Point) store.Faults {
+	return store.Faults{
+		Lose: store.Loss{
 			Next:  1,
 			Point: point,
 			Late:  10 * time.Second,
@@ -28,13 +28,13 @@
 // loss is a claim whose answer is lost.
 type loss struct {
 	name  string
-	point platform.Point
+	point store.Point
 	off   mechanisms
 	take  string // want at the ledger itself, if the table can be read
 	later string // want at another ledger after the release and the late effect
 }
 
-func newLoss(name string, point platform.Point, off mechanisms, take, later string) loss {
+func newLoss(name string, point store.Point, off mechanisms, take, later string) loss {
 	return loss{
 		name:  name,
 		point: point,
@@ -46,11 +46,11 @@
 
 // losses has the mechanisms on, and each one off where the fault shows that it prevents.
 var losses = []loss{
-	newLoss("answer lost", platform.PointAfter, mechanisms{}, "granted", "granted"),
-	newLoss("request lost", platform.PointBefore, mechanisms{}, "granted", "granted"),
-	newLoss("request late", platform.PointLate, mechanisms{}, "granted", "granted"),
-	newLoss("answer lost, read-back off", platform.PointAfter, readBackOff, "busy a", "busy a"),
-	newLoss("request late, fence off", platform.PointLate, fenceOff, "granted", "busy a"),
+	newLoss("answer lost", store.PointAfter, mechanisms{}, "granted", "granted"),
+	newLoss("request lost", store.PointBefore, mechanisms{}, "granted", "granted"),
+	newLoss("request late", store.PointLate, mechanisms{}, "granted", "granted"),
+	newLoss("answer lost, read-back off", store.PointAfter, readBackOff, "busy a", "busy a"),
+	newLoss("request late, fence off", store.PointLate, fenceOff, "granted", "busy a"),
 }
 
 // Guards against a key that stays blocked although its call was refused or released, after the answer of its claim was
@@ -118,7 +118,7 @@
 		},
 	}
 	for _, test := range tests {
-		for _, point := range []platform.Point{platform.PointAfter, platform.PointBefore, platform.PointLate} {
+		for _, point := range []store.Point{store.PointAfter, store.PointBefore, store.PointLate} {
 			simulateCase(t, test.name+" "+string(point), func(t *testing.T, w *world) {
 				a, b := w.open("a", mechanisms{}), w.open("b", mechanisms{})
 				c := mustGrant(t, take(a, "k"))
@@ -136,21 +136,21 @@
 	const seed, keys = 20261204, 200
 	t.Logf("seed %d", seed)
 	timers := timer.New()
-	memory := platform.NewMemory(timers)
-	server := httptest.NewServer(platform.NewHandler(memory))
+	memory := store.NewMemory(timers)
+	server := httptest.NewServer(store.NewHandler(memory))
 	defer server.Close()
-	assert.NilError(t, memory.SetFaults(platform.Faults{
-		Lose: platform.Loss{
+	assert.NilError(t, memory.SetFaults(store.Faults{
+		Lose: store.Loss{
 			Rate:  0.2,
 			Seed:  seed,
-			Point: platform.PointAny,
+			Point: store.PointAny,
 			Late:  10 * time.Millisecond,
 		},
 	}))
 	var granted [keys]atomic.Int64
 	var calls sync.WaitGroup
 	for i := range 2 {
-		client := platform.NewClient(platform.ClientOptions{
+		client := store.NewClient(store.ClientOptions{
 			Address: netip.MustParseAddrPort(server.Listener.Addr().String()),
 		})
 		defer client.Close()
--- a/claim/machine_test.go
+++ b/claim/machine_test.go
@@ -11,15 +11,15 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"skylarkbeam/platform"
 	"skylarkbeam/simulation"
+	"skylarkbeam/store"
 	"skylarkbeam/timer"
 )
 
 // machine is the model of two ledgers on one table.
 type machine struct {
 	timers  *timer.Service
-	memory  *platform.Memory
+	memory  *store.Memory
 	opened  int
 	off     mechanisms
 	ledgers []*Ledger
@@ -117,7 +117,7 @@
 }
 
 func (m *machine) fault(t *rapid.T) {
-	f := platform.Faults{
+	f := store.Faults{
 		Delay: 5 * time.Millisecond,
 	}
 	switch rapid.SampledFrom([]string{"down", "lose", "silent", "throttle", "none"}).Draw(t, "fault") {
@@ -125,7 +125,7 @@
 		f.Down = true
 	case "lose":
 		f.Lose.Next = rapid.IntRange(1, 5).Draw(t, "next")
-		f.Lose.Point = rapid.SampledFrom([]platform.Point{platform.PointAfter, platform.PointBefore, platform.PointLate}).Draw(t, "point")
+		f.Lose.Point = rapid.SampledFrom([]store.Point{store.PointAfter, store.PointBefore, store.PointLate}).Draw(t, "point")
 		f.Lose.Late = rapid.SampledFrom([]time.Duration{time.Millisecond, 30 * time.Millisecond, time.Second}).Draw(t, "late")
 	case "silent":
 		f.Delay = time.Second
@@ -143,7 +143,7 @@
 
 // settle ends all faults and checks that every key is as the model says, at both ledgers.
 func (m *machine) settle(t *rapid.T) {
-	if err := m.memory.SetFaults(platform.Faults{}); err != nil {
+	if err := m.memory.SetFaults(store.Faults{}); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(10 * time.Second)
@@ -173,7 +173,7 @@
 }
 
 func (m *machine) run(t *rapid.T) {
-	m.memory = platform.NewMemory(m.timers)
+	m.memory = store.NewMemory(m.timers)
 	m.ledgers, m.tables = make([]*Ledger, 2), make([]*cuttable, 2)
 	m.keys = map[string]*modelKey{}
 	for _, key := range modelKeys {
--- a/claim/outage_test.go
+++ b/claim/outage_test.go
@@ -10,12 +10,12 @@
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
-	"skylarkbeam/platform"
+	"skylarkbeam/store"
 )
 
 // cuttable is a table that one ledger cannot reach while cut is set.
 type cuttable struct {
-	platform.Table
+	store.Table
 
 	cut            atomic.Bool
 	cutAfterCommit atomic.Bool // cuts the table off after the next commit
@@ -25,20 +25,20 @@
 	if !c.cut.Load() {
 		return nil
 	}
-	return &platform.Error{
-		Kind: platform.Down,
+	return &store.Error{
+		Kind: store.Down,
 		Err:  errors.New("cut off"),
 	}
 }
 
-func (c *cuttable) Get(ctx context.Context, keys []string) (map[string]platform.Row, error) {
+func (c *cuttable) Get(ctx context.Context, keys []string) (map[string]store.Row, error) {
 	if err := c.err(); err != nil {
 		return nil, err
 	}
 	return c.Table.Get(ctx, keys)
 }
 
-func (c *cuttable) Commit(ctx context.Context, tx platform.Transaction) (platform.Result, error) {
+func (c *cuttable) Commit(ctx context.Context, tx store.Transaction) (store.Result, error) {
 	if err := c.err(); err != nil {
 		return nil, err
 	}
@@ -51,12 +51,12 @@
 // Guards against calls that wait while the table is known to be down. Without the refusal they wait for as long as
 // their callers let them.
 func TestOutage(t *testing.T) {
-	silent := platform.Faults{
+	silent := store.Faults{
 		Delay: 30 * time.Minute,
 	}
 	tests := []struct {
 		name   string
-		faults platform.Faults
+		faults store.Faults
 		off    mechanisms
 		first  time.Duration // that the first call waits
 		later  time.Duration // that later calls wait
@@ -103,7 +103,7 @@
 			c.Finish(200, "", []byte("x"))
 			w.sleep(time.Hour)
 			assert.Equal(t, waits("k3"), test.later)
-			w.faults(platform.Faults{})
+			w.faults(store.Faults{})
 			w.sleep(time.Second)
 			mustGrant(t, take(a, "k1"))
 			mustGrant(t, take(a, "k2"))
@@ -116,7 +116,7 @@
 func TestDownMidCommit(t *testing.T) {
 	simulate(t, func(w *world) {
 		a, b := w.open("a", mechanisms{}), w.open("b", mechanisms{})
-		w.faults(platform.Faults{
+		w.faults(store.Faults{
 			Hold: 100 * time.Millisecond,
 		})
 		time.AfterFunc(50*time.Millisecond, func() { w.faults(downFault) })
@@ -124,7 +124,7 @@
 		assert.Equal(t, name(take(a, "k")), "unavailable")
 		assert.Assert(t, time.Since(start) <= waitLimit)
 		w.sleep(time.Minute)
-		w.faults(platform.Faults{})
+		w.faults(store.Faults{})
 		assert.Equal(t, name(take(b, "k")), "busy a", "the claim is in the table until it is freed")
 		w.sleep(time.Second)
 		mustGrant(t, take(b, "k"))
@@ -135,7 +135,7 @@
 func TestCallerGivesUp(t *testing.T) {
 	simulate(t, func(w *world) {
 		a, b := w.open("a", mechanisms{}), w.open("b", mechanisms{})
-		w.faults(platform.Faults{
+		w.faults(store.Faults{
 			Delay: 100 * time.Millisecond,
 		})
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
@@ -172,7 +172,7 @@
 		a, b := w.open("a", mechanisms{}), w.open("b", mechanisms{})
 		takeAll(b, []string{"k1"})
 		w.sleep(time.Second)
-		w.faults(platform.Faults{
+		w.faults(store.Faults{
 			Delay: 200 * time.Millisecond,
 		})
 		before := outages.Get()
--- a/claim/race_test.go
+++ b/claim/race_test.go
@@ -10,7 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"skylarkbeam/platform"
+	"skylarkbeam/store"
 )
 
 // grants counts for each key the grants that were not released, and remembers whether there were ever two.
@@ -45,12 +45,12 @@
 	for name, off := range switched {
 		simulateCase(t, name, func(t *testing.T, w *world) {
 			ledgers := []*Ledger{w.open("a", off), w.open("b", off)}
-			w.faults(platform.Faults{
+			w.faults(store.Faults{
 				Delay: 5 * time.Millisecond,
-				Lose: platform.Loss{
+				Lose: store.Loss{
 					Rate:  0.2,
 					Seed:  seed,
-					Point: platform.PointAny,
+					Point: store.PointAny,
 					Late:  300 * time.Millisecond,
 				},
 			})
@@ -67,7 +67,7 @@
 			}
 			calls.Wait()
 			counters := w.table.Counters()
-			w.faults(platform.Faults{})
+			w.faults(store.Faults{})
 			w.sleep(time.Minute)
 			blocked := g.blocked(w.open("c", mechanisms{}))
 			t.Logf("seed %d: %d grants, %d double, %d keys blocked, %+v", seed, g.all, g.double, blocked, counters)
--- a/claim/resolve.go
+++ b/claim/resolve.go
@@ -6,7 +6,7 @@
 
 	"go.uber.org/zap"
 
-	"skylarkbeam/platform"
+	"skylarkbeam/store"
 )
 
 // retryPause is the pause before a request is repeated that failed although the table is not down, as when it is
@@ -22,7 +22,7 @@
 			l.settle(landed)
 			return
 		}
-		if platform.KindOf(err) == platform.Down {
+		if store.KindOf(err) == store.Down {
 			break
 		}
 		if err != nil {
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	if committed, ok := result.(*platform.Committed); ok {
+	if committed, ok := result.(*store.Committed); ok {
 		fenced.Inc()
 		l.adopt(committed)
 		return nil, true, nil
@@ -67,7 +67,7 @@
 }
 
 // versionsOf returns the versions of the rows that the group has put, by key.
-func versionsOf(g *group, rows map[string]platform.Row) map[string]uint64 {
+func versionsOf(g *group, rows map[string]store.Row) map[string]uint64 {
 	versions := map[string]uint64{}
 	for _, w := range g.writes {
 		key := claimPrefix + w.key
--- a/claim/row.go
+++ b/claim/row.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"net/http"
 
-	"skylarkbeam/platform"
+	"skylarkbeam/store"
 )
 
 // MaxAnswer is the largest body in bytes that is kept for repeats.
@@ -52,7 +52,7 @@
 }
 
 // readRow returns the zero row for a value that is not a claim. Such a key counts as busy until its row expires.
-func readRow(r platform.Row) row {
+func readRow(r store.Row) row {
 	var v row
 	if json.Unmarshal(r.Value, &v) != nil {
 		return row{}
@@ -60,7 +60,7 @@
 	return v
 }
 
-func readGroup(r platform.Row) string {
+func readGroup(r store.Row) string {
 	var v groupRow
 	if json.Unmarshal(r.Value, &v) != nil {
 		return ""
--- a/claim/run.go
+++ b/claim/run.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"skylarkbeam/platform"
+	"skylarkbeam/store"
 )
 
 // run writes groups until the ledger is closed.
@@ -171,7 +171,7 @@
 		l.pace.spend(now)
 		result, err := l.commit(ctx, l.fence(l.nonce(), now))
 		if err != nil {
-			if platform.KindOf(err) != platform.Lost {
+			if store.KindOf(err) != store.Lost {
 				return false
 			}
 			sleep(ctx, retryPause)
@@ -183,11 +183,11 @@
 }
 
 // adopt takes over the version of the group row from the result of a transaction.
-func (l *Ledger) adopt(result platform.Result) {
+func (l *Ledger) adopt(result store.Result) {
 	switch r := result.(type) {
-	case *platform.Committed:
+	case *store.Committed:
 		l.version = r.Versions[l.groupKey]
-	case *platform.Conflict:
+	case *store.Conflict:
 		for _, row := range r.Rows {
 			if row.Key == l.groupKey {
 				l.version = row.Version
@@ -196,7 +196,7 @@
 	}
 }
 
-func (l *Ledger) commit(ctx context.Context, tx platform.Transaction) (platform.Result, error) {
+func (l *Ledger) commit(ctx context.Context, tx store.Transaction) (store.Result, error) {
 	transactions.Inc()
 	return l.options.Table.Commit(ctx, tx)
 }
@@ -218,11 +218,11 @@
 	}
 	l.pace.accepted()
 	switch r := result.(type) {
-	case *platform.Committed:
+	case *store.Committed:
 		l.adopt(r)
 		l.landed(g, r.Versions)
 		return nil
-	case *platform.Conflict:
+	case *store.Conflict:
 		return l.split(ctx, g, r)
 	default:
 		panic(fmt.Sprintf("unknown result %T", result))
@@ -230,14 +230,14 @@
 }
 
 func (l *Ledger) failed(ctx context.Context, g *group, err error) {
-	switch platform.KindOf(err) {
-	case platform.Throttled:
+	switch store.KindOf(err) {
+	case store.Throttled:
 		l.pace.throttled()
 		l.requeue(g.writes)
-	case platform.Down:
+	case store.Down:
 		l.requeue(g.writes)
 		l.goDown()
-	case platform.Invalid, platform.Missing:
+	case store.Invalid, store.Missing:
 		// The platform rejects this group for good, so its calls are refused instead of retried.
 		l.pace.throttled()
 		l.requeue(g.writes)
@@ -250,8 +250,8 @@
 }
 
 // split settles the writes that conflicted and returns the others.
-func (l *Ledger) split(ctx context.Context, g *group, c *platform.Conflict) []*write {
-	rows := map[string]platform.Row{}
+func (l *Ledger) split(ctx context.Context, g *group, c *store.Conflict) []*write {
+	rows := map[string]store.Row{}
 	for _, row := range c.Rows {
 		rows[row.Key] = row
 	}
@@ -283,7 +283,7 @@
 	return others
 }
 
-func (l *Ledger) conflicted(w *write, r platform.Row) {
+func (l *Ledger) conflicted(w *write, r store.Row) {
 	delete(l.held, w.key)
 	if !w.isTake() {
 		lapsed.Inc()
--- a/claim/table_test.go
+++ b/claim/table_test.go
@@ -9,19 +9,19 @@
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
-	"skylarkbeam/platform"
+	"skylarkbeam/store"
 )
 
-type commitFunc func(context.Context, platform.Transaction) (platform.Result, error)
+type commitFunc func(context.Context, store.Transaction) (store.Result, error)
 
 // scripted is a table whose next commit is replaced.
 type scripted struct {
-	platform.Table
+	store.Table
 
 	next atomic.Pointer[func(commitFunc) commitFunc]
 }
 
-func (s *scripted) Commit(ctx context.Context, tx platform.Transaction) (platform.Result, error) {
+func (s *scripted) Commit(ctx context.Context, tx store.Transaction) (store.Result, error) {
 	if replace := s.next.Swap(nil); replace != nil {
 		return (*replace)(s.Table.Commit)(ctx, tx)
 	}
@@ -30,10 +30,10 @@
 
 // Guards against a ledger that stops, grants wrongly or blocks a key when the table does something rare.
 func TestRareTables(t *testing.T) {
-	fails := func(kind platform.Kind) func(commitFunc) commitFunc {
+	fails := func(kind store.Kind) func(commitFunc) commitFunc {
 		return func(commitFunc) commitFunc {
-			return func(context.Context, platform.Transaction) (platform.Result, error) {
-				return nil, &platform.Error{
+			return func(context.Context, store.Transaction) (store.Result, error) {
+				return nil, &store.Error{
 					Kind: kind,
 					Err:  errors.New("scripted"),
 				}
@@ -50,7 +50,7 @@
 		{
 			name: "transaction delivered twice",
 			commit: func(commit commitFunc) commitFunc {
-				return func(ctx context.Context, tx platform.Transaction) (platform.Result, error) {
+				return func(ctx context.Context, tx store.Transaction) (store.Result, error) {
 					_, _ = commit(ctx, tx)
 					return commit(ctx, tx)
 				}
@@ -66,27 +66,27 @@
 		},
 		{
 			name:   "transaction rejected",
-			commit: fails(platform.Invalid),
+			commit: fails(store.Invalid),
 			first:  "unavailable",
 			second: "granted",
 		},
 		{
 			name:   "down for one request",
-			commit: fails(platform.Down),
+			commit: fails(store.Down),
 			first:  "unavailable",
 			second: "granted",
 		},
 		{
 			name:   "throttled for one request",
-			commit: fails(platform.Throttled),
+			commit: fails(store.Throttled),
 			first:  "granted",
 			second: "busy a",
 		},
 		{
 			name: "row that is not a claim",
 			prepare: func(w *world) {
-				_, err := w.table.Commit(context.Background(), platform.Transaction{
-					Puts: []platform.Put{
+				_, err := w.table.Commit(context.Background(), store.Transaction{
+					Puts: []store.Put{
 						{
 							Key:   claimPrefix + "k",
 							Value: []byte("junk"),
@@ -101,9 +101,9 @@
 		{
 			name: "row gone since the check",
 			commit: func(commitFunc) commitFunc {
-				return func(context.Context, platform.Transaction) (platform.Result, error) {
-					return &platform.Conflict{
-						Rows: []platform.Row{
+				return func(context.Context, store.Transaction) (store.Result, error) {
+					return &store.Conflict{
+						Rows: []store.Row{
 							{
 								Key: claimPrefix + "k",
 							},
@@ -138,15 +138,15 @@
 func TestPaceIsBounded(t *testing.T) {
 	simulate(t, func(w *world) {
 		a := w.open("a", mechanisms{})
-		w.faults(platform.Faults{
-			Lose: platform.Loss{
+		w.faults(store.Faults{
+			Lose: store.Loss{
 				Rate:  1,
-				Point: platform.PointBefore,
+				Point: store.PointBefore,
 			},
 		})
 		assert.Equal(t, name(take(a, "k")), "unavailable")
 		w.sleep(5 * time.Minute)
-		w.faults(platform.Faults{})
+		w.faults(store.Faults{})
 		w.sleep(time.Second)
 		mustGrant(t, take(a, "k"))
 	})
--- a/claim/write.go
+++ b/claim/write.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"skylarkbeam/platform"
+	"skylarkbeam/store"
 )
 
 // write is one change of a claim's row. A take has an answer channel; a release has no row.
@@ -43,14 +43,14 @@
 }
 
 // maxWrites leaves room for the group row: each write, and the group row too, is one check and one put or delete.
-const maxWrites = platform.MaxRows/2 - 1
+const maxWrites = store.MaxRows/2 - 1
 
-func (l *Ledger) transaction(g *group) platform.Transaction {
+func (l *Ledger) transaction(g *group) store.Transaction {
 	tx := l.fence(g.nonce, g.start)
 	for _, w := range g.writes {
 		key := claimPrefix + w.key
 		if !l.options.disabled.check {
-			tx.Checks = append(tx.Checks, platform.Check{
+			tx.Checks = append(tx.Checks, store.Check{
 				Key:     key,
 				Version: w.version,
 			})
@@ -59,7 +59,7 @@
 			tx.Deletes = append(tx.Deletes, key)
 			continue
 		}
-		tx.Puts = append(tx.Puts, platform.Put{
+		tx.Puts = append(tx.Puts, store.Put{
 			Key:    key,
 			Value:  encode(w.row),
 			Expiry: g.start.Add(l.options.disabled.expiry),
@@ -69,9 +69,9 @@
 }
 
 // fence returns a transaction that writes only the group row. It outlives the claims, so that a ledger finds it.
-func (l *Ledger) fence(nonce string, now time.Time) platform.Transaction {
-	tx := platform.Transaction{
-		Puts: []platform.Put{
+func (l *Ledger) fence(nonce string, now time.Time) store.Transaction {
+	tx := store.Transaction{
+		Puts: []store.Put{
 			{
 				Key: l.groupKey,
 				Value: encode(groupRow{
@@ -82,7 +82,7 @@
 		},
 	}
 	if !l.options.disabled.fence {
-		tx.Checks = []platform.Check{
+		tx.Checks = []store.Check{
 			{
 				Key:     l.groupKey,
 				Version: l.version,
--- a/cmd/skylarkbeam/serve.go
+++ b/cmd/skylarkbeam/serve.go
@@ -16,7 +16,7 @@
 	"go.uber.org/zap"
 
 	"skylarkbeam/entry"
-	"skylarkbeam/platform"
+	"skylarkbeam/store"
 )
 
 const serveUsage = `serve runs an entry process.
@@ -145,7 +145,7 @@
 	if opts.Logger, err = zap.NewProduction(); err != nil {
 		return errors.Wrap(err, "opening the log")
 	}
-	client := platform.NewClient(platform.ClientOptions{
+	client := store.NewClient(store.ClientOptions{
 		Address: table,
 	})
 	defer client.Close()
--- a/cmd/skylarkbeam/versions_test.go
+++ b/cmd/skylarkbeam/versions_test.go
@@ -12,7 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"skylarkbeam/platform"
+	"skylarkbeam/store"
 )
 
 // versionLimit is the time after which an accepted configuration is in force everywhere (design, 1).
@@ -112,7 +112,7 @@
 
 // lostWrites returns how many answers of the table to writes were lost.
 func (p *processes) lostWrites() int {
-	var counters platform.Counters
+	var counters store.Counters
 	r := p.call(p.client, p.platform, "GET", "/control/counters", "", "", "")
 	assert.NilError(p.t, json.Unmarshal([]byte(r.body), &counters))
 	return int(counters.Lost)
--- a/cmd/standin-platform/main.go
+++ b/cmd/standin-platform/main.go
@@ -5,8 +5,8 @@
 //
 //	standin-platform [flags]
 //
-// It prints "listening on ADDRESS" when it accepts connections. Under /platform it serves platform.Client, under
-// /control it serves the faults and counters that platform.NewControl describes.
+// It prints "listening on ADDRESS" when it accepts connections. Under /platform it serves store.Client, under
+// /control it serves the faults and counters that store.NewControl describes.
 package main
 
 import (
@@ -24,7 +24,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v3"
 
-	"skylarkbeam/platform"
+	"skylarkbeam/store"
 	"skylarkbeam/timer"
 )
 
@@ -36,7 +36,7 @@
 
 type options struct {
 	listen string
-	faults platform.Faults
+	faults store.Faults
 }
 
 func main() {
@@ -79,13 +79,13 @@
 
 // run serves until ctx ends.
 func run(ctx context.Context, o options, out io.Writer) error {
-	memory := platform.NewMemory(timer.New())
+	memory := store.NewMemory(timer.New())
 	if err := memory.SetFaults(o.faults); err != nil {
 		return errors.Wrap(err, "setting faults")
 	}
 	mux := http.NewServeMux()
-	mux.Handle("/platform/", platform.NewHandler(memory))
-	mux.Handle("/control/", platform.NewControl(memory))
+	mux.Handle("/platform/", store.NewHandler(memory))
+	mux.Handle("/control/", store.NewControl(memory))
 	listener, err := net.Listen("tcp", o.listen)
 	if err != nil {
 		return errors.Wrap(err, "listening")
--- a/cmd/standin-platform/main_test.go
+++ b/cmd/standin-platform/main_test.go
@@ -11,7 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"skylarkbeam/platform"
+	"skylarkbeam/store"
 )
 
 // Guards against a program whose printed address, faults or counters cannot be used by tests of other programs.
@@ -25,10 +25,10 @@
 	line, err := bufio.NewReader(out).ReadString('\n')
 	assert.NilError(t, err)
 	address := strings.TrimSpace(strings.TrimPrefix(line, "listening on "))
-	client := platform.NewClient(platform.ClientOptions{
+	client := store.NewClient(store.ClientOptions{
 		Address: netip.MustParseAddrPort(address),
 	})
-	_, err = client.Commit(t.Context(), platform.Transaction{})
+	_, err = client.Commit(t.Context(), store.Transaction{})
 	assert.NilError(t, err)
 	put, err := http.NewRequest(http.MethodPut, "http://"+address+"/control/faults", strings.NewReader(`{"down":true}`))
 	assert.NilError(t, err)
@@ -36,8 +36,8 @@
 	resp, err := http.DefaultClient.Do(put)
 	assert.NilError(t, err)
 	assert.NilError(t, resp.Body.Close())
-	_, err = client.Commit(t.Context(), platform.Transaction{})
-	assert.Equal(t, platform.KindOf(err), platform.Down)
+	_, err = client.Commit(t.Context(), store.Transaction{})
+	assert.Equal(t, store.KindOf(err), store.Down)
 	resp, err = http.Get("http://" + address + "/control/counters")
 	assert.NilError(t, err)
 	counters, err := io.ReadAll(resp.Body)
@@ -47,8 +47,8 @@
 	stop()
 	assert.NilError(t, <-ended)
 	client.Close() // A kept connection may break only while the next request is written, which is Lost.
-	_, err = client.Commit(t.Context(), platform.Transaction{})
-	assert.Equal(t, platform.KindOf(err), platform.Down)
+	_, err = client.Commit(t.Context(), store.Transaction{})
+	assert.Equal(t, store.KindOf(err), store.Down)
 }
 
 // Guards against flags that are accepted but mean nothing.
--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -31,9 +31,9 @@
 
 	"skylarkbeam/entry"
 	"skylarkbeam/fleet"
-	"skylarkbeam/platform"
 	"skylarkbeam/setting"
 	"skylarkbeam/standin"
+	"skylarkbeam/store"
 	"skylarkbeam/timer"
 )
 
@@ -87,7 +87,7 @@
 
 // Deployment is a running system.
 type Deployment struct {
-	Platform *platform.Memory
+	Platform *store.Memory
 	Entries  []*entry.Entry
 	// Targets are the stand-ins by name.
 	Targets  map[string]*standin.Server
@@ -100,7 +100,7 @@
 func Start(o Options) (*Deployment, error) {
 	o.Defaults()
 	d := &Deployment{
-		Platform: platform.NewMemory(timer.New()),
+		Platform: store.NewMemory(timer.New()),
 		Targets:  map[string]*standin.Server{},
 		Settings: newSettings(o),
 		opts:     o,
--- a/entry/call_test.go
+++ b/entry/call_test.go
@@ -14,8 +14,8 @@
 
 	"skylarkbeam/deployment"
 	"skylarkbeam/entry"
-	"skylarkbeam/platform"
 	"skylarkbeam/standin"
+	"skylarkbeam/store"
 )
 
 // reply is what a caller gets.
@@ -277,7 +277,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			assert.NilError(t, d.Platform.SetFaults(platform.Faults{
+			assert.NilError(t, d.Platform.SetFaults(store.Faults{
 				Down: tt.down,
 			}))
 			name := fmt.Sprintf("skylarkbeam_refusals_total{reason=%q}", tt.reason)
@@ -291,7 +291,7 @@
 			assert.Equal(t, metric(t, e, name), "1")
 		})
 	}
-	assert.NilError(t, d.Platform.SetFaults(platform.Faults{}))
+	assert.NilError(t, d.Platform.SetFaults(store.Faults{}))
 }
 
 // Guards against a booking that stays unknown because its caller's connection broke while it ran.
--- a/entry/options.go
+++ b/entry/options.go
@@ -5,7 +5,7 @@
 
 	"go.uber.org/zap"
 
-	"skylarkbeam/platform"
+	"skylarkbeam/store"
 )
 
 // Options are what a process knows before it has read the accepted settings.
@@ -19,7 +19,7 @@
 	// Advertise is the control address given to other entries; the default is the one that the entry listens on.
 	Advertise netip.AddrPort
 	// Platform holds everything that must outlive the process.
-	Platform platform.Platform
+	Platform store.Platform
 	// Seeds are control addresses of other entries, to start from while the platform is down.
 	Seeds []netip.AddrPort
 	// Serve keeps this entry in service without contact, whatever the settings say. Drained failure domains can then
--- a/fleet/change.go
+++ b/fleet/change.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
-	"skylarkbeam/platform"
+	"skylarkbeam/store"
 )
 
 // Change identifies a change that an operator asks for.
@@ -73,7 +73,7 @@
 			break
 		}
 		// An object without a head that names it has no effect, so every failure may be repeated.
-		if !f.pause(ctx) || platform.KindOf(err) == platform.Invalid {
+		if !f.pause(ctx) || store.KindOf(err) == store.Invalid {
 			return &Refused{
 				Reason: errors.Wrap(err, "store the settings").Error(),
 			}
@@ -116,7 +116,7 @@
 		if decision != nil {
 			return decision
 		}
-		if err != nil && lost == nil && platform.KindOf(err) == platform.Down {
+		if err != nil && lost == nil && store.KindOf(err) == store.Down {
 			return &Refused{
 				Reason: errors.Wrap(err, "the table is down").Error(),
 			}
@@ -174,11 +174,11 @@
 		return nil, err
 	}
 	tx := f.transaction(t, next)
-	tx.Checks = append(tx.Checks, platform.Check{
+	tx.Checks = append(tx.Checks, store.Check{
 		Key:     receiptKey,
 		Version: 0,
 	})
-	tx.Puts = append(tx.Puts, platform.Put{
+	tx.Puts = append(tx.Puts, store.Put{
 		Key: receiptKey,
 		Value: encode(Mark{
 			Version: next.Version,
@@ -187,16 +187,16 @@
 	})
 	result, err := f.commit(ctx, tx)
 	if err != nil {
-		if kind := platform.KindOf(err); kind == platform.Lost {
+		if kind := store.KindOf(err); kind == store.Lost {
 			*lost = &t.headRow
-		} else if kind == platform.Invalid {
+		} else if kind == store.Invalid {
 			return &Refused{
 				Reason: err.Error(),
 			}, nil
 		}
 		return nil, err
 	}
-	if _, ok := result.(*platform.Committed); !ok {
+	if _, ok := result.(*store.Committed); !ok {
 		return nil, nil
 	}
 	f.install(next, settings, t.roster)
@@ -226,11 +226,11 @@
 }
 
 // transaction writes a document as the head and to the log, based on what was read.
-func (f *Fleet) transaction(t table, next Document) platform.Transaction {
+func (f *Fleet) transaction(t table, next Document) store.Transaction {
 	value := encode(next)
-	return platform.Transaction{
+	return store.Transaction{
 		Checks: t.checks(),
-		Puts: []platform.Put{
+		Puts: []store.Put{
 			{
 				Key:   headKey,
 				Value: value,
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -70,7 +70,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
-	"skylarkbeam/platform"
+	"skylarkbeam/store"
 	"skylarkbeam/timer"
 )
 
@@ -134,7 +134,7 @@
 
 // Options are the parts and names that a Fleet is made of.
 type Options struct {
-	Platform platform.Platform
+	Platform store.Platform
 	Timers   *timer.Service
 	// Name is the entry's name in the settings and Domain its failure domain.
 	Name   string
--- a/fleet/http_test.go
+++ b/fleet/http_test.go
@@ -18,7 +18,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"skylarkbeam/platform"
+	"skylarkbeam/store"
 	"skylarkbeam/timer"
 )
 
@@ -35,11 +35,11 @@
 }
 
 // servePlatform starts a platform on loopback and returns a function that connects to it.
-func servePlatform(t *testing.T) func(tableBytes *Client) platform.Platform {
-	handler := platform.NewHandler(platform.NewMemory(timer.New()))
+func servePlatform(t *testing.T) func(tableBytes *Client) store.Platform {
+	handler := store.NewHandler(store.NewMemory(timer.New()))
 	address := listen(t, handler, func(l net.Listener) net.Listener { return l })
-	return func(tableBytes *Client) platform.Platform {
-		return platform.NewClient(platform.ClientOptions{
+	return func(tableBytes *Client) store.Platform {
+		return store.NewClient(store.ClientOptions{
 			Address: address,
 			Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
 				conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
@@ -53,7 +53,7 @@
 }
 
 // serve starts an entry with real connections on loopback.
-func serve(t *testing.T, name string, p platform.Platform, set *metrics.Set) *Fleet {
+func serve(t *testing.T, name string, p store.Platform, set *metrics.Set) *Fleet {
 	client := NewClient(set)
 	container := restful.NewContainer()
 	control := listen(t, container, client.Listener)
--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -10,8 +10,8 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"skylarkbeam/platform"
 	"skylarkbeam/simulation"
+	"skylarkbeam/store"
 )
 
 // The seed fixes the schedules of the model tests.
@@ -168,7 +168,7 @@
 	case "down", "up":
 		o.w.down(e.Op == "down")
 	case "lose":
-		o.w.lose(platform.PointAny, 3*time.Second)
+		o.w.lose(store.PointAny, 3*time.Second)
 	case "drain":
 		if !n.paused() && !n.dead {
 			o.drain(n)
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
-	"skylarkbeam/platform"
+	"skylarkbeam/store"
 )
 
 // Keys of the rows that this package writes.
@@ -84,12 +84,12 @@
 	headRow  uint64
 	roster   Roster
 	markRow  uint64
-	rows     map[string]platform.Row
+	rows     map[string]store.Row
 }
 
 // checks makes a write fail if the head or the roster has changed since the read.
-func (t table) checks() []platform.Check {
-	return []platform.Check{
+func (t table) checks() []store.Check {
+	return []store.Check{
 		{
 			Key:     headKey,
 			Version: t.headRow,
@@ -163,7 +163,7 @@
 	roster Roster
 }
 
-func (f *Fleet) get(ctx context.Context, keys []string) (map[string]platform.Row, error) {
+func (f *Fleet) get(ctx context.Context, keys []string) (map[string]store.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	f.counters.reads.Inc()
@@ -171,7 +171,7 @@
 }
 
 // decodeRoster returns the roster if it and its mark are of one write.
-func decodeRoster(rows map[string]platform.Row) (Roster, error) {
+func decodeRoster(rows map[string]store.Row) (Roster, error) {
 	var roster Roster
 	var mark Mark
 	if _, err := decode(rows, markKey, &mark); err != nil {
@@ -186,7 +186,7 @@
 	return roster, nil
 }
 
-func decode(rows map[string]platform.Row, key string, into any) (uint64, error) {
+func decode(rows map[string]store.Row, key string, into any) (uint64, error) {
 	row, ok := rows[key]
 	if !ok {
 		return 0, nil
--- a/fleet/upkeep.go
+++ b/fleet/upkeep.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
-	"skylarkbeam/platform"
+	"skylarkbeam/store"
 )
 
 // maintain makes the writes that follow from what was read.
@@ -59,9 +59,9 @@
 // write puts a new roster in the table if neither it nor the head has changed since the read. It reports false if they
 // have.
 func (f *Fleet) write(ctx context.Context, t table, next Roster) (bool, error) {
-	result, err := f.commit(ctx, platform.Transaction{
+	result, err := f.commit(ctx, store.Transaction{
 		Checks: t.checks(),
-		Puts: []platform.Put{
+		Puts: []store.Put{
 			{
 				Key:   rosterKey,
 				Value: encode(next),
@@ -77,7 +77,7 @@
 	if err != nil {
 		return false, errors.Wrap(err, "write the roster")
 	}
-	if _, ok := result.(*platform.Committed); !ok {
+	if _, ok := result.(*store.Committed); !ok {
 		return false, nil
 	}
 	state := f.State()
@@ -85,7 +85,7 @@
 	return true, nil
 }
 
-func (f *Fleet) commit(ctx context.Context, tx platform.Transaction) (platform.Result, error) {
+func (f *Fleet) commit(ctx context.Context, tx store.Transaction) (store.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	f.counters.writes.Inc()
@@ -322,8 +322,8 @@
 	if !needed {
 		return
 	}
-	_, err := f.commit(f.ctx, platform.Transaction{
-		Puts: []platform.Put{
+	_, err := f.commit(f.ctx, store.Transaction{
+		Puts: []store.Put{
 			{
 				Key: beatPrefix + f.opt.Name,
 				Value: encode(Beat{
--- a/fleet/warm.go
+++ b/fleet/warm.go
@@ -13,7 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
-	"skylarkbeam/platform"
+	"skylarkbeam/store"
 )
 
 // maxFacts bounds the warm facts in the messages of one round, over all peers. At about 60 bytes each, 25 sent and 25
@@ -220,13 +220,13 @@
 
 // saveWarm writes this entry's own announcements, up to a full transaction at a time.
 func (f *Fleet) saveWarm() {
-	var tx platform.Transaction
+	var tx store.Transaction
 	var saved []*fact
 	f.warm.mu.RLock()
 	for _, own := range f.warm.known {
-		if !own.saved && len(tx.Puts) < platform.MaxRows {
+		if !own.saved && len(tx.Puts) < store.MaxRows {
 			saved = append(saved, own)
-			tx.Puts = append(tx.Puts, platform.Put{
+			tx.Puts = append(tx.Puts, store.Put{
 				Key:    warmPrefix + own.Target,
 				Value:  encode(own.Fact),
 				Expiry: time.Time{},
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -13,14 +13,14 @@
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
-	"skylarkbeam/platform"
 	"skylarkbeam/simulation"
+	"skylarkbeam/store"
 	"skylarkbeam/timer"
 )
 
 // world is a fleet in memory whose network, processes and platform fail on demand. It runs in a synctest bubble.
 type world struct {
-	memory *platform.Memory
+	memory *store.Memory
 	timers *timer.Service
 	limits limits
 	// unchecked removes the checks from all writes.
@@ -35,9 +35,9 @@
 	port  uint16
 }
 
-// node is one process. It implements platform.Platform and Peers for its Fleet.
+// node is one process. It implements store.Platform and Peers for its Fleet.
 type node struct {
-	*platform.Memory
+	*store.Memory
 	w       *world
 	name    string
 	fleet   *Fleet
@@ -71,7 +71,7 @@
 func newWorld(l limits) *world {
 	timers := timer.New()
 	return &world{
-		memory: platform.NewMemory(timers),
+		memory: store.NewMemory(timers),
 		timers: timers,
 		limits: l,
 		nodes:  map[string]*node{},
@@ -229,7 +229,7 @@
 	return ctx.Err()
 }
 
-func (n *node) Get(ctx context.Context, keys []string) (map[string]platform.Row, error) {
+func (n *node) Get(ctx context.Context, keys []string) (map[string]store.Row, error) {
 	defer n.running()
 	if err := n.reach(ctx); err != nil {
 		return nil, err
@@ -239,7 +239,7 @@
 	return rows, err
 }
 
-func (n *node) Objects() platform.Objects {
+func (n *node) Objects() store.Objects {
 	if n.missing.Load() {
 		return empty{}
 	}
@@ -247,16 +247,16 @@
 }
 
 // empty is an object store without objects.
-type empty struct{ platform.Objects }
+type empty struct{ store.Objects }
 
 func (empty) Get(context.Context, string) ([]byte, error) {
-	return nil, &platform.Error{
-		Kind: platform.Missing,
+	return nil, &store.Error{
+		Kind: store.Missing,
 		Err:  errors.New("no such object"),
 	}
 }
 
-func (n *node) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+func (n *node) Scan(ctx context.Context, prefix string) ([]store.Row, error) {
 	defer n.running()
 	if err := n.reach(ctx); err != nil {
 		return nil, err
@@ -264,7 +264,7 @@
 	return n.Memory.Scan(ctx, prefix)
 }
 
-func (n *node) Commit(ctx context.Context, tx platform.Transaction) (platform.Result, error) {
+func (n *node) Commit(ctx context.Context, tx store.Transaction) (store.Result, error) {
 	defer n.running()
 	if err := n.reach(ctx); err != nil {
 		return nil, err
@@ -372,9 +372,9 @@
 	return a
 }
 
-func (w *world) lose(point platform.Point, late time.Duration) {
-	w.faults(platform.Faults{
-		Lose: platform.Loss{
+func (w *world) lose(point store.Point, late time.Duration) {
+	w.faults(store.Faults{
+		Lose: store.Loss{
 			Next:  1,
 			Point: point,
 			Late:  late,
@@ -383,12 +383,12 @@
 }
 
 func (w *world) down(down bool) {
-	w.faults(platform.Faults{
+	w.faults(store.Faults{
 		Down: down,
 	})
 }
 
-func (w *world) faults(f platform.Faults) {
+func (w *world) faults(f store.Faults) {
 	if err := w.memory.SetFaults(f); err != nil {
 		panic(err)
 	}
--- a/platform/contract/contract.go
+++ b/store/contract/contract.go
@@ -1,10 +1,10 @@
-// Package contract has the tests that every implementation of platform.Platform passes.
+// Package contract has the tests that every implementation of store.Platform passes.
 //
 // # Usage
 //
 //	func TestContract(t *testing.T) {
 //		contract.Run(t, func(t *testing.T) contract.Subject {
-//			memory := platform.NewMemory(timer.New())
+//			memory := store.NewMemory(timer.New())
 //			return contract.Subject{
 //				Platform:  memory,
 //				SetFaults: memory.SetFaults,
@@ -27,15 +27,15 @@
 
 	"gotest.tools/v3/assert"
 
-	"skylarkbeam/platform"
 	"skylarkbeam/simulation"
+	"skylarkbeam/store"
 )
 
 // Subject is an empty platform under test with the controls of its faults. What it opens is closed by t.Cleanup.
 type Subject struct {
-	Platform  platform.Platform
-	SetFaults func(platform.Faults) error
-	SetVMs    func([]platform.VM)
+	Platform  store.Platform
+	SetFaults func(store.Faults) error
+	SetVMs    func([]store.VM)
 }
 
 // Run tests the platforms that open returns, one for each case.
@@ -126,12 +126,12 @@
 	Subject
 }
 
-func (f *fixture) faults(faults platform.Faults) {
+func (f *fixture) faults(faults store.Faults) {
 	f.Helper()
 	assert.NilError(f, f.SetFaults(faults))
 }
 
-func (f *fixture) commit(tx platform.Transaction) platform.Result {
+func (f *fixture) commit(tx store.Transaction) store.Result {
 	f.Helper()
 	result, err := f.Platform.Commit(context.Background(), tx)
 	assert.NilError(f, err)
@@ -141,12 +141,12 @@
 // put writes a row and returns its version.
 func (f *fixture) put(key, value string) uint64 {
 	f.Helper()
-	committed, ok := f.commit(write(key, value)).(*platform.Committed)
+	committed, ok := f.commit(write(key, value)).(*store.Committed)
 	assert.Assert(f, ok, "the put of %q was not committed", key)
 	return committed.Versions[key]
 }
 
-func (f *fixture) get(keys ...string) map[string]platform.Row {
+func (f *fixture) get(keys ...string) map[string]store.Row {
 	f.Helper()
 	rows, err := f.Platform.Get(context.Background(), keys)
 	assert.NilError(f, err)
@@ -161,15 +161,15 @@
 	assert.Equal(f, string(row.Value), value)
 }
 
-func (f *fixture) kind(err error, want platform.Kind) {
+func (f *fixture) kind(err error, want store.Kind) {
 	f.Helper()
 	assert.Assert(f, err != nil)
-	assert.Equal(f, platform.KindOf(err), want, "error %v", err)
+	assert.Equal(f, store.KindOf(err), want, "error %v", err)
 }
 
-func write(key, value string) platform.Transaction {
-	return platform.Transaction{
-		Puts: []platform.Put{
+func write(key, value string) store.Transaction {
+	return store.Transaction{
+		Puts: []store.Put{
 			{
 				Key:   key,
 				Value: []byte(value),
@@ -178,8 +178,8 @@
 	}
 }
 
-func demand(tx platform.Transaction, key string, version uint64) platform.Transaction {
-	tx.Checks = append(tx.Checks, platform.Check{
+func demand(tx store.Transaction, key string, version uint64) store.Transaction {
+	tx.Checks = append(tx.Checks, store.Check{
 		Key:     key,
 		Version: version,
 	})
@@ -192,7 +192,7 @@
 	v := f.put("b", "1")
 	tx := demand(demand(write("c", "2"), "a", 99), "b", v)
 	tx.Deletes = []string{"b"}
-	conflict, ok := f.commit(tx).(*platform.Conflict)
+	conflict, ok := f.commit(tx).(*store.Conflict)
 	assert.Assert(f, ok)
 	assert.Equal(f, len(conflict.Rows), 1, "only the row whose check failed is returned")
 	assert.DeepEqual(f, conflict.Rows[0], f.get("a")["a"])
@@ -201,7 +201,7 @@
 	f.commit(demand(tx, "b", v)) // Still a conflict.
 	f.want("c", "")
 	tx.Checks = tx.Checks[1:]
-	_, ok = f.commit(tx).(*platform.Committed)
+	_, ok = f.commit(tx).(*store.Committed)
 	assert.Assert(f, ok)
 	f.want("b", "")
 	f.want("c", "2")
@@ -218,7 +218,7 @@
 	for writer := range 4 {
 		writers.Go(func() {
 			for round := range rounds {
-				var tx platform.Transaction
+				var tx store.Transaction
 				for _, key := range keys {
 					tx.Puts = append(tx.Puts, write(key, fmt.Sprint(writer, round)).Puts...)
 				}
@@ -283,7 +283,7 @@
 	}
 	for _, test := range tests {
 		result := f.commit(demand(write("other", test.name), test.key, test.version))
-		conflict, failed := result.(*platform.Conflict)
+		conflict, failed := result.(*store.Conflict)
 		assert.Equal(f, !failed, test.want, test.name)
 		if failed {
 			assert.Equal(f, conflict.Rows[0].Key, test.key, test.name)
@@ -303,7 +303,7 @@
 			seen[v] = true
 			last = v
 		}
-		f.commit(platform.Transaction{
+		f.commit(store.Transaction{
 			Deletes: []string{"k"},
 		})
 		f.want("k", "")
@@ -312,8 +312,8 @@
 
 // transactionLimits guards against transactions that the real service rejects.
 func transactionLimits(f *fixture) {
-	many := func(checks, puts, deletes int) platform.Transaction {
-		var tx platform.Transaction
+	many := func(checks, puts, deletes int) store.Transaction {
+		var tx store.Transaction
 		for i := range checks {
 			tx = demand(tx, fmt.Sprint("check", i), 0)
 		}
@@ -329,7 +329,7 @@
 	twice.Deletes = []string{"k"}
 	tests := []struct {
 		name string
-		tx   platform.Transaction
+		tx   store.Transaction
 		want bool
 	}{
 		{
@@ -359,7 +359,7 @@
 		if test.want {
 			assert.NilError(f, err, test.name)
 		} else {
-			f.kind(err, platform.Invalid)
+			f.kind(err, store.Invalid)
 		}
 	}
 	f.want("put30", "")
@@ -410,14 +410,14 @@
 	assert.Assert(f, f.get("k")["k"].Expiry.Equal(tx.Puts[0].Expiry))
 	time.Sleep(time.Minute - time.Second)
 	f.want("k", "v")
-	_, conflict := f.commit(demand(write("k", "w"), "k", 0)).(*platform.Conflict)
+	_, conflict := f.commit(demand(write("k", "w"), "k", 0)).(*store.Conflict)
 	assert.Assert(f, conflict, "a row was taken for absent before its expiry")
 	time.Sleep(time.Second)
 	f.want("k", "")
 	rows, err := f.Platform.Scan(context.Background(), "")
 	assert.NilError(f, err)
 	assert.Equal(f, len(rows), 0)
-	_, committed := f.commit(demand(write("k", "w"), "k", 0)).(*platform.Committed)
+	_, committed := f.commit(demand(write("k", "w"), "k", 0)).(*store.Committed)
 	assert.Assert(f, committed, "an expired row was not taken for absent")
 	time.Sleep(time.Hour)
 	f.want("k", "w")
@@ -437,34 +437,34 @@
 func failedCommits(f *fixture) {
 	tests := []struct {
 		name   string
-		faults platform.Faults
-		kind   platform.Kind
+		faults store.Faults
+		kind   store.Kind
 		now    bool // whether the commit has taken effect
 		later  bool // and after an hour
 	}{
 		{
 			name: "down",
-			faults: platform.Faults{
+			faults: store.Faults{
 				Down: true,
 			},
-			kind: platform.Down,
+			kind: store.Down,
 		},
 		{
 			name:   "answer lost",
-			faults: lose(platform.PointAfter),
-			kind:   platform.Lost,
+			faults: lose(store.PointAfter),
+			kind:   store.Lost,
 			now:    true,
 			later:  true,
 		},
 		{
 			name:   "request lost",
-			faults: lose(platform.PointBefore),
-			kind:   platform.Lost,
+			faults: lose(store.PointBefore),
+			kind:   store.Lost,
 		},
 		{
 			name:   "request late",
-			faults: lose(platform.PointLate),
-			kind:   platform.Lost,
+			faults: lose(store.PointLate),
+			kind:   store.Lost,
 			later:  true,
 		},
 	}
@@ -478,16 +478,16 @@
 		f.faults(test.faults)
 		_, err := f.Platform.Commit(context.Background(), write(test.name, test.name))
 		f.kind(err, test.kind)
-		f.faults(platform.Faults{})
+		f.faults(store.Faults{})
 		f.want(test.name, value(test.now))
 		time.Sleep(time.Hour)
 		f.want(test.name, value(test.later))
 	}
 }
 
-func lose(point platform.Point) platform.Faults {
-	return platform.Faults{
-		Lose: platform.Loss{
+func lose(point store.Point) store.Faults {
+	return store.Faults{
+		Lose: store.Loss{
 			Next:  1,
 			Point: point,
 			Late:  time.Minute,
@@ -497,9 +497,9 @@
 
 // lateConflict guards against a late commit that takes effect without its checks.
 func lateConflict(f *fixture) {
-	f.faults(lose(platform.PointLate))
+	f.faults(lose(store.PointLate))
 	_, err := f.Platform.Commit(context.Background(), demand(write("k", "late"), "k", 0))
-	f.kind(err, platform.Lost)
+	f.kind(err, store.Lost)
 	f.put("k", "first")
 	time.Sleep(time.Hour)
 	f.want("k", "first")
@@ -507,42 +507,42 @@
 
 // callerGivesUp guards against a commit that is believed to be undone because its caller no longer waits.
 func callerGivesUp(f *fixture) {
-	f.faults(platform.Faults{
+	f.faults(store.Faults{
 		Delay: time.Second,
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
 	_, err := f.Platform.Commit(ctx, write("k", "v"))
-	f.kind(err, platform.Lost)
-	f.faults(platform.Faults{})
+	f.kind(err, store.Lost)
+	f.faults(store.Faults{})
 	f.want("k", "")
 	time.Sleep(time.Minute)
 	f.want("k", "v")
 	_, err = f.Platform.Commit(ctx, write("k", "w"))
-	f.kind(err, platform.Down)
+	f.kind(err, store.Down)
 	f.want("k", "v")
 }
 
 // downBeforeAnswer guards against Down for a commit that took effect before the platform went down.
 func downBeforeAnswer(f *fixture) {
-	f.faults(platform.Faults{
+	f.faults(store.Faults{
 		Hold: time.Second,
 	})
 	time.AfterFunc(100*time.Millisecond, func() {
-		f.faults(platform.Faults{
+		f.faults(store.Faults{
 			Down: true,
 		})
 	})
 	_, err := f.Platform.Commit(context.Background(), write("k", "v"))
-	f.kind(err, platform.Lost)
-	f.faults(platform.Faults{})
+	f.kind(err, store.Lost)
+	f.faults(store.Faults{})
 	f.want("k", "v")
 }
 
 // requestLimits guards against a throttled request that takes effect, and against limits that let more through.
 func requestLimits(f *fixture) {
 	const seconds = 1
-	f.faults(platform.Faults{
+	f.faults(store.Faults{
 		Writes: 300,
 		Reads:  2000,
 	})
@@ -553,18 +553,18 @@
 		if err == nil {
 			writes++
 		} else {
-			f.kind(err, platform.Throttled)
+			f.kind(err, store.Throttled)
 		}
 		for range 3 {
 			if _, err := f.Platform.Get(context.Background(), []string{key}); err == nil {
 				reads++
 			} else {
-				f.kind(err, platform.Throttled)
+				f.kind(err, store.Throttled)
 			}
 		}
 		time.Sleep(time.Millisecond)
 	}
-	f.faults(platform.Faults{})
+	f.faults(store.Faults{})
 	rows, err := f.Platform.Scan(context.Background(), "")
 	assert.NilError(f, err)
 	assert.Equal(f, len(rows), writes, "the rows are the writes that were not throttled")
@@ -576,29 +576,29 @@
 // failedReads guards against a failed read that looks like an absent row.
 func failedReads(f *fixture) {
 	f.put("k", "v")
-	f.faults(platform.Faults{
+	f.faults(store.Faults{
 		Down: true,
 	})
 	_, err := f.Platform.Get(context.Background(), []string{"k"})
-	f.kind(err, platform.Down)
+	f.kind(err, store.Down)
 	_, err = f.Platform.Scan(context.Background(), "")
-	f.kind(err, platform.Down)
+	f.kind(err, store.Down)
 	_, err = f.Platform.Objects().Get(context.Background(), "k")
-	f.kind(err, platform.Down)
+	f.kind(err, store.Down)
 	_, err = f.Platform.VMs().List(context.Background())
-	f.kind(err, platform.Down)
+	f.kind(err, store.Down)
 }
 
 // objects guards against objects that change.
 func objects(f *fixture) {
 	o, ctx := f.Platform.Objects(), context.Background()
 	_, err := o.Get(ctx, "sha/a b?")
-	f.kind(err, platform.Missing)
+	f.kind(err, store.Missing)
 	data := []byte{0, 1, 255}
 	assert.NilError(f, o.Put(ctx, "sha/a b?", data))
 	assert.NilError(f, o.Put(ctx, "sha/a b?", data))
-	f.kind(o.Put(ctx, "sha/a b?", []byte("other")), platform.Invalid)
-	f.kind(o.Put(ctx, "", data), platform.Invalid)
+	f.kind(o.Put(ctx, "sha/a b?", []byte("other")), store.Invalid)
+	f.kind(o.Put(ctx, "", data), store.Invalid)
 	data[0] = 9
 	have, err := o.Get(ctx, "sha/a b?")
 	assert.NilError(f, err)
@@ -607,13 +607,13 @@
 
 // lag guards against a list that is newer than a test asks for.
 func lag(f *fixture) {
-	f.faults(platform.Faults{
+	f.faults(store.Faults{
 		Lag: 10 * time.Second,
 	})
-	list := func(names ...string) []platform.VM {
-		var vms []platform.VM
+	list := func(names ...string) []store.VM {
+		var vms []store.VM
 		for _, name := range names {
-			vms = append(vms, platform.VM{
+			vms = append(vms, store.VM{
 				Name:    name,
 				Address: netip.MustParseAddr("127.0.0.1"),
 				Leaving: name == "b",
@@ -621,7 +621,7 @@
 		}
 		return vms
 	}
-	want := func(want []platform.VM) {
+	want := func(want []store.VM) {
 		f.Helper()
 		have, err := f.Platform.VMs().List(context.Background())
 		assert.NilError(f, err)
--- a/platform/contract_test.go
+++ b/store/contract_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -8,12 +8,12 @@
 	"sync"
 	"testing"
 
-	"skylarkbeam/platform"
-	"skylarkbeam/platform/contract"
+	"skylarkbeam/store"
+	"skylarkbeam/store/contract"
 	"skylarkbeam/timer"
 )
 
-func subject(memory *platform.Memory, p platform.Platform) contract.Subject {
+func subject(memory *store.Memory, p store.Platform) contract.Subject {
 	return contract.Subject{
 		Platform:  p,
 		SetFaults: memory.SetFaults,
@@ -23,20 +23,20 @@
 
 func TestMemoryContract(t *testing.T) {
 	contract.Run(t, func(*testing.T) contract.Subject {
-		memory := platform.NewMemory(timer.New())
+		memory := store.NewMemory(timer.New())
 		return subject(memory, memory)
 	})
 }
 
 func TestClientContract(t *testing.T) {
 	contract.Run(t, func(t *testing.T) contract.Subject {
-		memory := platform.NewMemory(timer.New())
+		memory := store.NewMemory(timer.New())
 		listener := newPipeListener()
 		server := &http.Server{
-			Handler: platform.NewHandler(memory),
+			Handler: store.NewHandler(memory),
 		}
 		go func() { _ = server.Serve(listener) }()
-		client := platform.NewClient(platform.ClientOptions{
+		client := store.NewClient(store.ClientOptions{
 			Address: netip.MustParseAddrPort("127.0.0.1:1"),
 			Dial:    listener.dial,
 		})
--- a/platform/platform.go
+++ b/store/platform.go
@@ -1,16 +1,16 @@
-// Package platform is the interface to the services that the system's operators already run: a transactional table, an
+// Package store is the interface to the services that the system's operators already run: a transactional table, an
 // object store and a list of VMs. Everything that must outlive a process is kept there.
 //
 // # Usage
 //
-//	result, err := table.Commit(ctx, platform.Transaction{
-//		Checks: []platform.Check{
+//	result, err := table.Commit(ctx, store.Transaction{
+//		Checks: []store.Check{
 //			{
 //				Key:     "state/head",
 //				Version: head.Version,
 //			},
 //		},
-//		Puts: []platform.Put{
+//		Puts: []store.Put{
 //			{
 //				Key:   "state/head",
 //				Value: value,
@@ -18,12 +18,12 @@
 //		},
 //	})
 //	switch r := result.(type) {
-//	case *platform.Committed:
-//	case *platform.Conflict:
+//	case *store.Committed:
+//	case *store.Conflict:
 //	}
 //
-// If err is not nil, platform.KindOf(err) tells whether the write can have taken effect.
-package platform
+// If err is not nil, store.KindOf(err) tells whether the write can have taken effect.
+package store
 
 import (
 	"context"
--- a/platform/vms.go
+++ b/store/vms.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
--- a/target/call.go
+++ b/target/call.go
@@ -11,6 +11,8 @@
 
 // Call is one call to a target.
 type Call struct {
+	// ID identifies the call to the target. Empty means that each attempt gets an id of its own.
+	ID     string
 	Method string
 	// Path is the request target in origin form: the escaped path, with the query if there is one.
 	Path string
@@ -39,6 +41,9 @@
 	// Ready is asked right before the first byte of each attempt is written. If it returns a reason, the attempt ends as
 	// NotRun with it. Nil allows all.
 	Ready func(now time.Time) outcome.Reason
+
+	// load says that this is a load read.
+	load bool
 }
 
 // valid tells whether the call can be written as an HTTP/1.1 request. CONNECT turns a connection into a tunnel, which
--- a/target/conn.go
+++ b/target/conn.go
@@ -47,10 +47,11 @@
 	req     http.Request
 	url     url.URL
 	header  http.Header
-	id      [1]string
-	timeout [1]string
-	key     [1]string
 	body    replay
+	// former is the id of the attempt before the current one, whose answer may come twice.
+	former string
+	// idle is how long the target keeps the connection open without a request; zero if it has not said.
+	idle time.Duration
 }
 
 // replay is a request body in memory.
@@ -77,6 +78,14 @@
 	return c
 }
 
+// keep returns how long the connection may stay idle before it is no longer used, limit at most.
+func (c *conn) keep(limit time.Duration) time.Duration {
+	if c.idle <= 0 {
+		return limit
+	}
+	return min(limit, c.idle-c.idle/idleMargin)
+}
+
 // alive tells whether an idle connection is still open and has nothing to read. Bytes that arrive without a request
 // are a late or crossed answer.
 func (c *conn) alive() bool {
@@ -101,7 +110,7 @@
 }
 
 // prepare fills in the request. All fields that a former request left are replaced.
-func (c *conn) prepare(call *Call, host, id string, left time.Duration) error {
+func (c *conn) prepare(protocol Protocol, call *Call, host, id string, left time.Duration) error {
 	if strings.HasPrefix(call.Path, "//") {
 		// url.URL.RequestURI would put a scheme before an opaque part of this form.
 		u, err := url.ParseRequestURI(call.Path)
@@ -115,17 +124,14 @@
 		}
 	}
 	copyRequestHeader(c.header, call.Header)
-	c.id[0] = id
-	c.header[HeaderRequest] = c.id[:]
-	c.timeout[0] = left.String()
-	c.header[HeaderTimeout] = c.timeout[:]
-	if call.Repeat {
-		c.header[HeaderRepeat] = repeatValue
-	}
-	if key := call.Header.Get(headerIdempotency); key != "" {
-		c.key[0] = key
-		c.header[HeaderKey] = c.key[:]
-	}
+	protocol.Write(c.header, Attempt{
+		ID:       id,
+		Left:     left,
+		Instance: call.Instance,
+		Repeat:   call.Repeat,
+		Key:      call.Header.Get(headerIdempotency),
+		Load:     call.load,
+	})
 	c.req = http.Request{
 		Method: call.Method,
 		URL:    &c.url,
--- a/target/header.go
+++ b/target/header.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"net/textproto"
-	"strconv"
 	"strings"
 	"time"
 
@@ -37,22 +36,21 @@
 	return false
 }
 
-// replacedField tells whether the pool sets or omits a field whatever the caller sent. Expect is omitted because the
-// pool does not wait for a 100 response.
-func replacedField(name string) bool {
+// ownField tells whether http.Request.Write sets a field itself or the pool omits it. Expect is omitted because the pool
+// does not wait for a 100 response.
+func ownField(name string) bool {
 	switch name {
-	case HeaderRequest, HeaderTimeout, HeaderKey, HeaderInstance, HeaderPhase, HeaderLoad, HeaderOutcome,
-		HeaderRepeat, headerIdempotency, "Expect", "Host", "Content-Length":
+	case "Expect", "Host", "Content-Length":
 		return true
 	}
 	return false
 }
 
-// copyRequestHeader copies the fields of src that are passed on to a target into dst, which is cleared first.
+// copyRequestHeader copies the end-to-end fields of src into dst, which is cleared first.
 func copyRequestHeader(dst, src http.Header) {
 	clear(dst)
 	for name, values := range src {
-		if !hopByHop(name) && !replacedField(name) {
+		if !hopByHop(name) && !ownField(name) {
 			dst[name] = values
 		}
 	}
@@ -63,22 +61,12 @@
 	}
 }
 
-var (
-	emptyValue  = []string{""}
-	repeatValue = []string{"1"}
-)
-
-// cleanResponseHeader removes what is not passed on to the caller.
+// cleanResponseHeader removes the fields that concern one connection only.
 func cleanResponseHeader(h http.Header) {
 	deleteNamed(h, h["Connection"])
 	for name := range h {
-		switch name {
-		case HeaderRequest, HeaderInstance, HeaderPhase, HeaderLoad, HeaderOutcome, HeaderRepeat:
+		if hopByHop(name) {
 			delete(h, name)
-		default:
-			if hopByHop(name) {
-				delete(h, name)
-			}
 		}
 	}
 }
@@ -108,14 +96,6 @@
 	return r
 }
 
-func count(s string) int {
-	n, err := strconv.Atoi(s)
-	if err != nil || n < 0 {
-		return 0
-	}
-	return n
-}
-
 // retryAfter reads the form of Retry-After that gives seconds.
 func retryAfter(h http.Header) time.Duration {
 	return time.Duration(min(count(h.Get("Retry-After")), 3600)) * time.Second
--- a/target/options.go
+++ b/target/options.go
@@ -17,6 +17,9 @@
 	// idleLimit is below the idle timeouts of a minute and more that servers commonly have, so that a target rarely
 	// closes a connection at the moment at which it is reused.
 	idleLimit = 30 * time.Second
+	// idleMargin is the part of a target's own idle timeout, as 1/n, in which its connections are no longer used: a request
+	// that crosses the close of its connection is lost.
+	idleMargin = 4
 	// maxAwait is how long a call waits for another one to confirm its connection. It covers the usual work of a call;
 	// after a longer wait another target would have answered.
 	maxAwait = 50 * time.Millisecond
@@ -38,12 +41,17 @@
 	// with an expected instance goes only on connections that are already known to lead to it.
 	Probes *Budget
 	Timers *timer.Service
+	// Protocol is how the target speaks; Own by default.
+	Protocol Protocol
+	// Load is the path of load reads; /skylarkbeam/load by default.
+	Load string
 	// Connect is the longest time for opening a connection; 250ms by default.
 	Connect time.Duration
 	// Check is the longest time for a load read; 250ms by default.
 	Check time.Duration
 	// Silence is how long an idempotent call waits for the first byte on a reused connection before it is sent again on
-	// a new one; 250ms by default. It should be several times the usual time of the service's work.
+	// a new one; 250ms by default, and no limit if it is negative. It should be several times the usual time of the
+	// service's work.
 	Silence time.Duration
 	// OnReport is called for each report learned, from answers, refusals, load reads and connection checks. It must
 	// return fast. Reports of concurrent requests can arrive in another order than the target sent them.
@@ -56,7 +64,8 @@
 	// Dial opens a connection; TCP by default.
 	Dial func(context.Context, netip.AddrPort) (net.Conn, error)
 
-	host string
+	host   string
+	traits Traits
 }
 
 // Defaults fills zero fields.
@@ -64,6 +73,13 @@
 	if o.Connections == 0 {
 		o.Connections = 200
 	}
+	if o.Protocol == nil {
+		o.Protocol = Own{}
+	}
+	if o.Load == "" {
+		o.Load = loadPath
+	}
+	o.traits = o.Protocol.Traits()
 	if o.Timers == nil {
 		o.Timers = timer.New()
 	}
--- a/target/pool.go
+++ b/target/pool.go
@@ -167,14 +167,14 @@
 	spare := -1
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		c := p.idle[i]
-		if now.Sub(c.answered) > limit {
+		if now.Sub(c.answered) > c.keep(limit) {
 			// All others answered even longer ago.
 			unfit = append(unfit, p.idle[:i+1]...)
 			p.idle = slices.Delete(p.idle, 0, i+1)
 			spare -= i + 1
 			break
 		}
-		if call.Instance == "" || p.leads(c, call.Instance) || p.off.check {
+		if call.Instance == "" || p.leads(c, call.Instance) || p.unchecked() {
 			p.idle = slices.Delete(p.idle, i, i+1)
 			return c, unfit
 		}
@@ -199,6 +199,11 @@
 	return c, unfit
 }
 
+// unchecked tells whether connections carry calls with an expected instance without a check.
+func (p *Pool) unchecked() bool {
+	return p.opts.traits.Verifies || p.off.check
+}
+
 // leads tells whether c leads to the instance. A target that restarts in place may keep its connections, so the last
 // report counts too. The caller holds the lock.
 func (p *Pool) leads(c *conn, instance string) bool {
@@ -341,7 +346,7 @@
 
 // replaced tells whether the target is known, from a report of the last second, to be another instance.
 func (p *Pool) replaced(instance string, now time.Time) (outcome.Report, bool) {
-	if instance == "" || p.off.check {
+	if instance == "" || p.unchecked() {
 		return outcome.Report{}, false
 	}
 	p.mu.Lock()
--- a/target/probe.go
+++ b/target/probe.go
@@ -26,10 +26,14 @@
 	ErrLate = errors.New("no answer in time")
 )
 
-var loadCall = &Call{
-	Method:     http.MethodGet,
-	Path:       loadPath,
-	Idempotent: true,
+// loadCall returns the call of a load read.
+func (p *Pool) loadCall() *Call {
+	return &Call{
+		Method:     http.MethodGet,
+		Path:       p.opts.Load,
+		Idempotent: true,
+		load:       true,
+	}
 }
 
 // Probe returns the target's report: the last one learned if that was within the last second, else the result of a load
@@ -106,7 +110,7 @@
 // readLoad does a load read that lasts as long as it must, and settles its probe. It closes the connection on failure.
 func (p *Pool) readLoad(c *conn) (outcome.Report, error) {
 	deadline := p.opts.Timers.Now().Add(maxProbe)
-	resp, stop, failed := p.exchange(p.ctx, c, loadCall, deadline, deadline)
+	resp, _, stop, failed := p.exchange(p.ctx, c, p.loadCall(), deadline, deadline)
 	end := p.opts.Timers.Now()
 	switch o := failed.(type) {
 	case *outcome.NotRun:
@@ -120,7 +124,7 @@
 		return outcome.Report{}, fmt.Errorf("load read: %s", o.Reason)
 	}
 	p.opts.Probes.Done(end)
-	report, err := parseLoad(resp)
+	report, err := p.opts.Protocol.Load(resp)
 	if err == nil && (resp.Close || c.br.Buffered() > 0) {
 		err = errors.New("connection cannot be used again")
 	}
--- a/target/send.go
+++ b/target/send.go
@@ -87,12 +87,12 @@
 
 // fits tells whether c may carry call without another look at the target's instance.
 func (p *Pool) fits(c *conn, call *Call) bool {
-	return call.Instance == "" || c.instance == call.Instance || p.off.check
+	return call.Instance == "" || c.instance == call.Instance || p.unchecked()
 }
 
 // sendFresh sends a call on a connection that is not confirmed, or on a new one if c is nil.
 func (p *Pool) sendFresh(ctx context.Context, call *Call, deadline time.Time, c *conn) outcome.Outcome {
-	if call.Instance != "" && !p.off.check {
+	if call.Instance != "" && !p.unchecked() {
 		return p.sendChecked(ctx, call, deadline, c)
 	}
 	if c == nil {
@@ -268,33 +268,42 @@
 func (p *Pool) sendOn(ctx context.Context, c *conn, call *Call, deadline time.Time, reused bool) outcome.Outcome {
 	firstByte := deadline
 	// A marked call is not sent again, so giving it up early would gain nothing.
-	if reused && call.Idempotent && !call.Repeat && !p.off.silence {
+	if reused && call.Idempotent && !call.Repeat && p.opts.Silence > 0 && !p.off.silence {
 		if t := p.opts.Timers.Now().Add(p.opts.Silence); t.Before(deadline) {
 			firstByte = t
 		}
 	}
-	resp, stop, failed := p.exchange(ctx, c, call, deadline, firstByte)
+	resp, head, stop, failed := p.exchange(ctx, c, call, deadline, firstByte)
 	if failed != nil {
 		return failed
 	}
-	report := parseReport(resp.Header)
+	report := head.Report
+	if report.Instance == "" && p.opts.traits.Verifies {
+		report.Instance = call.Instance
+	}
 	c.instance = report.Instance
 	p.learn(report, c.sent)
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderOutcome) == "not-run" {
+	if head.Refused {
+		reason := outcome.Shed
+		if head.Replaced {
+			reason = outcome.Instance
+		}
 		p.finish(c, stop, !resp.Close && discard(resp))
 		return &outcome.NotRun{
-			Reason:     outcome.Shed,
-			RetryAfter: retryAfter(resp.Header),
+			Reason:     reason,
+			RetryAfter: head.RetryAfter,
 			Report:     report,
 		}
 	}
-	if resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !p.off.extent {
+	unframed := resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	if unframed && !p.opts.traits.Unframed && !p.off.extent {
 		p.finish(c, stop, false)
 		return &outcome.Unknown{
 			Reason: outcome.Truncated,
 		}
 	}
 	cleanResponseHeader(resp.Header)
+	p.opts.Protocol.Clean(resp.Header)
 	answered := &outcome.Answered{
 		Status: resp.StatusCode,
 		Header: resp.Header,
@@ -313,41 +322,44 @@
 		src:   resp.Body,
 		stop:  stop,
 		cause: ctx.Err,
-		close: resp.Close,
+		close: resp.Close || unframed,
 	}
 	return answered
 }
 
 // exchange writes one request and reads the head of its own answer. On failure the connection is closed and the outcome
 // is returned. On success the watch on the context continues until stop is called.
-func (p *Pool) exchange(ctx context.Context, c *conn, call *Call, deadline, firstByte time.Time) (*http.Response, func() bool, outcome.Outcome) {
+func (p *Pool) exchange(ctx context.Context, c *conn, call *Call, deadline, firstByte time.Time) (*http.Response, Head, func() bool, outcome.Outcome) {
 	c.sent = p.opts.Timers.Now()
 	host := call.Host
 	if host == "" {
 		host = p.opts.host
 	}
-	id := attemptID()
+	id := call.ID
+	if id == "" {
+		id = attemptID()
+	}
 	c.written = 0
-	if err := c.prepare(call, host, id, deadline.Sub(c.sent)); err != nil {
+	if err := c.prepare(p.opts.Protocol, call, host, id, deadline.Sub(c.sent)); err != nil {
 		p.drop(c)
-		return nil, nil, notRun(outcome.Invalid)
+		return nil, Head{}, nil, notRun(outcome.Invalid)
 	}
 	if err := c.nc.SetDeadline(deadline); err != nil {
 		p.drop(c)
-		return nil, nil, notRun(outcome.Broken)
+		return nil, Head{}, nil, notRun(outcome.Broken)
 	}
 	c.until = deadline
 	if !p.off.ready {
 		c.ready = call.Ready
 	}
 	stop := context.AfterFunc(ctx, c.abort)
-	fail := func(reason outcome.Reason) (*http.Response, func() bool, outcome.Outcome) {
+	fail := func(reason outcome.Reason) (*http.Response, Head, func() bool, outcome.Outcome) {
 		p.finish(c, stop, p.off.giveUp && reason == outcome.Silent)
 		reason = givenUp(ctx, reason)
 		if c.written == 0 {
-			return nil, nil, notRun(reason)
+			return nil, Head{}, nil, notRun(reason)
 		}
-		return nil, nil, &outcome.Unknown{
+		return nil, Head{}, nil, &outcome.Unknown{
 			Reason: reason,
 		}
 	}
@@ -368,17 +380,44 @@
 			return fail(failure(err))
 		}
 	}
-	resp, err := c.read()
+	resp, head, err := p.answer(c, id)
 	if err != nil {
 		return fail(failure(err))
 	}
-	if resp.Header.Get(HeaderRequest) != id && !p.off.match {
+	want := id
+	if call.load && p.opts.traits.Anonymous {
+		want = ""
+	}
+	if head.ID != want && !p.off.match {
 		return fail(outcome.Crossed)
 	}
+	if want != "" {
+		c.former = id
+	}
+	if head.Idle > 0 {
+		c.idle = head.Idle
+	}
 	if writeErr != nil {
 		resp.Close = true
 	}
-	return resp, stop, nil
+	return resp, head, stop, nil
+}
+
+// answer reads the head of the next answer. A second answer to the attempt before is passed over: a target can send one
+// late, where the answer to the present attempt is expected.
+func (p *Pool) answer(c *conn, id string) (*http.Response, Head, error) {
+	resp, err := c.read()
+	if err != nil {
+		return nil, Head{}, err
+	}
+	head := p.opts.Protocol.Read(resp)
+	if head.ID == id || head.ID == "" || head.ID != c.former || resp.Close || p.off.match || !discard(resp) {
+		return resp, head, nil
+	}
+	if resp, err = c.read(); err != nil {
+		return nil, Head{}, err
+	}
+	return resp, p.opts.Protocol.Read(resp), nil
 }
 
 // finish ends the use of a connection for one request.
