Add routes by host and path to the settings

The new platform sends requests by host and longest path prefix, splits routes by weight and states kind, attempts, time limits and rank for each. The settings had one path for each service only. Budgets over a window and limits for what callers send follow the same way.

--- a/setting/generated.go
+++ b/setting/generated.go
@@ -25,6 +25,10 @@
 	// Bear is the number of calls that a cold target runs at once, over all entries.
 	Bear int `json:"bear"`
 
+	// Rate is the number of calls a second that a cold target can handle, over all
+	// entries; 0 leaves that to bear.
+	Rate float64 `json:"rate"`
+
 	// Time is the least time from the first call to a new instance until it can count
 	// as warm.
 	Time Duration `json:"time"`
@@ -53,8 +57,17 @@
 const IsolationServe Isolation = "serve"
 const IsolationStop Isolation = "stop"
 
+type Kind string
+
+const KindBulk Kind = "bulk"
+const KindOnce Kind = "once"
+const KindSafe Kind = "safe"
+
 // Limits hold for every entry and every service.
 type Limits struct {
+	// Body is the largest body of a request in bytes.
+	Body int `json:"body"`
+
 	// Buffer is the number of bytes of a response that an entry holds back so that a
 	// break within them can be repaired unseen.
 	Buffer int `json:"buffer"`
@@ -63,14 +76,32 @@
 	// or a majority of its peers.
 	Contact Duration `json:"contact"`
 
+	// Head is the largest head of a request in bytes.
+	Head int `json:"head"`
+
+	// Idle is how long an entry keeps an idle connection of a caller.
+	Idle Duration `json:"idle"`
+
 	// Isolation says whether an entry without contact stops or serves.
 	Isolation Isolation `json:"isolation"`
 
 	// Keep is how long callers keep the addresses that an entry gave them.
 	Keep Duration `json:"keep"`
 
+	// Read is how long a caller may take to send the head of a request.
+	Read Duration `json:"read"`
+
 	// Retries is the budget of retries and hedges as a fraction of first attempts.
 	Retries float64 `json:"retries"`
+
+	// Slack is the number of retries and hedges in a window that the budget allows
+	// beyond the fraction, for each service over all entries; 0 earns the budget call
+	// by call.
+	Slack float64 `json:"slack"`
+
+	// Window is the time over which the budget of retries is counted if slack is
+	// above 0.
+	Window Duration `json:"window"`
 }
 
 type Method string
@@ -82,6 +113,36 @@
 const MethodPOST Method = "POST"
 const MethodPUT Method = "PUT"
 
+// Route says which services get the requests of a host and path, and what their
+// callers are owed.
+type Route struct {
+	// Aim is the time within which an answer is of full use to the caller.
+	Aim Duration `json:"aim"`
+
+	// Attempts is the largest number of targets that may run one request.
+	Attempts int `json:"attempts"`
+
+	// Deadline is the longest time that a request may wait for its answer.
+	Deadline Duration `json:"deadline"`
+
+	// Host is the host that the requests name, without a port.
+	Host string `json:"host"`
+
+	// Kind says what may be repeated.
+	Kind Kind `json:"kind"`
+
+	// Parts are the services that get the requests, with the weight of each.
+	Parts map[string]Weight `json:"parts"`
+
+	// Path is the prefix of the request paths; it begins and ends with a slash. The
+	// longest prefix goes first.
+	Path string `json:"path"`
+
+	// Rank orders the routes of a service when not all requests can be served; 0 goes
+	// first.
+	Rank int `json:"rank"`
+}
+
 // Service is one service and the targets that run it.
 type Service struct {
 	// Cold says what a target can handle in its cold start.
@@ -95,10 +156,14 @@
 	// that asks for none.
 	Deadline Duration `json:"deadline"`
 
+	// Load is the path of load reads at the targets.
+	Load string `json:"load"`
+
 	// Once lists the methods whose calls run at most once.
 	Once []Method `json:"once"`
 
-	// Path is the prefix, in whole segments, of the request paths of the service.
+	// Path is the prefix, in whole segments, of the request paths of the service. A
+	// service without a path gets its requests through routes.
 	Path string `json:"path"`
 
 	// Probes is the number of load reads and connection checks per target per second,
@@ -133,6 +198,10 @@
 	// Limits hold for every entry and every service.
 	Limits Limits `json:"limits"`
 
+	// Routes send requests to services by host and path, by name. Without routes, the
+	// paths of the services decide.
+	Routes map[string]Route `json:"routes"`
+
 	// Services are what callers call, by name.
 	Services map[string]Service `json:"services"`
 }
@@ -151,3 +220,7 @@
 	// Slots overrides the slots of the service; 0 keeps them.
 	Slots int `json:"slots"`
 }
+
+// Weight is a part of the requests, in proportion to the weights of the other
+// parts.
+type Weight float64
--- a/setting/paths.go
+++ b/setting/paths.go
@@ -9,7 +9,9 @@
 func (s *Settings) Paths() Paths {
 	paths := Paths{}
 	for name, service := range s.Services {
-		paths[service.Path] = name
+		if service.Path != "" {
+			paths[service.Path] = name
+		}
 	}
 	return paths
 }
--- /dev/null
+++ b/setting/routes.go
@@ -0,0 +1,66 @@
+package setting
+
+import (
+	"slices"
+	"strings"
+)
+
+// Routes finds the route of a request by its host and path, in time that does not grow with the number of routes.
+type Routes map[string]map[string]string
+
+// FindRoutes returns the names of all routes by host and path. Of two routes with the same host and path, the one whose
+// name comes first counts.
+func (s *Settings) FindRoutes() Routes {
+	routes := Routes{}
+	for name, route := range s.Routes {
+		host := strings.ToLower(route.Host)
+		if routes[host] == nil {
+			routes[host] = map[string]string{}
+		}
+		if have, ok := routes[host][route.Path]; !ok || name < have {
+			routes[host][route.Path] = name
+		}
+	}
+	return routes
+}
+
+// Find returns the name of the route with the longest path that is a prefix of requestPath. A port in host does not count.
+func (r Routes) Find(host, requestPath string) (name string, ok bool) {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	paths := r[strings.ToLower(host)]
+	for end := len(requestPath); end > 0 && len(paths) > 0; end-- {
+		if requestPath[end-1] != '/' {
+			continue
+		}
+		if name, ok := paths[requestPath[:end]]; ok {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+// Part is one part of a route.
+type Part struct {
+	Service string
+	Weight  float64
+}
+
+// Split returns the parts of the route that get requests, sorted by service.
+func (r Route) Split() []Part {
+	parts := make([]Part, 0, len(r.Parts))
+	for service, weight := range r.Parts {
+		if weight > 0 {
+			parts = append(parts, Part{
+				Service: service,
+				Weight:  float64(weight),
+			})
+		}
+	}
+	slices.SortFunc(parts, func(a, b Part) int { return strings.Compare(a.Service, b.Service) })
+	return parts
+}
+
+// Idempotent reports whether requests of the route can run more than once.
+func (r Route) Idempotent() bool { return r.Kind != KindOnce }
--- a/setting/settings.go
+++ b/setting/settings.go
@@ -58,6 +58,7 @@
 	makeMap(&s.Entries)
 	makeMap(&s.Domains)
 	makeMap(&s.Services)
+	makeMap(&s.Routes)
 	makeMap(&s.Classes)
 	makeMap(&s.Callers)
 	s.Limits.defaults()
@@ -65,6 +66,17 @@
 		service.defaults()
 		s.Services[name] = service
 	}
+	for name, route := range s.Routes {
+		route.defaults()
+		s.Routes[name] = route
+	}
+}
+
+func (r *Route) defaults() {
+	fill(&r.Kind, defaults.Route.Kind)
+	fill(&r.Attempts, defaults.Route.Attempts)
+	fill(&r.Deadline, defaults.Route.Deadline)
+	fill(&r.Aim, defaults.Route.Aim)
 }
 
 func (l *Limits) defaults() {
@@ -75,9 +87,15 @@
 	fill(&l.Keep, defaults.Limits.Keep)
 	fill(&l.Contact, defaults.Limits.Contact)
 	fill(&l.Isolation, defaults.Limits.Isolation)
+	fill(&l.Window, defaults.Limits.Window)
+	fill(&l.Head, defaults.Limits.Head)
+	fill(&l.Body, defaults.Limits.Body)
+	fill(&l.Read, defaults.Limits.Read)
+	fill(&l.Idle, defaults.Limits.Idle)
 }
 
 func (s *Service) defaults() {
+	fill(&s.Load, defaults.Service.Load)
 	fill(&s.Probes, defaults.Service.Probes)
 	fill(&s.Cold.Bear, defaults.Service.Cold.Bear)
 	fill(&s.Cold.Time, defaults.Service.Cold.Time)
@@ -100,12 +118,14 @@
 type defaultValues struct {
 	Limits  Limits
 	Service Service
+	Route   Route
 }
 
 func readDefaults() defaultValues {
 	var d defaultValues
 	schema.Defs["limits"].decodeDefaults(&d.Limits)
 	schema.Defs["service"].decodeDefaults(&d.Service)
+	schema.Defs["route"].decodeDefaults(&d.Route)
 	return d
 }
 
--- a/setting/validator.go
+++ b/setting/validator.go
@@ -74,6 +74,7 @@
 	v.addresses()
 	v.references()
 	v.paths()
+	v.routes()
 	for _, name := range sortedKeys(v.settings.Services) {
 		v.service(join("services", name), v.settings.Services[name])
 	}
@@ -208,6 +209,12 @@
 	for i, name := range names {
 		field := join("services", name) + ".path"
 		prefix := v.settings.Services[name].Path
+		if prefix == "" {
+			if !v.routed(name) {
+				v.refuse(field, []string{"routes"}, "is missing, and no route leads to the service")
+			}
+			continue
+		}
 		if !strings.HasPrefix(prefix, "/") || path.Clean(prefix) != prefix || strings.ContainsAny(prefix, "?#%\\ \t\r\n") {
 			v.refuse(field, nil, "%q is not a path prefix such as \"/stock\"", prefix)
 			continue
@@ -217,6 +224,9 @@
 		}
 		for _, other := range names[:i] {
 			otherPrefix := v.settings.Services[other].Path
+			if otherPrefix == "" {
+				continue
+			}
 			if under(prefix, otherPrefix) || under(otherPrefix, prefix) {
 				others := []string{join("services", other) + ".path"}
 				v.refuse(field, others, "%s overlaps with %s of service %s", prefix, otherPrefix, other)
@@ -225,6 +235,56 @@
 	}
 }
 
+// routed tells whether a route leads to the service.
+func (v *validator) routed(service string) bool {
+	for _, route := range v.settings.Routes {
+		if _, ok := route.Parts[service]; ok {
+			return true
+		}
+	}
+	return false
+}
+
+// routes refuses routes that no request can match, that match the same requests as another one, or that lead nowhere.
+func (v *validator) routes() {
+	seen := map[string]string{}
+	for _, name := range sortedKeys(v.settings.Routes) {
+		route := v.settings.Routes[name]
+		field := join("routes", name)
+		if route.Host == "" || strings.ContainsAny(route.Host, ":/ \t\r\n") {
+			v.refuse(field+".host", nil, "%q is not a host name without a port", route.Host)
+		}
+		clean := path.Clean(route.Path)
+		if clean != "/" {
+			clean += "/"
+		}
+		if route.Path != clean || !strings.HasPrefix(route.Path, "/") || strings.ContainsAny(route.Path, "?#%\\ \t\r\n") {
+			v.refuse(field+".path", nil, "%q is not a path prefix such as \"/stock/\"", route.Path)
+		}
+		key := strings.ToLower(route.Host) + route.Path
+		if other, ok := seen[key]; ok {
+			v.refuse(field+".path", []string{other + ".path", field + ".host", other + ".host"}, "is also the path of %s", other)
+		}
+		seen[key] = field
+		v.parts(field, route)
+		if route.Aim > route.Deadline {
+			v.refuse(field+".aim", []string{field + ".deadline"}, "%s is above the deadline of the route, %s", route.Aim, route.Deadline)
+		}
+	}
+}
+
+func (v *validator) parts(field string, route Route) {
+	if len(route.Split()) == 0 {
+		v.refuse(field+".parts", nil, "must have at least one service with a weight above 0")
+	}
+	for _, service := range sortedKeys(route.Parts) {
+		if _, ok := v.settings.Services[service]; !ok {
+			others := []string{"services", join("services", service)}
+			v.refuse(join(field+".parts", service), others, "unknown service %q", service)
+		}
+	}
+}
+
 // service refuses promises that one service cannot keep.
 func (v *validator) service(field string, s Service) {
 	if len(s.Targets) == 0 {
