--- /dev/null
+++ b/caller/conn.go
@@ -0,0 +1,348 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// bufferSize holds a usual head with a small body.
+	bufferSize = 4 << 10
+	// stallTime bounds one write to a caller that does not read.
+	stallTime = 30 * time.Second
+	// lastCall is how long a connection that is to end waits for a request that may be on its way already.
+	lastCall = 5 * time.Millisecond
+	// lingerTime is how long a connection is read after its last response. Closing it with unread bytes would reset it,
+	// and the caller could lose the response.
+	lingerTime = 500 * time.Millisecond
+)
+
+// conn is one connection of a caller. One goroutine reads requests, and one for each request writes its response.
+type conn struct {
+	server *Server
+	nc     net.Conn
+	head   *headReader
+	br     *bufio.Reader
+	bw     *bufio.Writer   // belongs to the response whose turn it is
+	ctx    context.Context // ends when the caller goes away or the connection is aborted
+	cancel context.CancelFunc
+	slots  chan struct{}
+	tasks  sync.WaitGroup
+
+	mu sync.Mutex
+	// finishing says that the connection is to end with the response to the last request that was read, and closed that
+	// this response says so, after which no request is taken.
+	finishing bool
+	closed    bool
+	// awaiting says that the next request is being waited for.
+	awaiting bool
+	// open is the number of requests without a whole response, last the newest of all.
+	open int
+	last *response
+	// turn is closed when the response to the last request has been written.
+	turn chan struct{}
+}
+
+func newConn(s *Server, nc net.Conn) *conn {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &conn{
+		server: s,
+		nc:     nc,
+		head: &headReader{
+			src:  nc,
+			left: -1,
+		},
+		ctx:    ctx,
+		cancel: cancel,
+		slots:  make(chan struct{}, s.opts.Ahead),
+		turn:   make(chan struct{}),
+	}
+	c.br = bufio.NewReaderSize(c.head, bufferSize)
+	c.bw = bufio.NewWriterSize(nc, bufferSize)
+	close(c.turn)
+	return c
+}
+
+// serve reads requests until the connection ends.
+func (c *conn) serve() {
+	defer c.server.ended(c)
+	for c.next() {
+	}
+	c.tasks.Wait()
+	if c.ctx.Err() == nil {
+		c.linger()
+	}
+	c.abort()
+}
+
+// linger tells the caller that no more will be written and reads what it still sends.
+func (c *conn) linger() {
+	tcp, ok := c.nc.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil {
+		return
+	}
+	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.Copy(io.Discard, c.nc) // Whatever comes is not answered any more.
+}
+
+// abort ends the connection at once.
+func (c *conn) abort() {
+	c.cancel()
+	c.nc.Close()
+}
+
+// finish makes the connection end as soon as the requests that were read are answered.
+func (c *conn) finish() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.finishing = true
+	c.arm()
+}
+
+// next reads one request and starts its handler. It returns false if there is to be no further one.
+func (c *conn) next() bool {
+	if !c.await() {
+		return false
+	}
+	limits := c.server.opts.Limits()
+	c.head.left = limits.Head
+	_ = c.nc.SetReadDeadline(time.Now().Add(limits.Read))
+	req, err := http.ReadRequest(c.br)
+	c.head.left = -1
+	_ = c.nc.SetReadDeadline(time.Time{})
+	if err == nil && req.Host == "" && req.ProtoAtLeast(1, 1) {
+		err = errNoHost
+	}
+	if err != nil {
+		c.reject(err)
+		return false
+	}
+	req.RemoteAddr = c.nc.RemoteAddr().String()
+	r := c.begin(req)
+	if r == nil {
+		return false
+	}
+	body := newBody(req, r)
+	req.Body = body
+	c.tasks.Go(func() { c.handle(r, req, body) })
+	select {
+	case <-body.done:
+	case <-c.ctx.Done():
+		return false
+	}
+	return !req.Close
+}
+
+// await waits for the first byte of the next request, and for room to handle it.
+func (c *conn) await() bool {
+	select {
+	case c.slots <- struct{}{}:
+	case <-c.ctx.Done():
+		return false
+	}
+	for {
+		c.mu.Lock()
+		c.awaiting = true
+		c.arm()
+		c.mu.Unlock()
+		_, err := c.br.Peek(1)
+		c.mu.Lock()
+		c.awaiting = false
+		over := c.finishing && c.last != nil || c.open == 0
+		c.mu.Unlock()
+		switch {
+		case err == nil:
+			return true
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			// The caller has gone, so nobody reads the responses that are still to come.
+			c.cancel()
+			return false
+		case over:
+			return false
+		}
+	}
+}
+
+// arm sets the time until which the next request may begin. A connection that is to end waits only for what may be on its
+// way, unless it is new: its caller has been told to use this server. The caller holds the lock.
+func (c *conn) arm() {
+	if !c.awaiting {
+		return
+	}
+	limit := time.Time{}
+	switch {
+	case c.finishing && c.last != nil:
+		limit = time.Now().Add(lastCall)
+	case c.open == 0:
+		limit = time.Now().Add(c.server.opts.Limits().Idle)
+	}
+	_ = c.nc.SetReadDeadline(limit)
+}
+
+// begin enters a request whose head was read. It returns nil if a response has already told the caller that the connection
+// ends.
+func (c *conn) begin(req *http.Request) *response {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil
+	}
+	r := newResponse(c, req, c.turn)
+	c.turn = r.written
+	c.last = r
+	c.open++
+	return r
+}
+
+// endsWith decides, when the head of a response is written, whether the connection ends with it. Wanted says that it is to
+// end.
+func (c *conn) endsWith(r *response, wanted bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.finishing = c.finishing || wanted
+	c.closed = c.closed || c.finishing && c.last == r
+	return c.closed
+}
+
+func (c *conn) handle(r *response, req *http.Request, body *body) {
+	defer func() {
+		if p := recover(); p != nil {
+			c.abort()
+			if p != http.ErrAbortHandler {
+				panic(p)
+			}
+		}
+		body.Close()
+		c.end(r)
+		<-c.slots
+	}()
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel()
+	c.server.opts.Handler.ServeHTTP(r, req.WithContext(ctx))
+	r.finish()
+}
+
+// end notes that a response was written and starts the idle time if it was the last one.
+func (c *conn) end(r *response) {
+	close(r.written)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open--
+	c.arm()
+}
+
+// reject answers a request that cannot be read, after the responses before it.
+func (c *conn) reject(err error) {
+	status := http.StatusBadRequest
+	switch {
+	case errors.Is(err, errHeadTooLarge):
+		status = http.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		status = http.StatusRequestTimeout
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
+		c.cancel()
+		return
+	}
+	r := c.begin(&http.Request{
+		Method:     http.MethodGet,
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+		Close:      true,
+	})
+	if r == nil {
+		return
+	}
+	http.Error(r, http.StatusText(status), status)
+	r.finish()
+	c.end(r)
+}
+
+var (
+	errHeadTooLarge = errors.New("the head of the request is too large")
+	errNoHost       = errors.New("the request names no host")
+)
+
+// headReader bounds the bytes that are read for a head.
+type headReader struct {
+	src io.Reader
+	// left is what may still be read for the head; negative if there is no limit.
+	left int
+}
+
+// Read implements io.Reader.
+func (h *headReader) Read(p []byte) (int, error) {
+	if h.left < 0 {
+		return h.src.Read(p)
+	}
+	if h.left == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := h.src.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	return n, err
+}
+
+// body is the body of a request. The next request on the connection is read once it was read to its end or given up.
+type body struct {
+	src io.ReadCloser
+	// expected says that the caller waits for a sign before it sends the body.
+	expected bool
+	response *response
+	once     sync.Once
+	done     chan struct{}
+}
+
+func newBody(req *http.Request, r *response) *body {
+	b := &body{
+		src:      req.Body,
+		expected: strings.EqualFold(req.Header.Get("Expect"), "100-continue"),
+		response: r,
+		done:     make(chan struct{}),
+	}
+	if req.Body == nil || req.Body == http.NoBody {
+		b.src = http.NoBody
+		b.end()
+	}
+	return b
+}
+
+func (b *body) end() { b.once.Do(func() { close(b.done) }) }
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	if b.expected {
+		b.expected = false
+		b.response.proceed()
+	}
+	n, err := b.src.Read(p)
+	if err != nil {
+		b.end()
+	}
+	return n, err
+}
+
+// Close reads the rest of the body, so that the next request can be read.
+func (b *body) Close() error {
+	defer b.end()
+	select {
+	case <-b.done:
+		return nil
+	default:
+	}
+	if b.expected {
+		// The caller was never asked for the body and cannot tell whether to send it.
+		b.response.conn.finish()
+		return nil
+	}
+	_, err := io.Copy(io.Discard, b.src)
+	return err
+}
--- /dev/null
+++ b/caller/server.go
@@ -0,0 +1,185 @@
+// Package caller serves the connections of callers.
+//
+// A Server reads ahead: while a request is being handled it reads the next one on the same connection and handles it at
+// the same time, and writes the responses in the order of the requests. The server of net/http reads a request only after
+// the response before it, so a caller that sends several at once waits for the sum of their times. Because a connection is
+// always being read, a caller that goes away is noticed at once, whatever its requests wait for.
+//
+// A connection is closed only between responses: Shutdown stops reading, answers what was read, and says so in the last
+// response.
+//
+// # Usage
+//
+//	s := caller.NewServer(caller.Options{
+//		Handler: handler,
+//		Limits:  func() caller.Limits { return limits },
+//		Timers:  timers,
+//	})
+//	go s.Serve(listener)
+//	s.Shutdown(ctx)
+package caller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"skylarkbeam/timer"
+)
+
+// ErrClosed is returned by Serve after Shutdown or Close.
+var ErrClosed = errors.New("server closed")
+
+// Limits bound what callers may send and for how long they may be idle.
+type Limits struct {
+	// Head is the largest head of a request in bytes.
+	Head int
+	// Read is how long a caller may take for the head of a request.
+	Read time.Duration
+	// Idle is how long a connection without a request is kept.
+	Idle time.Duration
+}
+
+// Options are the parts of a Server.
+type Options struct {
+	Handler http.Handler
+	// Limits returns the limits that hold at present.
+	Limits func() Limits
+	// Ahead is the number of requests of a connection that are handled at the same time; 16 by default.
+	Ahead  int
+	Timers *timer.Service
+}
+
+// Server serves callers. It is safe for concurrent use.
+type Server struct {
+	opts Options
+
+	mu        sync.Mutex
+	listeners map[net.Listener]struct{}
+	conns     map[*conn]struct{}
+	closing   bool
+	empty     chan struct{} // closed once closing and without connections; nil before Shutdown
+}
+
+// NewServer returns a Server that does not listen yet.
+func NewServer(o Options) *Server {
+	if o.Ahead <= 0 {
+		o.Ahead = 16
+	}
+	return &Server{
+		opts:      o,
+		listeners: map[net.Listener]struct{}{},
+		conns:     map[*conn]struct{}{},
+	}
+}
+
+const (
+	// minAcceptPause and maxAcceptPause bound the pause after a failed accept, as when descriptors run out.
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
+)
+
+// Serve accepts connections until the listener is closed. It returns ErrClosed after Shutdown or Close.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.listeners[l] = struct{}{}
+	s.mu.Unlock()
+	pause := time.Duration(0)
+	for {
+		nc, err := l.Accept()
+		if err == nil {
+			pause = 0
+			s.start(nc)
+			continue
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return ErrClosed
+		}
+		pause = min(max(2*pause, minAcceptPause), maxAcceptPause)
+		time.Sleep(pause)
+	}
+}
+
+func (s *Server) start(nc net.Conn) {
+	c := newConn(s, nc)
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	c.finishing = s.closing
+	s.mu.Unlock()
+	go c.serve()
+}
+
+func (s *Server) ended(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	if s.empty != nil && len(s.conns) == 0 {
+		close(s.empty)
+		s.empty = nil
+	}
+}
+
+// Finish closes connections that are idle and lets all others end with the response to the last request that was read.
+// New connections are still accepted, for one request each.
+func (s *Server) Finish() {
+	s.mu.Lock()
+	s.closing = true
+	conns := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.mu.Unlock()
+	for _, c := range conns {
+		c.finish()
+	}
+}
+
+// Shutdown stops accepting connections and returns when all have ended, or with the error of ctx.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.Finish()
+	s.closeListeners()
+	s.mu.Lock()
+	empty := make(chan struct{})
+	if len(s.conns) == 0 {
+		close(empty)
+	} else {
+		s.empty = empty
+	}
+	s.mu.Unlock()
+	select {
+	case <-empty:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Close closes the listeners and all connections at once.
+func (s *Server) Close() {
+	s.closeListeners()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closing = true
+	for c := range s.conns {
+		c.abort()
+	}
+}
+
+func (s *Server) closeListeners() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for l := range s.listeners {
+		l.Close()
+	}
+}
+
+// Connections returns the number of open connections.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
--- a/cmd/skylarkbeam/serve.go
+++ b/cmd/skylarkbeam/serve.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"skylarkbeam/entry"
+	"skylarkbeam/platform"
 	"skylarkbeam/store"
 )
 
@@ -38,6 +39,8 @@
                       "serve" goes on and may use drained failure domains; left out,
                       limits.isolation of the settings decides
   -config FILE        JSON file with any of these flags as fields
+  -boot FILE          settings file of a machine of the users' platform (TOML), in place
+                      of all other flags; see docs/platform.md
 
 Each flag can also be set in the environment, as in SKYLARKBEAM_NAME=entry-1.
 
@@ -61,7 +64,7 @@
 
 // serveFlags are the flags of serve as they are written.
 type serveFlags struct {
-	name, domain, caller, control, advertise, platform, seeds, isolation string
+	name, domain, caller, control, advertise, platform, seeds, isolation, boot string
 }
 
 func newServe(s streams) *ffcli.Command {
@@ -71,6 +74,9 @@
 			if err := noArguments(args, "serve", serveUsage); err != nil {
 				return err
 			}
+			if f.boot != "" {
+				return serveBoot(ctx, f.boot)
+			}
 			return serve(ctx, f)
 		})
 	f.register(command.FlagSet)
@@ -91,6 +97,7 @@
 	flags.StringVar(&f.platform, "platform", "", "")
 	flags.StringVar(&f.seeds, "seeds", "", "")
 	flags.StringVar(&f.isolation, "isolation", "", "")
+	flags.StringVar(&f.boot, "boot", "", "")
 	flags.String("config", "", "")
 }
 
@@ -159,6 +166,28 @@
 	return nil
 }
 
+// serveBoot runs an entry on a machine of the users' platform.
+func serveBoot(ctx context.Context, path string) error {
+	boot, err := platform.ReadBoot(path)
+	if err != nil {
+		return err
+	}
+	tuneCollector()
+	logger, err := zap.NewProduction()
+	if err != nil {
+		return errors.Wrap(err, "opening the log")
+	}
+	opts, client := platform.Options(boot, logger)
+	defer client.Close()
+	e, err := entry.Assemble(opts)
+	if err != nil {
+		return errors.Wrap(err, "assembling the entry")
+	}
+	e.Start()
+	waitAndStop(ctx, e)
+	return nil
+}
+
 // tuneCollector makes the garbage collector run less often than by default, unless GOGC or GOMEMLIMIT are set.
 func tuneCollector() {
 	if os.Getenv("GOGC") == "" {
--- a/entry/addresses.go
+++ b/entry/addresses.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	restful "github.com/emicklei/go-restful/v3"
@@ -37,12 +38,8 @@
 
 // addresses lists the entries in operation, in random order within each of the two groups so that callers spread.
 func (e *Entry) addresses(domain string) []address {
-	now := e.timers.Now()
 	near, far := []address{}, []address{}
-	for _, m := range e.fleet.Members() {
-		if !e.usable(now, m) {
-			continue
-		}
+	for _, m := range e.Usable() {
 		a := address{
 			Address: m.Caller,
 			Domain:  m.Domain,
@@ -59,6 +56,12 @@
 	return append(near, far...)
 }
 
+// Usable returns the members to which callers may be sent.
+func (e *Entry) Usable() []fleet.Member {
+	now := e.timers.Now()
+	return slices.DeleteFunc(e.fleet.Members(), func(m fleet.Member) bool { return !e.usable(now, m) })
+}
+
 func (e *Entry) usable(now time.Time, m fleet.Member) bool {
 	if m.State != fleet.RecordStateActive {
 		return false
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -1,12 +1,9 @@
 package entry
 
 import (
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
-	"time"
 
 	"skylarkbeam/claim"
 	"skylarkbeam/route"
@@ -16,13 +13,7 @@
 // that the break is visible.
 func (e *Entry) deliver(w http.ResponseWriter, c *call, a *answer) {
 	header := w.Header()
-	for name, values := range a.Header {
-		if strings.HasPrefix(name, headerPrefix) {
-			continue
-		}
-		header[name] = values
-	}
-	header.Set(headerOutcome, outcomeAnswered)
+	e.protocol.Answer(header, a.Header)
 	e.counters.outcomes[outcomeAnswered].Inc()
 	if a.length >= 0 && c.request.Method != http.MethodHead && bodyAllowed(a.Status) {
 		header.Set("Content-Length", strconv.FormatInt(a.length, 10))
@@ -100,17 +91,10 @@
 }
 
 // refuse writes the final answer to a call that gets none from a target.
-func (e *Entry) refuse(w http.ResponseWriter, no *refusal) {
-	if no.outcome == outcomeNotRun {
-		e.counters.Refused(no.reason)
-	}
-	e.counters.outcomes[no.outcome].Inc()
-	header := w.Header()
-	header.Set(headerOutcome, no.outcome)
-	header.Set(headerReason, string(no.reason))
-	if no.after > 0 {
-		seconds := (no.after + time.Second - 1) / time.Second
-		header.Set("Retry-After", strconv.Itoa(int(seconds)))
+func (e *Entry) refuse(w http.ResponseWriter, no *Refusal) {
+	if no.NotRun() {
+		e.counters.Refused(no.Reason)
 	}
-	http.Error(w, fmt.Sprintf("%s: %s", no.reason, no.text), no.status)
+	e.counters.outcomes[no.Outcome].Inc()
+	e.protocol.Refuse(w, no)
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -74,6 +74,7 @@
 		ctx, release = context.WithDeadline(ctx, deadline)
 	}
 	e.counters.dispatch.Inc()
+	c.runs.Add(1)
 	m := c.message(permit.Instance, deadline.Sub(start))
 	m.Ready = e.ready
 	m.Repeat = c.repeat || again
@@ -149,6 +150,7 @@
 // call must reach, empty for any.
 func (c *call) message(instance string, timeout time.Duration) *target.Call {
 	return &target.Call{
+		ID:         c.id,
 		Method:     c.request.Method,
 		Path:       c.request.URL.RequestURI(),
 		Host:       c.request.Host,
@@ -165,6 +167,7 @@
 func (e *Entry) receive(ctx context.Context, c *call, o outcome.Outcome, end func(r route.Result, running bool)) outcome.Outcome {
 	switch o := o.(type) {
 	case *outcome.NotRun:
+		c.runs.Add(-1)
 		kind := route.Unsent
 		switch o.Reason {
 		case outcome.Shed:
--- a/entry/background.go
+++ b/entry/background.go
@@ -17,7 +17,7 @@
 // jobs lists the background work of the entry itself. That of the fleet and of the ledger is registered there; the status
 // of an entry shows all of it.
 func (e *Entry) jobs() []job {
-	return []job{
+	jobs := []job{
 		{
 			name:     "probe cold targets",
 			interval: 500 * time.Millisecond,
@@ -43,12 +43,15 @@
 			interval: 5 * time.Second,
 			run:      e.trim,
 		},
-		{
+	}
+	if e.opts.Platform != nil {
+		jobs = append(jobs, job{
 			name:     "list VMs",
 			interval: 2 * time.Second,
 			run:      e.listVMs,
-		},
+		})
 	}
+	return jobs
 }
 
 func (e *Entry) background() {
--- a/entry/call.go
+++ b/entry/call.go
@@ -6,23 +6,23 @@
 	"encoding/hex"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"skylarkbeam/claim"
 	"skylarkbeam/outcome"
-	"skylarkbeam/setting"
 )
 
-// maxBody is the largest request body in bytes. A body is held in memory because its digest belongs to the claim, and because
-// an idempotent call may be sent again.
-const maxBody = 4 << 20
-
 // call is one call of a caller.
 type call struct {
-	view     *view
-	service  *service
+	view    *view
+	service *service
+	// id is the id of the call at targets, empty if each attempt has its own.
+	id string
+	// promise is what the caller of the route is owed.
+	promise  promise
 	caller   string
 	key      string
 	request  *http.Request
@@ -44,6 +44,8 @@
 	first [2]string
 	// answered is when the answer was ready to be written.
 	answered time.Time
+	// runs counts the attempts that may have run, those in flight included.
+	runs atomic.Int32
 	// unsent counts the attempts that ended before anything was sent.
 	unsent int
 	// unknown is the reason of the last attempt whose outcome is unknown, empty if there is none.
@@ -78,68 +80,58 @@
 }
 
 // parse reads a call and refuses what can be refused without knowing the load.
-func (e *Entry) parse(now time.Time, r *http.Request, relayed bool) (*call, *refusal) {
+func (e *Entry) parse(now time.Time, r *http.Request, relayed bool) (*call, *Refusal) {
 	v := e.view.Load()
 	if v.settings == nil {
 		return nil, notRun(outcome.Isolated, retryLater, "this entry has no settings yet")
 	}
-	name, ok := v.paths.Find(r.URL.Path)
+	s, promised, ok := v.find(r)
 	if !ok {
 		return nil, notRun(outcome.Service, 0, "no service has this path")
 	}
-	caller := r.Header.Get(headerCaller)
-	class, ok := callerClass(v.settings, caller)
-	if !ok {
-		return nil, notRun(outcome.Caller, 0, "unknown caller in header "+headerCaller)
+	q, no := e.protocol.Parse(v.settings, r)
+	if no != nil {
+		return nil, no
+	}
+	timeout := promised.deadline
+	if class, ok := callerClass(v.settings, q.Caller); ok {
+		timeout = min(timeout, time.Duration(class.Deadline))
+	}
+	if q.Timeout > 0 {
+		timeout = min(timeout, q.Timeout)
 	}
-	s := v.services[name]
 	c := &call{
 		view:       v,
 		service:    s,
-		caller:     caller,
-		key:        r.Header.Get(headerKey),
+		id:         q.ID,
+		promise:    promised,
+		caller:     q.Caller,
+		key:        q.Key,
 		request:    r,
-		deadline:   now.Add(time.Duration(min(s.spec.Deadline, class.Deadline))),
-		idempotent: s.spec.Idempotent(r.Method),
-		repeat:     r.Header.Get(headerRepeat) != "",
+		deadline:   now.Add(timeout),
+		idempotent: promised.idempotent,
+		repeat:     q.Repeat,
 		relayed:    relayed,
 	}
 	c.tried = c.first[:0]
-	if text := r.Header.Get(headerTimeout); text != "" {
-		timeout, err := time.ParseDuration(text)
-		if err != nil || timeout <= 0 {
-			return nil, notRun(outcome.Invalid, 0, "header "+headerTimeout+" is not a positive duration")
-		}
-		if d := now.Add(timeout); d.Before(c.deadline) {
-			c.deadline = d
-		}
-	}
-	if !c.idempotent && c.key == "" && !relayed {
+	if !c.idempotent && c.key == "" && !relayed && promised.keyed {
 		return nil, notRun(outcome.Key, 0, "a call with method "+r.Method+" needs the header "+headerKey)
 	}
 	return c, e.readBody(c)
 }
 
-func callerClass(settings *setting.Settings, caller string) (setting.Class, bool) {
-	c, ok := settings.Callers[caller]
-	if !ok {
-		return setting.Class{}, false
-	}
-	class, ok := settings.Classes[c.Class]
-	return class, ok
-}
-
-func (e *Entry) readBody(c *call) *refusal {
+func (e *Entry) readBody(c *call) *Refusal {
 	if c.request.Body == nil || c.request.ContentLength == 0 {
 		return nil
 	}
-	body, err := io.ReadAll(io.LimitReader(c.request.Body, maxBody+1))
+	limit := c.view.settings.Limits.Body
+	body, err := io.ReadAll(io.LimitReader(c.request.Body, int64(limit)+1))
 	if err != nil {
 		return notRun(outcome.Invalid, 0, "the request body could not be read")
 	}
-	if len(body) > maxBody {
-		no := notRun(outcome.Invalid, 0, "the request body is larger than 4 MiB")
-		no.status = http.StatusRequestEntityTooLarge
+	if len(body) > limit {
+		no := notRun(outcome.Invalid, 0, "the request body is larger than limits.body")
+		no.Status = http.StatusRequestEntityTooLarge
 		return no
 	}
 	c.body = body
@@ -147,12 +139,12 @@
 }
 
 // handle admits a call, runs it and writes its answer. A returned refusal is still to be written.
-func (e *Entry) handle(w http.ResponseWriter, c *call) *refusal {
+func (e *Entry) handle(w http.ResponseWriter, c *call) *Refusal {
 	if !e.contact(e.timers.Now()) {
 		return notRun(outcome.Isolated, retryLater, "this entry has lost contact with the platform and its peers")
 	}
 	ctx := c.request.Context()
-	if !c.idempotent {
+	if !c.idempotent && c.key != "" {
 		// A caller that goes away repeats the call. Its answer is then in the record, whereas a call that was cancelled
 		// would stay unknown.
 		ctx = context.WithoutCancel(ctx)
@@ -175,9 +167,16 @@
 		ticket.Done(now, c.answered.Sub(admitted))
 		e.adjustSoon(now, c.service)
 	}()
-	if !c.idempotent && !c.relayed {
+	if !c.idempotent && !c.relayed && c.key != "" {
 		return e.handleOnce(ctx, w, c)
 	}
+	if !c.idempotent {
+		// From here on the call may run. A caller that goes away learns nothing of it either way, and a call that is cut
+		// off may have run in part.
+		c.base = context.WithoutCancel(ctx)
+		ctx, c.cancel = context.WithDeadline(c.base, c.deadline)
+		defer c.cancel()
+	}
 	switch o := e.run(ctx, c).(type) {
 	case *answer:
 		e.deliver(w, c, o)
@@ -192,7 +191,7 @@
 }
 
 // handleOnce runs a non-idempotent call under a claim.
-func (e *Entry) handleOnce(ctx context.Context, w http.ResponseWriter, c *call) *refusal {
+func (e *Entry) handleOnce(ctx context.Context, w http.ResponseWriter, c *call) *Refusal {
 	switch d := e.ledger.Take(ctx, c.claimKey(), c.digest()).(type) {
 	case *claim.Granted:
 		c.claim = d.Claim
@@ -200,12 +199,12 @@
 		e.replay(w, d)
 		return nil
 	case *claim.Busy:
-		return &refusal{
-			status:  http.StatusConflict,
-			outcome: outcomeUnknown,
-			reason:  outcome.Claimed,
-			after:   retryLater,
-			text:    "a call with this key is being run by " + d.Entry + ", or its outcome is unknown",
+		return &Refusal{
+			Status:     http.StatusConflict,
+			Outcome:    outcomeUnknown,
+			Reason:     outcome.Claimed,
+			RetryAfter: retryLater,
+			Text:       "a call with this key is being run by " + d.Entry + ", or its outcome is unknown",
 		}
 	case *claim.Mismatch:
 		return notRun(outcome.Conflict, 0, "the key was used with another request")
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,6 +31,7 @@
 
 	"go.uber.org/zap"
 
+	"skylarkbeam/caller"
 	"skylarkbeam/claim"
 	"skylarkbeam/fleet"
 	"skylarkbeam/route"
@@ -45,7 +46,8 @@
 	log      *zap.Logger
 	journal  *journal
 	counters *Counters
-	fleet    *fleet.Fleet
+	protocol Protocol
+	fleet    Fleet
 	peers    *fleet.Client
 	ledger   *claim.Ledger
 	table    *route.Table
@@ -59,8 +61,9 @@
 	relays  map[string]*relay
 
 	listeners     *listeners
-	callerServer  *http.Server
+	callerServer  *caller.Server
 	controlServer *http.Server
+	extraServers  []*http.Server
 
 	leaving atomic.Bool
 	// hadContact is what watchContact saw last.
@@ -72,7 +75,10 @@
 }
 
 // newEntry puts an entry together from its parts.
-func newEntry(opts Options, timers *timer.Service, log *zap.Logger, j *journal, counters *Counters, l *listeners, peers *fleet.Client, f *fleet.Fleet, ledger *claim.Ledger, table *route.Table) *Entry {
+func newEntry(opts Options, timers *timer.Service, log *zap.Logger, j *journal, counters *Counters, l *listeners, peers *fleet.Client, f Fleet, ledger *claim.Ledger, table *route.Table) *Entry {
+	if opts.Protocol == nil {
+		opts.Protocol = Own{}
+	}
 	e := &Entry{
 		opts:      opts,
 		timers:    timers,
@@ -80,6 +86,7 @@
 		journal:   j,
 		counters:  counters,
 		listeners: l,
+		protocol:  opts.Protocol,
 		fleet:     f,
 		peers:     peers,
 		ledger:    ledger,
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -15,7 +15,7 @@
 	c.tried = append(c.tried, permit.Target)
 	again := c.unknown != ""
 	after, ok := e.table.HedgeAfter(c.service.name)
-	if !c.idempotent || c.repeat || !ok {
+	if !c.idempotent || c.repeat || !ok || c.promise.attempts < 2 {
 		return e.attempt(ctx, c, permit, again)
 	}
 	h := &hedge{
@@ -106,6 +106,9 @@
 	e := h.entry
 	for {
 		now := e.timers.Now()
+		if !h.call.mayRun() {
+			return nil
+		}
 		if permit := e.table.Hedge(now, h.call.service.name, h.query); permit != nil {
 			if e.contact(now) && h.begin() {
 				return permit
--- a/entry/listeners.go
+++ b/entry/listeners.go
@@ -12,6 +12,7 @@
 type listeners struct {
 	caller  net.Listener
 	control net.Listener
+	extras  []net.Listener
 }
 
 func listen(opts Options) (*listeners, error) {
@@ -24,10 +25,27 @@
 		caller.Close()
 		return nil, errors.Wrap(err, "listening for control")
 	}
-	return &listeners{
+	l := &listeners{
 		caller:  caller,
 		control: control,
-	}, nil
+	}
+	for _, extra := range opts.Extras {
+		listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(extra.Address))
+		if err != nil {
+			l.close()
+			return nil, errors.Wrapf(err, "listening for %s", extra.Name)
+		}
+		l.extras = append(l.extras, listener)
+	}
+	return l, nil
+}
+
+func (l *listeners) close() {
+	l.caller.Close()
+	l.control.Close()
+	for _, extra := range l.extras {
+		extra.Close()
+	}
 }
 
 func addressOf(l net.Listener) netip.AddrPort {
--- a/entry/options.go
+++ b/entry/options.go
@@ -1,11 +1,15 @@
 package entry
 
 import (
+	"net/http"
 	"net/netip"
+	"time"
 
 	"go.uber.org/zap"
 
+	"skylarkbeam/fleet"
 	"skylarkbeam/store"
+	"skylarkbeam/timer"
 )
 
 // Options are what a process knows before it has read the accepted settings.
@@ -26,4 +30,30 @@
 	// receive new work.
 	Serve  bool
 	Logger *zap.Logger
+
+	// Protocol is how callers and targets speak; Own by default.
+	Protocol Protocol
+	// Join returns the entry's part in the fleet, given the addresses on which the entry listens; by default the fleet
+	// keeps its accepted state on Platform.
+	Join func(JoinOptions) Fleet
+	// Extras are further listeners, such as those that a platform asks for health.
+	Extras []Extra
+	// Grace is the time that a shutdown may take, zero if it may last as long as its calls.
+	Grace time.Duration
+}
+
+// JoinOptions are the parts of an entry that its part in a fleet needs.
+type JoinOptions struct {
+	Timers  *timer.Service
+	Peers   *fleet.Client
+	Caller  netip.AddrPort
+	Control netip.AddrPort
+	Logger  *zap.Logger
+}
+
+// Extra is a listener beside those for callers and for control.
+type Extra struct {
+	Name    string
+	Address netip.AddrPort
+	Handler func(e *Entry) http.Handler
 }
--- a/entry/provide.go
+++ b/entry/provide.go
@@ -65,7 +65,16 @@
 	return fleet.NewClient(counters.set)
 }
 
-func newFleet(opts Options, timers *timer.Service, log *zap.Logger, counters *Counters, l *listeners, peers *fleet.Client, c *callbacks) *fleet.Fleet {
+func newFleet(opts Options, timers *timer.Service, log *zap.Logger, counters *Counters, l *listeners, peers *fleet.Client, c *callbacks) Fleet {
+	if opts.Join != nil {
+		return opts.Join(JoinOptions{
+			Timers:  timers,
+			Peers:   peers,
+			Caller:  addressOf(l.caller),
+			Control: addressOf(l.control),
+			Logger:  log,
+		})
+	}
 	control := opts.Advertise
 	if !control.IsValid() {
 		control = addressOf(l.control)
@@ -90,7 +99,11 @@
 	})
 }
 
+// newLedger returns nil if there is no platform on which claims could be kept.
 func newLedger(opts Options, timers *timer.Service) *claim.Ledger {
+	if opts.Platform == nil {
+		return nil
+	}
 	return claim.Open(claim.Options{
 		Table:       opts.Platform,
 		Entry:       opts.Name,
@@ -99,9 +112,10 @@
 	})
 }
 
-func newTable() *route.Table {
+func newTable(opts Options) *route.Table {
 	return route.New(route.Options{
-		Seed: binary.BigEndian.Uint64(random()),
+		Domain: opts.Domain,
+		Seed:   binary.BigEndian.Uint64(random()),
 	})
 }
 
@@ -113,7 +127,7 @@
 }
 
 // connect finishes the assembly: from here on the fleet's callbacks reach the entry.
-func connect(opts Options, timers *timer.Service, log *zap.Logger, j *journal, counters *Counters, l *listeners, peers *fleet.Client, f *fleet.Fleet, ledger *claim.Ledger, table *route.Table, c *callbacks) *Entry {
+func connect(opts Options, timers *timer.Service, log *zap.Logger, j *journal, counters *Counters, l *listeners, peers *fleet.Client, f Fleet, ledger *claim.Ledger, table *route.Table, c *callbacks) *Entry {
 	c.entry = newEntry(opts, timers, log, j, counters, l, peers, f, ledger, table)
 	close(c.ready)
 	return c.entry
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -10,16 +10,7 @@
 // retryLater is what a refused caller is told if nothing better is known.
 const retryLater = time.Second
 
-// refusal says why a call gets no answer of a target. It is sent by the entry itself.
-type refusal struct {
-	status  int
-	outcome string
-	reason  outcome.Reason
-	after   time.Duration
-	text    string
-}
-
-func notRun(reason outcome.Reason, after time.Duration, text string) *refusal {
+func notRun(reason outcome.Reason, after time.Duration, text string) *Refusal {
 	status := http.StatusServiceUnavailable
 	switch reason {
 	case outcome.Share:
@@ -31,12 +22,12 @@
 	case outcome.Conflict:
 		status = http.StatusUnprocessableEntity
 	}
-	return &refusal{
-		status:  status,
-		outcome: outcomeNotRun,
-		reason:  reason,
-		after:   after,
-		text:    text,
+	return &Refusal{
+		Status:     status,
+		Outcome:    outcomeNotRun,
+		Reason:     reason,
+		RetryAfter: after,
+		Text:       text,
 	}
 }
 
@@ -48,19 +39,19 @@
 }
 
 // unfinished is the final answer to a call whose outcome is unknown.
-func unfinished(c *call, reason outcome.Reason) *refusal {
-	no := &refusal{
-		status:  http.StatusBadGateway,
-		outcome: outcomeFailed,
-		reason:  reason,
-		text:    "no whole answer from a target",
+func unfinished(c *call, reason outcome.Reason) *Refusal {
+	no := &Refusal{
+		Status:  http.StatusBadGateway,
+		Outcome: outcomeFailed,
+		Reason:  reason,
+		Text:    "no whole answer from a target",
 	}
 	if reason == outcome.Silent || reason == outcome.Deadline {
-		no.status = http.StatusGatewayTimeout
+		no.Status = http.StatusGatewayTimeout
 	}
 	if !c.idempotent {
-		no.outcome = outcomeUnknown
-		no.text = "the call may have run"
+		no.Outcome = outcomeUnknown
+		no.Text = "the call may have run"
 	}
 	return no
 }
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -33,6 +33,7 @@
 			break
 		}
 		e.counters.relays.Inc()
+		c.runs.Add(1)
 		timeout := c.deadline.Sub(e.timers.Now())
 		message := c.message("", timeout)
 		message.Repeat = c.repeat || c.unknown != ""
--- a/entry/run.go
+++ b/entry/run.go
@@ -92,6 +92,7 @@
 // that the call can still be in time.
 func (e *Entry) pick(ctx context.Context, c *call) (*route.Permit, outcome.Reason) {
 	for {
+		e.survey(ctx, c)
 		now := e.timers.Now()
 		permit, reason := e.table.Pick(now, c.service.name, c.query())
 		if permit != nil || reason != outcome.Queue {
@@ -113,17 +114,21 @@
 // repeat selects the target for another attempt, nil if there is to be none.
 func (e *Entry) repeat(ctx context.Context, c *call) *route.Permit {
 	now := e.timers.Now()
-	if ctx.Err() != nil || !now.Before(c.deadline) || !e.contact(now) {
+	if ctx.Err() != nil || !now.Before(c.deadline) || !c.mayRun() || !e.contact(now) {
 		return nil
 	}
 	return e.table.Repeat(now, c.service.name, c.query())
 }
 
+// mayRun tells whether another target may run the call.
+func (c *call) mayRun() bool { return int(c.runs.Load()) < c.promise.attempts }
+
 func (c *call) query() route.Query {
 	return route.Query{
 		Tried:      c.tried,
 		Idempotent: c.idempotent,
 		Again:      c.unsent > 0,
 		Repeat:     c.repeat,
+		Bulk:       c.promise.bulk,
 	}
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+
+	"skylarkbeam/caller"
 )
 
 const (
@@ -21,22 +23,54 @@
 	// idleTimeout is longer than any caller keeps an address, so that a caller and not the entry ends the use of an idle
 	// connection.
 	idleTimeout = 5 * time.Minute
+	// graceMargin is the part of a grace period that is left for the end of the process.
+	graceMargin = 300 * time.Millisecond
 	// closeTimeout bounds the last writes to the table on shutdown.
 	closeTimeout = 3 * time.Second
 )
 
 // Start serves both listeners and starts the background work.
 func (e *Entry) Start() {
-	e.callerServer = e.server(e.callerHandler())
+	e.callerServer = caller.NewServer(caller.Options{
+		Handler: e.callerHandler(),
+		Limits:  e.callerLimits,
+		Timers:  e.timers,
+	})
 	e.controlServer = e.server(e.controlHandler())
 	e.serveOn(e.controlServer, e.peers.Listener(e.listeners.control), "control")
-	e.serveOn(e.callerServer, e.listeners.caller, "caller")
+	e.tasks.Go(func() {
+		if err := e.callerServer.Serve(e.listeners.caller); !errors.Is(err, caller.ErrClosed) {
+			e.log.Error("listener failed", zap.String("listener", "caller"), zap.Error(err))
+		}
+	})
+	for i, extra := range e.opts.Extras {
+		server := e.server(extra.Handler(e))
+		e.extraServers = append(e.extraServers, server)
+		e.serveOn(server, e.listeners.extras[i], extra.Name)
+	}
 	e.background()
 	e.log.Info("serving",
 		zap.Stringer("caller", e.CallerAddress()),
 		zap.Stringer("control", e.ControlAddress()))
 }
 
+// callerLimits are the limits for callers that are in force.
+func (e *Entry) callerLimits() caller.Limits {
+	settings := e.view.Load().settings
+	if settings == nil {
+		return caller.Limits{
+			Head: http.DefaultMaxHeaderBytes,
+			Read: readHeaderTimeout,
+			Idle: idleTimeout,
+		}
+	}
+	return caller.Limits{
+		Head: settings.Limits.Head,
+		Read: time.Duration(settings.Limits.Read),
+		Idle: time.Duration(settings.Limits.Idle),
+	}
+}
+
 // CallerAddress returns the address on which callers are served.
 func (e *Entry) CallerAddress() netip.AddrPort {
 	return addressOf(e.listeners.caller)
@@ -75,6 +109,14 @@
 		keep = time.Duration(settings.Limits.Keep)
 	}
 	e.log.Info("leaving", zap.Duration("keep", keep+leaveMargin))
+	if e.opts.Grace > 0 {
+		// The process is killed at the end of the grace period, whatever callers still know.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, e.opts.Grace-graceMargin)
+		defer cancel()
+		keep = min(keep, e.opts.Grace/2)
+		e.callerServer.Finish()
+	}
 	wait := time.NewTimer(keep + leaveMargin)
 	defer wait.Stop()
 	select {
@@ -98,7 +140,12 @@
 		}
 		e.controlServer.Shutdown(ctx)
 		e.controlServer.Close()
-		e.ledger.Close()
+		if e.ledger != nil {
+			e.ledger.Close()
+		}
+		for _, server := range e.extraServers {
+			server.Close()
+		}
 		close(e.done)
 		e.closePools()
 		e.peers.Close()
--- a/entry/view.go
+++ b/entry/view.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,8 @@
 	silenceFloor = 100 * time.Millisecond
 	// silenceFactor is that time in multiples of the usual work of the service.
 	silenceFactor = 10
+	// evenShare is the share of each caller where the settings know no callers.
+	evenShare = 0.05
 )
 
 // view is what an entry derives from one version of the accepted state. It is immutable; its parts have locks of their
@@ -32,6 +35,9 @@
 	services map[string]*service
 	pools    map[string]*pool
 	paths    setting.Paths
+	routes   setting.Routes
+	// promises holds what callers are owed, by route.
+	promises map[string]*routed
 }
 
 // service is one service at this entry.
@@ -39,7 +45,8 @@
 	name      string
 	spec      setting.Service
 	scheduler *share.Scheduler
-	// adjusted is when the scheduler last got its capacity, in Unix nanoseconds; active that there were calls since then.
+	// adjusted is when the scheduler last got its capacity, in nanoseconds since the start of the process; active that there
+	// were calls since then.
 	adjusted atomic.Int64
 	active   atomic.Bool
 }
@@ -47,9 +54,16 @@
 // pool is the connection pool of a target with the settings it was made from.
 type pool struct {
 	*target.Pool
-	spec        setting.Target
+	opts poolOptions
+}
+
+// poolOptions are what a pool depends on.
+type poolOptions struct {
+	address     netip.AddrPort
+	instance    string
 	connections int
 	silence     time.Duration
+	load        string
 }
 
 // contact tells whether new work may be sent now. It first puts a state that has just arrived in force: contact that
@@ -70,14 +84,17 @@
 	defer e.refreshing.Unlock()
 	state := e.fleet.State()
 	old := e.view.Load()
-	if state.Settings == nil || old.settings != nil && state.Version == old.version {
+	if state.Settings == nil && state.Parsed == nil || old.settings != nil && state.Version == old.version {
 		return
 	}
-	settings, err := setting.Parse(state.Settings)
-	if err != nil {
-		// Entries check settings before they accept them, so this takes a newer program that accepts more.
-		e.log.Error("accepted settings cannot be read", zap.Uint64("version", state.Version), zap.Error(err))
-		return
+	settings := state.Parsed
+	if settings == nil {
+		var err error
+		if settings, err = setting.Parse(state.Settings); err != nil {
+			// Entries check settings before they accept them, so this takes a newer program that accepts more.
+			e.log.Error("accepted settings cannot be read", zap.Uint64("version", state.Version), zap.Error(err))
+			return
+		}
 	}
 	now := e.timers.Now()
 	next := &view{
@@ -91,7 +108,9 @@
 	for name, spec := range settings.Services {
 		next.services[name] = e.service(old, name, spec)
 		for targetName, t := range spec.Targets {
-			next.pools[targetName] = e.pool(now, old, settings, name, targetName)
+			next.pools[targetName] = e.pool(now, old, settings, name, targetName, poolOptions{
+				address: t.Address,
+			})
 			targets = append(targets, route.Target{
 				Name:     targetName,
 				Service:  name,
@@ -104,9 +123,12 @@
 			})
 		}
 	}
+	targets = append(targets, e.registered(now, state, old, next)...)
+	next.route(old)
 	e.fleet.SetLimits(time.Duration(settings.Limits.Contact), settings.Limits.Isolation == setting.IsolationServe)
 	e.table.SetRepeats(settings.Limits.Retries)
-	e.table.SetEntries(len(settings.Entries))
+	e.table.SetBudget(time.Duration(settings.Limits.Window), settings.Limits.Slack)
+	e.table.SetEntries(e.entries(settings))
 	e.table.SetTargets(now, targets)
 	for name := range next.pools {
 		warm, fallen := e.fleet.Known(name)
@@ -158,34 +180,42 @@
 	if settings == nil {
 		return 0
 	}
+	if len(settings.Callers) == 0 {
+		return evenShare
+	}
 	return settings.Classes[settings.Callers[caller].Class].Share
 }
 
-func (e *Entry) pool(now time.Time, old *view, settings *setting.Settings, serviceName, name string) *pool {
+// pool returns the connection pool to a target. The options have what is known of the target alone.
+func (e *Entry) pool(now time.Time, old *view, settings *setting.Settings, serviceName, name string, opts poolOptions) *pool {
 	spec := settings.Services[serviceName]
-	t := spec.Targets[name]
-	entries := max(len(settings.Entries), 1)
-	connections := max(spec.Connections/entries, 1)
-	silence := max(silenceFactor*time.Duration(spec.Work), silenceFloor)
-	budget := e.budget(now, name, spec.Probes/entries)
-	if have := old.pools[name]; have != nil && have.spec == t && have.connections == connections && have.silence == silence {
+	entries := e.entries(settings)
+	opts.connections = max(spec.Connections/entries, 1)
+	opts.silence = max(silenceFactor*time.Duration(spec.Work), silenceFloor)
+	if opts.instance != "" {
+		// Its load is read before each call, which shows a silent connection.
+		opts.silence = -1
+	}
+	opts.load = spec.Load
+	budget := e.budget(now, name, max(spec.Probes/entries, 1))
+	if have := old.pools[name]; have != nil && have.opts == opts {
 		return have
 	}
 	return &pool{
 		Pool: target.New(target.Options{
 			Name:        name,
-			Address:     t.Address,
-			Connections: connections,
+			Address:     opts.address,
+			Protocol:    e.protocol.Target(),
+			Load:        opts.load,
+			Connections: opts.connections,
 			Probes:      budget,
 			Timers:      e.timers,
-			Silence:     silence,
+			Silence:     opts.silence,
 			OnReport:    func(r outcome.Report) { e.reported(name, r) },
-			MayRetry:    func() bool { return e.table.Spend(serviceName) },
+			MayRetry:    func() bool { return e.table.Spend(e.timers.Now(), serviceName) },
 			OnRetry:     e.counters.Retried,
 		}),
-		spec:        t,
-		connections: connections,
-		silence:     silence,
+		opts: opts,
 	}
 }
 
@@ -224,7 +254,7 @@
 // adjust tells the scheduler of a service how many calls this entry should have in flight, and refuses waiting calls that
 // are too late.
 func (e *Entry) adjust(now time.Time, s *service) {
-	s.adjusted.Store(now.UnixNano())
+	s.adjusted.Store(int64(now.Sub(e.started)))
 	window, total := e.table.Capacity(now, s.name, s.scheduler.Demand(now))
 	s.scheduler.SetCapacity(now, window, total)
 	s.scheduler.Expire(now)
@@ -234,8 +264,8 @@
 // entry 100 times a second, which took 1% of a core.
 func (e *Entry) adjustSoon(now time.Time, s *service) {
 	s.active.Store(true)
-	last := s.adjusted.Load()
-	if now.UnixNano()-last >= int64(adjustInterval) && s.adjusted.CompareAndSwap(last, now.UnixNano()) {
+	last, present := s.adjusted.Load(), int64(now.Sub(e.started))
+	if present-last >= int64(adjustInterval) && s.adjusted.CompareAndSwap(last, present) {
 		e.adjust(now, s)
 	}
 }
@@ -244,7 +274,7 @@
 func (e *Entry) adjustAll() {
 	now := e.timers.Now()
 	for _, s := range e.view.Load().services {
-		if s.active.Swap(false) || now.UnixNano()-s.adjusted.Load() >= int64(time.Second) {
+		if s.active.Swap(false) || int64(now.Sub(e.started))-s.adjusted.Load() >= int64(time.Second) {
 			e.adjust(now, s)
 		}
 	}
--- /dev/null
+++ b/feed/follow.go
@@ -0,0 +1,130 @@
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"skylarkbeam/timer"
+)
+
+// ErrHistory is returned by Watch if the service no longer has the history that was asked for.
+var ErrHistory = errors.New("the history is no longer available")
+
+// Source is the service that holds the tables.
+type Source interface {
+	// Read returns all rows of a table as of one moment.
+	Read(ctx context.Context, table string) (Batch, error)
+	// Watch returns the changes of a table after a version as soon as there is one, and none after wait.
+	Watch(ctx context.Context, table string, after uint64, wait time.Duration) (Batch, error)
+}
+
+const (
+	// watchTime is how long one request waits for changes. Each request has a price, and what a silent connection hides
+	// is learned from the other entries meanwhile.
+	watchTime = 15 * time.Second
+	// gatherTime separates the end of a wait that brought changes from the next request, so that changes in quick
+	// succession share requests.
+	gatherTime = 300 * time.Millisecond
+	// minBackoff and maxBackoff bound the pause after a failed request, which doubles with each further one.
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = time.Second
+)
+
+// Options are the parts of Follow.
+type Options struct {
+	Table  *Table
+	Source Source
+	Timers *timer.Service
+	// Changed is called after each change of a row.
+	Changed func()
+	// Lost and Regained are told when the service stops and starts to answer; Regained with how long it was away.
+	Lost     func(err error)
+	Regained func(away time.Duration)
+	Logger   *zap.Logger
+}
+
+// Follow keeps a table current until ctx ends.
+func Follow(ctx context.Context, o Options) {
+	f := follower{
+		Options: o,
+	}
+	read := true
+	for ctx.Err() == nil {
+		changed, err := f.step(ctx, read)
+		read = read && err != nil || errors.Is(err, ErrHistory)
+		switch {
+		case err == nil && changed:
+			f.pause(ctx, gatherTime)
+		case err != nil && !errors.Is(err, ErrHistory):
+			f.pause(ctx, f.backoff())
+		}
+	}
+}
+
+type follower struct {
+	Options
+	// lost is when the first of the failed requests since the last answer ended, failures their number.
+	lost     time.Time
+	failures int
+}
+
+// step makes one request and tells whether a row has changed.
+func (f *follower) step(ctx context.Context, read bool) (changed bool, err error) {
+	var b Batch
+	if read {
+		b, err = f.Source.Read(ctx, f.Table.Name())
+	} else {
+		b, err = f.Source.Watch(ctx, f.Table.Name(), f.Table.Complete(), watchTime)
+	}
+	if errors.Is(err, ErrHistory) {
+		f.Logger.Info("the table's history is gone, reading it anew", zap.String("table", f.Table.Name()),
+			zap.Uint64("version", f.Table.Complete()))
+		return false, err
+	}
+	if err != nil {
+		f.fail(ctx, err)
+		return false, err
+	}
+	f.answered()
+	if changed = f.Table.Apply(b); changed || read {
+		f.Changed()
+	}
+	return changed, nil
+}
+
+func (f *follower) fail(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.failures++
+	if f.failures == 1 {
+		f.lost = f.Timers.Now()
+		f.Lost(err)
+	}
+}
+
+func (f *follower) answered() {
+	if f.failures > 0 {
+		f.failures = 0
+		f.Regained(f.Timers.Now().Sub(f.lost))
+	}
+}
+
+// backoff returns the pause after the failures so far, with a random part so that the entries do not come back together.
+func (f *follower) backoff() time.Duration {
+	pause := min(minBackoff<<min(f.failures, 8), maxBackoff)
+	return pause/2 + rand.N(pause/2)
+}
+
+func (f *follower) pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/fleet/followerhttp.go
@@ -0,0 +1,90 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+
+	restful "github.com/emicklei/go-restful/v3"
+
+	"skylarkbeam/feed"
+)
+
+// Paths below Path that a Follower serves.
+const (
+	greetPath   = "/greet"
+	membersPath = "/members"
+	rowsPath    = "/rows"
+)
+
+// Service returns the web service for peers.
+func (f *Follower) Service() *restful.WebService {
+	service := new(restful.WebService)
+	service.Path(Path).Consumes(restful.MIME_JSON).Produces(restful.MIME_JSON)
+	service.Route(service.POST(greetPath).To(f.serveGreeting))
+	service.Route(service.GET(membersPath).To(f.serveMembers))
+	service.Route(service.GET(rowsPath).To(f.serveRows))
+	return service
+}
+
+func (f *Follower) serveGreeting(req *restful.Request, resp *restful.Response) {
+	var g Greeting
+	if err := decodeBody(req.Request.Body, maxMessageBytes, &g); err != nil || g.Entry == "" || g.Record.Incarnation == "" {
+		http.Error(resp, "malformed greeting", http.StatusBadRequest)
+		return
+	}
+	if f.ctx.Err() != nil {
+		http.Error(resp, "the entry has stopped", http.StatusServiceUnavailable)
+		return
+	}
+	f.hear(&g, f.now())
+	answer(resp, f.greeting())
+}
+
+func (f *Follower) serveMembers(_ *restful.Request, resp *restful.Response) {
+	answer(resp, f.roll())
+}
+
+func (f *Follower) serveRows(req *restful.Request, resp *restful.Response) {
+	table := f.tables[req.QueryParameter("table")]
+	after, err := strconv.ParseUint(req.QueryParameter("after"), 10, 64)
+	if table == nil || err != nil {
+		http.Error(resp, "need the name of a table and a version", http.StatusBadRequest)
+		return
+	}
+	if !table.Loaded() {
+		http.Error(resp, "the table is not known yet", http.StatusServiceUnavailable)
+		return
+	}
+	answer(resp, table.Since(after))
+}
+
+// Greet sends a greeting and returns the one of the peer.
+func (c *Client) Greet(ctx context.Context, to netip.AddrPort, g *Greeting) (*Greeting, error) {
+	var reply Greeting
+	err := c.call(ctx, http.MethodPost, to, Path+greetPath, encode(g), maxMessageBytes, &reply)
+	return &reply, err
+}
+
+// Members asks a peer for the members that it knows.
+func (c *Client) Members(ctx context.Context, to netip.AddrPort) (*Roll, error) {
+	var roll Roll
+	err := c.call(ctx, http.MethodGet, to, Path+membersPath, nil, maxMessageBytes, &roll)
+	return &roll, err
+}
+
+// Rows asks a peer for what a copy of a table lacks that is complete up to a version.
+func (c *Client) Rows(ctx context.Context, to netip.AddrPort, table string, after uint64) (*feed.Batch, error) {
+	var batch feed.Batch
+	query := url.Values{
+		"table": {table},
+		"after": {strconv.FormatUint(after, 10)},
+	}
+	err := c.call(ctx, http.MethodGet, to, Path+rowsPath+"?"+query.Encode(), nil, maxSnapshotBytes, &batch)
+	return &batch, err
+}
+
+func decodeRecord(data []byte, record *Record) error { return json.Unmarshal(data, record) }
--- a/fleet/http.go
+++ b/fleet/http.go
@@ -171,7 +171,7 @@
 // Send implements Peers.
 func (c *Client) Send(ctx context.Context, to netip.AddrPort, message *Message) (*Message, error) {
 	var reply Message
-	err := c.call(ctx, http.MethodPost, to, "", encode(message), maxMessageBytes, &reply)
+	err := c.call(ctx, http.MethodPost, to, Path, encode(message), maxMessageBytes, &reply)
 	return &reply, err
 }
 
@@ -182,12 +182,12 @@
 		"object": {object},
 		"warm":   {strconv.FormatBool(warm)},
 	}
-	err := c.call(ctx, http.MethodGet, to, "?"+query.Encode(), nil, maxSnapshotBytes, &snap)
+	err := c.call(ctx, http.MethodGet, to, Path+"?"+query.Encode(), nil, maxSnapshotBytes, &snap)
 	return &snap, err
 }
 
-func (c *Client) call(ctx context.Context, method string, to netip.AddrPort, query string, body []byte, limit int64, into any) error {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+to.String()+Path+query, bytes.NewReader(body))
+func (c *Client) call(ctx context.Context, method string, to netip.AddrPort, path string, body []byte, limit int64, into any) error {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+to.String()+path, bytes.NewReader(body))
 	if err != nil {
 		return errors.Wrap(err, "call a peer")
 	}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -62,6 +62,22 @@
 	Target string `json:"target"`
 }
 
+// What entries that follow an operator's tables send each other, as request and as
+// answer.
+type Greeting struct {
+	// Entry corresponds to the JSON schema field "entry".
+	Entry string `json:"entry"`
+
+	// Tenths of a second since the sender last heard the other members.
+	Heard map[string]int `json:"heard,omitempty,omitzero"`
+
+	// Record corresponds to the JSON schema field "record".
+	Record Record `json:"record"`
+
+	// Versions of the newest changes that the sender knows, by table.
+	Tables map[string]uint64 `json:"tables"`
+}
+
 // A version: that which a change became, in the row state/change/ID, and that of
 // the roster, in the row fleet/version.
 type Mark struct {
@@ -137,6 +153,12 @@
 const RecordStateGone RecordState = "gone"
 const RecordStateLeaving RecordState = "leaving"
 
+// The members that an entry knows, by name.
+type Roll struct {
+	// Members corresponds to the JSON schema field "members".
+	Members map[string]Record `json:"members"`
+}
+
 // The members, as in the row fleet.
 type Roster struct {
 	// Members corresponds to the JSON schema field "members".
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"skylarkbeam/setting"
 	"skylarkbeam/store"
 )
 
@@ -36,6 +37,10 @@
 	Base uint64
 	// Settings are the bytes that Apply was given, nil before the first one.
 	Settings []byte
+	// Parsed are the settings of a state that a Follower has read from tables, nil in any other.
+	Parsed *setting.Settings
+	// Registered are the targets that have registered themselves; Parsed has none then.
+	Registered []Registered
 	// Domains and Targets are drained, sorted by name.
 	Domains []string
 	Targets []string
--- a/route/budget.go
+++ b/route/budget.go
@@ -1,5 +1,10 @@
 package route
 
+import (
+	"math"
+	"time"
+)
+
 // repeatShare is the default share of repeats and hedges in first attempts.
 const repeatShare = 0.1
 
@@ -10,23 +15,97 @@
 // that would fail.
 const hedgeReserve = 3.0
 
-// budget counts the attempts that may still be repeated or hedged. It starts empty, so that repeats never pass their
-// share of first attempts, counted from the start.
+// budgetSteps is the number of steps into which the window of a budget is divided. The oldest step counts in full, so the
+// budget is too strict by at most a twentieth.
+const budgetSteps = 20
+
+// budgetRule says how many repeats are allowed.
+type budgetRule struct {
+	// share is the part of first attempts.
+	share float64
+	// window is the time over which repeats are counted, zero if the budget is earned call by call.
+	window time.Duration
+	// slack is the number of repeats in a window that this entry may make beyond the share.
+	slack float64
+}
+
+// budgetRule returns the rule for this entry: its even part of the slack.
+func (t *Table) budgetRule() budgetRule {
+	rule := budgetRule{
+		share: math.Float64frombits(t.repeats.Load()),
+		slack: math.Float64frombits(t.slack.Load()) / float64(t.entries.Load()),
+	}
+	if rule.slack > 0 {
+		rule.window = time.Duration(t.window.Load())
+	}
+	return rule
+}
+
+// budget counts the attempts that may still be repeated or hedged. Without a window it starts empty, so that repeats never
+// pass their share of first attempts, counted from the start.
 type budget struct {
+	epoch  time.Time
 	tokens float64
+	steps  [budgetSteps + 1]budgetStep
 }
 
-func (b *budget) earn(share float64) {
-	b.tokens = min(b.tokens+share, repeatBurst)
+// budgetStep counts what happened in one step of the window.
+type budgetStep struct {
+	number  int64
+	first   float64
+	repeats float64
+}
+
+func (b *budget) earn(now time.Time, rule budgetRule) {
+	b.tokens = min(b.tokens+rule.share, repeatBurst)
+	if rule.window > 0 {
+		b.step(now, rule).first++
+	}
 }
 
-func (b *budget) has(hedge bool) bool {
+func (b *budget) has(now time.Time, rule budgetRule, hedge bool) bool {
+	left := b.tokens
+	if rule.window > 0 {
+		left = b.left(now, rule)
+	}
 	if hedge {
-		return b.tokens >= 1+hedgeReserve
+		return left >= 1+hedgeReserve
 	}
-	return b.tokens >= 1
+	return left >= 1
 }
 
-func (b *budget) spend() {
+func (b *budget) spend(now time.Time, rule budgetRule) {
 	b.tokens--
+	if rule.window > 0 {
+		b.step(now, rule).repeats++
+	}
+}
+
+// step returns the counts of the present step.
+func (b *budget) step(now time.Time, rule budgetRule) *budgetStep {
+	number := b.number(now, rule)
+	s := &b.steps[number%int64(len(b.steps))]
+	if s.number != number {
+		*s = budgetStep{
+			number: number,
+		}
+	}
+	return s
+}
+
+// number returns the number of the present step, from 1.
+func (b *budget) number(now time.Time, rule budgetRule) int64 {
+	return 1 + int64(now.Sub(b.epoch)/(rule.window/budgetSteps))
+}
+
+// left returns the repeats that the window still allows.
+func (b *budget) left(now time.Time, rule budgetRule) float64 {
+	oldest := b.number(now, rule) - budgetSteps
+	left := rule.slack
+	for i := range b.steps {
+		if s := &b.steps[i]; s.number >= oldest {
+			left += rule.share*s.first - s.repeats
+		}
+	}
+	return left
 }
--- a/route/permit.go
+++ b/route/permit.go
@@ -22,6 +22,8 @@
 	target *target
 	start  time.Time
 	done   bool
+	// slowness is that of the target at the start.
+	slowness float64
 }
 
 // Kind is how an attempt ended.
--- a/route/repeats_test.go
+++ b/route/repeats_test.go
@@ -67,6 +67,6 @@
 				Latency: time.Millisecond,
 			})
 		}
-		assert.Equal(t, table.Spend("stock"), !descendants, "descendants %t", descendants)
+		assert.Equal(t, table.Spend(epoch, "stock"), !descendants, "descendants %t", descendants)
 	}
 }
--- a/route/service.go
+++ b/route/service.go
@@ -55,6 +55,8 @@
 	// usual is the average number of calls that other entries have at a target, for each slot.
 	usual float64
 	trust trust
+	// slowness is the average slowness that targets report.
+	slowness float64
 }
 
 func newService(t *Table, name string, now time.Time, seed uint64) *service {
@@ -63,6 +65,9 @@
 		name:  name,
 		epoch: now,
 		rand:  rand.New(rand.NewPCG(seed, 1)),
+		budget: budget{
+			epoch: now,
+		},
 	}
 }
 
@@ -144,13 +149,18 @@
 		if !t.operating() {
 			continue
 		}
+		t.thaw(now)
 		c.operating = true
 		warm := t.isWarm()
 		c.warm = c.warm || warm
 		if slices.Contains(q.Tried, t.Name) || ejecting && t.barred(now, q.Idempotent || !gated) {
 			continue
 		}
-		if !s.consider(now, c, t, q.Idempotent, spare, gated) {
+		if t.registered() {
+			if !s.considerRegistered(now, c, t, q, spare) {
+				continue
+			}
+		} else if !s.consider(now, c, t, q.Idempotent, spare, gated) {
 			continue
 		}
 		if count--; count == 0 {
@@ -226,6 +236,9 @@
 	t.inflight++
 	s.inflight++
 	t.started += now.Sub(s.epoch)
+	if t.registered() {
+		return t.permit(now)
+	}
 	return &Permit{
 		Target:   t.Name,
 		Address:  t.Address,
--- a/route/table.go
+++ b/route/table.go
@@ -57,6 +57,16 @@
 	ColdTime time.Duration
 	// Drained means that the target or its failure domain is drained by operators.
 	Drained bool
+
+	// Instance is the process start that a registry names, empty for a target that is not registered. Entries learn the
+	// instance of such a target, and whether it is warm, from its answers.
+	Instance string
+	// Cold is until when the registry says that the instance is cold.
+	Cold time.Time
+	// Rate is the number of calls a second that the registered target can handle while it is cold, over all entries.
+	Rate float64
+	// Leaving means that the registry says that the target is about to end.
+	Leaving bool
 }
 
 // drainedRetry is when to come back to a service without targets in operation: operators need seconds at least.
@@ -68,6 +78,8 @@
 	Entries int
 	// Seed makes the random choices repeatable.
 	Seed uint64
+	// Domain is the failure domain of the entry.
+	Domain string
 }
 
 // Owner tells whether this entry may send to a cold target, and until when.
@@ -82,6 +94,12 @@
 
 	mu   sync.Mutex // serializes changes of view
 	seed *rand.Rand
+
+	// domain is the failure domain of this entry.
+	domain string
+	// window and slack are the budget of repeats over time; see SetBudget.
+	window atomic.Int64
+	slack  atomic.Uint64
 }
 
 // view is immutable; the services and targets in it have locks of their own.
@@ -93,7 +111,8 @@
 // New returns a Table without targets.
 func New(o Options) *Table {
 	t := &Table{
-		seed: rand.New(rand.NewPCG(o.Seed, 0x9e3779b97f4a7c15)),
+		domain: o.Domain,
+		seed:   rand.New(rand.NewPCG(o.Seed, 0x9e3779b97f4a7c15)),
 	}
 	t.SetEntries(max(o.Entries, 1))
 	t.SetRepeats(repeatShare)
@@ -115,6 +134,13 @@
 	t.repeats.Store(math.Float64bits(min(max(share, 0), 1)))
 }
 
+// SetBudget counts the budget of repeats over a sliding window in which slack repeats of all entries together are allowed
+// beyond the share. With no slack the budget is earned call by call.
+func (t *Table) SetBudget(window time.Duration, slack float64) {
+	t.window.Store(int64(window))
+	t.slack.Store(math.Float64bits(slack))
+}
+
 // SetOwner sets the function that grants ownership of cold targets. It is called with a lock held, so it must neither
 // block nor call the Table.
 func (t *Table) SetOwner(owner Owner) {
@@ -288,6 +314,8 @@
 	// Repeat says that the call descends from a hedge or a repeat of an entry further up. It is no first attempt, so it adds
 	// nothing to the budget.
 	Repeat bool
+	// Bulk says that the answer is large, so that its bytes between failure domains count.
+	Bulk bool
 }
 
 // Pick selects the target for the first attempt of a call. Without a permit, the reason is Service, Drained, Cold or
@@ -301,7 +329,7 @@
 	defer s.mu.Unlock()
 	p, reason := s.pick(now, q, false)
 	if p != nil && !q.Again && !q.Repeat {
-		s.budget.earn(math.Float64frombits(t.repeats.Load()))
+		s.budget.earn(now, t.budgetRule())
 	}
 	return p, reason
 }
@@ -354,29 +382,29 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.budget.has(hedge) {
+	if !s.budget.has(now, t.budgetRule(), hedge) {
 		return nil
 	}
 	p, _ := s.pick(now, q, hedge)
 	if p != nil {
-		s.budget.spend()
+		s.budget.spend(now, t.budgetRule())
 	}
 	return p
 }
 
 // Spend takes one repeat out of the budget of the service, for a repeat that is not selected here. It returns false if the
 // budget allows none.
-func (t *Table) Spend(service string) bool {
+func (t *Table) Spend(now time.Time, service string) bool {
 	s := t.view.Load().services[service]
 	if s == nil {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.budget.has(false) {
+	if !s.budget.has(now, t.budgetRule(), false) {
 		return false
 	}
-	s.budget.spend()
+	s.budget.spend(now, t.budgetRule())
 	return true
 }
 
--- a/route/target.go
+++ b/route/target.go
@@ -83,6 +83,8 @@
 	others   float64
 	usual    float64
 	reported time.Time
+
+	registration
 }
 
 func newTarget(s *service, spec Target) *target {
@@ -97,6 +99,9 @@
 	if t.Drained && !spec.Drained {
 		t.ramp = now
 	}
+	if spec.Instance != "" {
+		t.register(now, spec)
+	}
 	t.Target = spec
 	t.Slots = max(spec.Slots, 1)
 }
@@ -110,6 +115,9 @@
 
 // isWarm tells whether the current instance is known to be warm.
 func (t *target) isWarm() bool {
+	if t.registered() {
+		return !t.cold
+	}
 	return t.instance != "" && slices.ContainsFunc(t.warm[:], func(l generation) bool {
 		return l.instance == t.instance && l.falls >= t.falls
 	})
@@ -187,6 +195,10 @@
 // identify takes instance and phase from a report of a process that was alive at the time sent or later. Only the answer
 // to a call can tell of a warm instance that it is cold again: the phase in a load read can be old.
 func (t *target) identify(now, sent time.Time, r outcome.Report, answered bool) Event {
+	if t.registered() {
+		t.recognize(now, r)
+		return nil
+	}
 	if r.Instance == "" || r.Instance != t.instance && sent.Before(t.seen) {
 		return nil
 	}
@@ -244,7 +256,7 @@
 
 // operating tells whether the target may get new work at all.
 func (t *target) operating() bool {
-	return !t.Drained && !t.leaving && t.draining.IsZero()
+	return !t.Drained && !t.Leaving && !t.leaving && t.draining.IsZero()
 }
 
 // setLoad takes the load of the whole target from a report and keeps the part that other entries cause.
@@ -255,6 +267,10 @@
 	slots := float64(t.Slots)
 	t.service.trust.add(float64(t.inflight)/slots, float64(r.Active+r.Queued)/slots)
 	t.others = max(float64(r.Active+r.Queued-t.inflight), 0)
+	if r.Slowness > 0 {
+		t.slowness = r.Slowness
+		t.service.slowness += (r.Slowness - t.service.slowness) * latencyMean
+	}
 	if t.reported.IsZero() {
 		t.usual = t.others
 	}
@@ -281,8 +297,8 @@
 	switch r.Kind {
 	case Succeeded:
 		t.failures = t.currentFailures(now) * (1 - failureWeight)
-		t.sample(now, float64(r.Latency))
-		s.sample(r.Latency)
+		t.sample(now, float64(r.Latency)/max(p.slowness, 1))
+		s.sample(time.Duration(float64(r.Latency) / max(p.slowness, 1)))
 		if t.failures < 0.05 {
 			t.ejections = 0
 		}
--- a/standin/load.go
+++ b/standin/load.go
@@ -60,7 +60,13 @@
 		old.Instance = r.Instance
 		r = old
 	}
-	return Load(r)
+	return Load{
+		Instance: r.Instance,
+		Phase:    r.Phase,
+		Active:   r.Active,
+		Slots:    r.Slots,
+		Queued:   r.Queued,
+	}
 }
 
 func (t *Target) serveLoad(w http.ResponseWriter, r *http.Request) {
--- a/target/probe.go
+++ b/target/probe.go
@@ -64,6 +64,34 @@
 	return report, nil
 }
 
+// Read does a load read on the connection that was used last, or on a new one if none is idle. The connection is then the
+// next one to carry a call, so the read also shows that it is not silent. It fails with ErrBudget or ErrLate, or with the
+// error of the connection.
+func (p *Pool) Read(ctx context.Context) (outcome.Report, error) {
+	now := p.opts.Timers.Now()
+	if p.opts.Probes == nil {
+		return outcome.Report{}, p.probeError(ErrBudget)
+	}
+	if _, ok := p.opts.Probes.Take(now); !ok {
+		return outcome.Report{}, p.probeError(ErrBudget)
+	}
+	deadline := now.Add(p.opts.Check)
+	c := p.reuse(p.loadCall(), now)
+	if c == nil {
+		var reason outcome.Reason
+		if c, reason = p.connect(ctx, deadline); reason != "" {
+			p.opts.Probes.Cancel()
+			return outcome.Report{}, p.probeError(fmt.Errorf("no connection: %s", reason))
+		}
+	}
+	report, err := p.load(ctx, c, deadline)
+	if err != nil {
+		return outcome.Report{}, p.probeError(err)
+	}
+	p.release(c)
+	return report, nil
+}
+
 func (p *Pool) probeError(err error) error {
 	return fmt.Errorf("probe target %s: %w", p.opts.Name, err)
 }
