--- a/entry/addresses.go
+++ b/entry/addresses.go
@@ -67,7 +67,7 @@
 		return false
 	}
 	if m.Name == e.opts.Name {
-		return !e.leaving.Load() && e.Ready()
+		return e.Ready()
 	}
 	return now.Sub(m.Heard) < heardLimit
 }
--- a/entry/provide.go
+++ b/entry/provide.go
@@ -112,10 +112,11 @@
 	})
 }
 
-func newTable(opts Options) *route.Table {
+func newTable(opts Options, timers *timer.Service) *route.Table {
 	return route.New(route.Options{
-		Domain: opts.Domain,
-		Seed:   binary.BigEndian.Uint64(random()),
+		Domain:  opts.Domain,
+		Started: timers.Now(),
+		Seed:    binary.BigEndian.Uint64(random()),
 	})
 }
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -63,7 +63,7 @@
 			}
 			again = o.Reason
 		}
-		if uncharged(again) && c.unsent < maxUnsent {
+		if e.uncharged(again) && c.unsent < maxUnsent {
 			c.unsent++
 			permit, _ = e.pick(ctx, c)
 		} else {
@@ -80,9 +80,12 @@
 // running target: the target has restarted, is down or left the settings, or its probe budget allowed no connection
 // check. The next attempt then costs the targets nothing more and does not draw on the budget for repeats, which a return
 // of many targets at once would exhaust.
-func uncharged(reason outcome.Reason) bool {
+func (e *Entry) uncharged(reason outcome.Reason) bool {
 	switch reason {
-	case outcome.Instance, outcome.Budget, outcome.Dial, outcome.Leaving:
+	case outcome.Instance:
+		// A target that tells its instance in its answers has got the call, though it did not run it.
+		return !e.protocol.Target().Traits().Verifies
+	case outcome.Budget, outcome.Dial, outcome.Leaving:
 		return true
 	}
 	return false
--- a/entry/server.go
+++ b/entry/server.go
@@ -164,8 +164,9 @@
 	}
 }
 
-// Ready tells whether the entry can send calls: it has settings, it has contact, and it may check connections.
+// Ready tells whether callers may be sent to the entry: it is not shutting down, it has settings and contact, and it may
+// check connections.
 func (e *Entry) Ready() bool {
 	now := e.timers.Now()
-	return e.view.Load().settings != nil && e.fleet.Contact(now) && e.fleet.Probes(now)
+	return !e.leaving.Load() && e.view.Load().settings != nil && e.fleet.Contact(now) && e.fleet.Probes(now)
 }
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -26,7 +26,7 @@
 	entryCallbacks := newCallbacks()
 	fleet := newFleet(opts, timerService, logger, counters, entryListeners, client, entryCallbacks)
 	ledger := newLedger(opts, timerService)
-	table := newTable(opts)
+	table := newTable(opts, timerService)
 	entry := connect(opts, timerService, logger, entryJournal, counters, entryListeners, client, fleet, ledger, table, entryCallbacks)
 	return entry, nil
 }
--- a/route/budget.go
+++ b/route/budget.go
@@ -30,13 +30,18 @@
 }
 
 // budgetRule returns the rule for this entry: its even part of the slack.
-func (t *Table) budgetRule() budgetRule {
+func (t *Table) budgetRule(now time.Time) budgetRule {
 	rule := budgetRule{
 		share: math.Float64frombits(t.repeats.Load()),
 		slack: math.Float64frombits(t.slack.Load()) / float64(t.entries.Load()),
 	}
-	if rule.slack > 0 {
-		rule.window = time.Duration(t.window.Load())
+	if rule.slack == 0 {
+		return rule
+	}
+	rule.window = time.Duration(t.window.Load())
+	if now.Sub(t.started) < rule.window {
+		// A former process of this entry may have used its part, or the others the part of an entry that has been added.
+		rule.slack = 0
 	}
 	return rule
 }
--- a/route/table.go
+++ b/route/table.go
@@ -80,6 +80,8 @@
 	Seed uint64
 	// Domain is the failure domain of the entry.
 	Domain string
+	// Started is when the process started.
+	Started time.Time
 }
 
 // Owner tells whether this entry may send to a cold target, and until when.
@@ -97,6 +99,8 @@
 
 	// domain is the failure domain of this entry.
 	domain string
+	// started is when the process started.
+	started time.Time
 	// window and slack are the budget of repeats over time; see SetBudget.
 	window atomic.Int64
 	slack  atomic.Uint64
@@ -111,8 +115,9 @@
 // New returns a Table without targets.
 func New(o Options) *Table {
 	t := &Table{
-		domain: o.Domain,
-		seed:   rand.New(rand.NewPCG(o.Seed, 0x9e3779b97f4a7c15)),
+		domain:  o.Domain,
+		started: o.Started,
+		seed:    rand.New(rand.NewPCG(o.Seed, 0x9e3779b97f4a7c15)),
 	}
 	t.SetEntries(max(o.Entries, 1))
 	t.SetRepeats(repeatShare)
@@ -329,7 +334,7 @@
 	defer s.mu.Unlock()
 	p, reason := s.pick(now, q, false)
 	if p != nil && !q.Again && !q.Repeat {
-		s.budget.earn(now, t.budgetRule())
+		s.budget.earn(now, t.budgetRule(now))
 	}
 	return p, reason
 }
@@ -382,12 +387,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.budget.has(now, t.budgetRule(), hedge) {
+	if !s.budget.has(now, t.budgetRule(now), hedge) {
 		return nil
 	}
 	p, _ := s.pick(now, q, hedge)
 	if p != nil {
-		s.budget.spend(now, t.budgetRule())
+		s.budget.spend(now, t.budgetRule(now))
 	}
 	return p
 }
@@ -401,10 +406,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.budget.has(now, t.budgetRule(), false) {
+	if !s.budget.has(now, t.budgetRule(now), false) {
 		return false
 	}
-	s.budget.spend(now, t.budgetRule())
+	s.budget.spend(now, t.budgetRule(now))
 	return true
 }
 
