Give every composed state of a follower a version of its own

A row of the operator's table that arrived after a newer row of the registry left it unchanged, and entries passed over the state.

Entries also took rows from peers that their own request was about to bring: the wait for it was shorter than the pause between requests.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -25,8 +25,9 @@
 	// greetFanout is the number of members that an entry greets in a round. In a larger fleet, what it hears of the others
 	// travels through several rounds.
 	greetFanout = 8
-	// lagTime is how long an entry that learns of a newer table from a peer waits for its own request to bring it.
-	lagTime = 150 * time.Millisecond
+	// lagTime is how long an entry that learns of a newer table from a peer waits for its own request to bring it. It is
+	// longer than the pause after which package feed asks again.
+	lagTime = 500 * time.Millisecond
 	// joinTime is how long a process waits after its start until it owns targets: by then it knows the other members.
 	joinTime = 1500 * time.Millisecond
 	// ownerSilence is how long an unheard member still counts as an owner.
@@ -60,12 +61,22 @@
 	Members string
 	// Seeds are control addresses of entries to ask while the store does not answer.
 	Seeds []netip.AddrPort
-	Peers *Client
+	Peers FollowerPeers
 	// Compose derives the state from the rows of the tables. The former state is nil at first. An error keeps it.
 	Compose func(former *State, tables map[string]map[string]feed.Row) (*State, error)
 	Logger  *zap.Logger
 }
 
+// FollowerPeers sends to other entries. *Client is the real one; tests use one in memory.
+type FollowerPeers interface {
+	// Greet sends a greeting and returns the one of the peer.
+	Greet(ctx context.Context, to netip.AddrPort, g *Greeting) (*Greeting, error)
+	// Members returns the members that a peer knows.
+	Members(ctx context.Context, to netip.AddrPort) (*Roll, error)
+	// Rows returns what a copy of a table lacks that is complete up to a version.
+	Rows(ctx context.Context, to netip.AddrPort, table string, after uint64) (*feed.Batch, error)
+}
+
 // Follower is the part of an entry in a fleet whose desired state is written by an operator into tables of a platform,
 // where targets register themselves as well. The entries decide nothing: each follows the tables, passes on what it knows
 // to entries that the platform turns away, and tells the others that it is alive. It is safe for concurrent use.
@@ -164,13 +175,11 @@
 	f.composing.Lock()
 	defer f.composing.Unlock()
 	rows := map[string]map[string]feed.Row{}
-	version := uint64(0)
 	for name, table := range f.tables {
 		if !table.Loaded() {
 			return
 		}
 		rows[name] = table.Rows()
-		version = max(version, table.Latest())
 	}
 	former := f.state.Load()
 	next, err := f.opt.Compose(former, rows)
@@ -179,7 +188,7 @@
 			zap.Uint64("version", former.Version))
 		return
 	}
-	next.Version = max(version, former.Version)
+	next.Version = former.Version + 1
 	f.state.Store(next)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -187,7 +196,8 @@
 	f.changed = make(chan struct{})
 }
 
-// State returns the state that this entry runs; its version is 0 before the tables were read.
+// State returns the state that this entry runs. Its version counts the states of this process; it is 0 before the tables
+// were read.
 func (f *Follower) State() *State { return f.state.Load() }
 
 // Changed returns a channel that is closed at the next change of the state. Take the channel first and look at State
@@ -521,9 +531,14 @@
 
 // Close stops the Follower and takes the entry off the table of members; ctx bounds that.
 func (f *Follower) Close(ctx context.Context) error {
+	f.stop()
+	return errors.Wrap(f.opt.Store.Remove(ctx, f.opt.Members, f.opt.Name), "leave the fleet")
+}
+
+// stop ends all activity without a word to anybody.
+func (f *Follower) stop() {
 	f.cancel()
 	<-f.done
-	return errors.Wrap(f.opt.Store.Remove(ctx, f.opt.Members, f.opt.Name), "leave the fleet")
 }
 
 // Done is closed when the Follower has stopped.
