Log each decision about a call, bounded in volume and without blocking

Cause: the log told of changes of state only, so a call could not be explained afterwards. Lines went to standard error and a reader that stopped reading could block the process.

Change: package logging encodes lines into a bounded queue; lines of level debug are dropped first, and drops are counted and told. The entry writes a line for each placement, failed attempt, repeat, hedge, refusal and answer, with the inputs of the decision.

--- a/cmd/skylarkbeam/processes_test.go
+++ b/cmd/skylarkbeam/processes_test.go
@@ -204,7 +204,7 @@
 		args = append(args, "-isolation", "serve")
 	}
 	e.cmd = exec.Command(filepath.Join(p.dir, "skylarkbeam"), args...)
-	e.cmd.Stderr = e.log
+	e.cmd.Stdout, e.cmd.Stderr = e.log, e.log
 	assert.NilError(p.t, e.cmd.Start())
 	p.t.Cleanup(func() {
 		e.cmd.Process.Signal(syscall.SIGCONT)
--- a/cmd/skylarkbeam/serve.go
+++ b/cmd/skylarkbeam/serve.go
@@ -13,9 +13,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
-	"go.uber.org/zap"
 
 	"skylarkbeam/entry"
+	"skylarkbeam/logging"
 	"skylarkbeam/platform"
 	"skylarkbeam/store"
 )
@@ -75,9 +75,9 @@
 				return err
 			}
 			if f.boot != "" {
-				return serveBoot(ctx, f.boot)
+				return serveBoot(ctx, s, f.boot)
 			}
-			return serve(ctx, f)
+			return serve(ctx, s, f)
 		})
 	f.register(command.FlagSet)
 	command.Options = []ff.Option{
@@ -143,15 +143,15 @@
 	return opts, table, nil
 }
 
-func serve(ctx context.Context, f serveFlags) error {
+func serve(ctx context.Context, s streams, f serveFlags) error {
 	tuneCollector()
 	opts, table, err := f.Validate()
 	if err != nil {
 		return err
 	}
-	if opts.Logger, err = zap.NewProduction(); err != nil {
-		return errors.Wrap(err, "opening the log")
-	}
+	log := logging.NewWriter(s.Out, logging.Options{})
+	defer log.Close()
+	opts.Logger = log.Logger()
 	client := store.NewClient(store.ClientOptions{
 		Address: table,
 	})
@@ -167,17 +167,15 @@
 }
 
 // serveBoot runs an entry on a machine of the users' platform.
-func serveBoot(ctx context.Context, path string) error {
+func serveBoot(ctx context.Context, s streams, path string) error {
 	boot, err := platform.ReadBoot(path)
 	if err != nil {
 		return err
 	}
 	tuneCollector()
-	logger, err := zap.NewProduction()
-	if err != nil {
-		return errors.Wrap(err, "opening the log")
-	}
-	opts, client := platform.Options(boot, logger)
+	log := logging.NewWriter(s.Out, logging.Options{})
+	defer log.Close()
+	opts, client := platform.Options(boot, log.Logger())
 	defer client.Close()
 	e, err := entry.Assemble(opts)
 	if err != nil {
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -12,6 +12,7 @@
 // deliver writes an answer to the caller. If the rest of a streamed answer breaks, the caller's connection is aborted, so
 // that the break is visible.
 func (e *Entry) deliver(w http.ResponseWriter, c *call, a *answer) {
+	e.traceAnswered(c, a)
 	header := w.Header()
 	e.protocol.Answer(header, a.Header)
 	e.counters.outcomes[outcomeAnswered].Inc()
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -25,6 +25,8 @@
 	rest   io.ReadCloser
 	// end ends the attempt once the rest was read or given up. It is nil if the attempt has ended.
 	end func(route.Kind)
+	// target is the name of the target that answered.
+	target string
 }
 
 // recorded returns the body for the record of the call; a body that is still being streamed counts as too large.
@@ -75,6 +77,7 @@
 	}
 	e.counters.dispatch.Inc()
 	c.runs.Add(1)
+	e.tracePlaced(c, permit)
 	m := c.message(permit.Instance, deadline.Sub(start))
 	m.Ready = e.ready
 	m.Repeat = c.repeat || again
@@ -87,14 +90,29 @@
 		}
 		e.notify(permit.Done(now, r))
 	}
+	settle := func(ctx context.Context, o outcome.Outcome) outcome.Outcome {
+		switch result := e.receive(ctx, c, o, end).(type) {
+		case *answer:
+			result.target = permit.Target
+			return result
+		case *outcome.NotRun:
+			e.traceFailed(c, permit.Target, start, result.Reason, "no")
+			return result
+		case *outcome.Unknown:
+			e.traceFailed(c, permit.Target, start, result.Reason, "maybe")
+			return result
+		default:
+			return result
+		}
+	}
 	if permit.Cold {
 		// A second copy of the call, sent because the first got no answer in time, would run beside it.
 		m.Idempotent = false
 		return e.detach(ctx, deadline, func(ctx context.Context) outcome.Outcome {
-			return e.receive(ctx, c, p.Send(ctx, m), end)
+			return settle(ctx, p.Send(ctx, m))
 		})
 	}
-	return e.receive(ctx, c, p.Send(ctx, m), end)
+	return settle(ctx, p.Send(ctx, m))
 }
 
 // unused returns a permit before anything was sent, and why.
--- a/entry/call.go
+++ b/entry/call.go
@@ -22,7 +22,10 @@
 	// id is the id of the call at targets, empty if each attempt has its own.
 	id string
 	// promise is what the caller of the route is owed.
-	promise  promise
+	promise promise
+	// arrived is when the head of the call had been read, admitted when its turn came.
+	arrived  time.Time
+	admitted time.Time
 	caller   string
 	key      string
 	request  *http.Request
@@ -74,6 +77,9 @@
 		no = e.handle(w, c)
 	}
 	if no != nil {
+		if c != nil {
+			e.traceRefused(c, no)
+		}
 		e.refuse(w, no)
 	}
 	e.counters.duration.Update(e.timers.Now().Sub(start).Seconds())
@@ -105,6 +111,7 @@
 		service:    s,
 		id:         q.ID,
 		promise:    promised,
+		arrived:    now,
 		caller:     q.Caller,
 		key:        q.Key,
 		request:    r,
@@ -157,14 +164,14 @@
 	if refused != nil {
 		return notRun(refused.Reason, refused.RetryAfter, "not admitted")
 	}
-	admitted := e.timers.Now()
+	c.admitted = e.timers.Now()
 	defer func() {
 		now := e.timers.Now()
 		if c.answered.IsZero() {
 			c.answered = now
 		}
 		// The time that a slow caller takes to read a large answer says nothing of how long calls take.
-		ticket.Done(now, c.answered.Sub(admitted))
+		ticket.Done(now, c.answered.Sub(c.admitted))
 		e.adjustSoon(now, c.service)
 	}()
 	if !c.idempotent && !c.relayed && c.key != "" {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -41,9 +41,11 @@
 
 // Entry is one entry process. Assemble returns a new one.
 type Entry struct {
-	opts     Options
-	timers   *timer.Service
-	log      *zap.Logger
+	opts   Options
+	timers *timer.Service
+	log    *zap.Logger
+	// calls is for lines about single calls, which the journal of changes of state does not keep.
+	calls    *zap.Logger
 	journal  *journal
 	counters *Counters
 	protocol Protocol
@@ -83,6 +85,7 @@
 		opts:      opts,
 		timers:    timers,
 		log:       log.With(zap.String("entry", opts.Name)),
+		calls:     opts.Logger.With(zap.String("entry", opts.Name)),
 		journal:   j,
 		counters:  counters,
 		listeners: l,
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -85,6 +85,7 @@
 		return
 	}
 	h.entry.counters.Retried(outcome.Hedge)
+	h.entry.traceAgain(h.call, msgHedged, outcome.Hedge)
 	result := h.entry.attempt(h.ctx, h.call, permit, true)
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -15,6 +15,8 @@
 
 // promise is what the callers of a route, or of a service by its path, are owed.
 type promise struct {
+	// route is the name of the route, empty for the path of a service.
+	route      string
 	idempotent bool
 	// keyed says that a call that runs at most once needs an idempotency key.
 	keyed bool
@@ -80,6 +82,7 @@
 		r := &routed{
 			spec: spec,
 			promise: promise{
+				route:      name,
 				idempotent: spec.Idempotent(),
 				bulk:       spec.Kind == setting.KindBulk,
 				attempts:   spec.Attempts,
--- a/entry/run.go
+++ b/entry/run.go
@@ -73,6 +73,7 @@
 			return result
 		}
 		e.counters.Retried(again)
+		e.traceAgain(c, msgRepeated, again)
 	}
 }
 
--- a/route/permit.go
+++ b/route/permit.go
@@ -19,11 +19,26 @@
 	// warm target.
 	Until time.Time
 
+	// Basis is what the choice of a registered target was based on, zero for others.
+	Basis Basis
+
 	target *target
 	start  time.Time
 	done   bool
-	// slowness is that of the target at the start.
-	slowness float64
+}
+
+// Basis is what the choice of a target was based on.
+type Basis struct {
+	// Load is the number of calls that were expected at the target, Slowness how long work was expected to take there,
+	// relative to the usual time.
+	Load     float64
+	Slowness float64
+	// Age is the age of the target's last report.
+	Age time.Duration
+	// Expected is when the answer was expected, from the choice on, with what the distance costs.
+	Expected time.Duration
+	// Cold says that the target was in its cold start.
+	Cold bool
 }
 
 // Kind is how an attempt ended.
--- a/route/registered.go
+++ b/route/registered.go
@@ -116,7 +116,17 @@
 }
 
 // permit starts an attempt at the registered target.
-func (t *target) permit(now time.Time) *Permit {
+func (t *target) permit(now time.Time, score float64) *Permit {
+	// The call itself is counted already.
+	basis := Basis{
+		Load:     t.load(now, 1) - 1,
+		Slowness: t.currentSlowness(now),
+		Expected: time.Duration(score),
+		Cold:     t.cold,
+	}
+	if !t.reported.IsZero() {
+		basis.Age = now.Sub(t.reported)
+	}
 	if t.cold {
 		t.coldNext = now.Add(time.Duration(coldSharers / t.Rate * float64(time.Second)))
 	}
@@ -124,9 +134,9 @@
 		Target:   t.Name,
 		Address:  t.Address,
 		Instance: t.Instance,
+		Basis:    basis,
 		target:   t,
 		start:    now,
-		slowness: t.currentSlowness(now),
 	}
 }
 
--- a/route/service.go
+++ b/route/service.go
@@ -237,7 +237,7 @@
 	s.inflight++
 	t.started += now.Sub(s.epoch)
 	if t.registered() {
-		return t.permit(now)
+		return t.permit(now, c.score)
 	}
 	return &Permit{
 		Target:   t.Name,
--- a/route/target.go
+++ b/route/target.go
@@ -297,8 +297,8 @@
 	switch r.Kind {
 	case Succeeded:
 		t.failures = t.currentFailures(now) * (1 - failureWeight)
-		t.sample(now, float64(r.Latency)/max(p.slowness, 1))
-		s.sample(time.Duration(float64(r.Latency) / max(p.slowness, 1)))
+		t.sample(now, float64(r.Latency)/max(p.Basis.Slowness, 1))
+		s.sample(time.Duration(float64(r.Latency) / max(p.Basis.Slowness, 1)))
 		if t.failures < 0.05 {
 			t.ejections = 0
 		}
