Let calls for registered targets wait in a line ordered by what is left of their aim

A call that waited was tried every millisecond.

Change: share.Line orders calls that can still be in time before late ones, refuses at once what cannot be answered before its deadline, and puts callers that use several times as much as others behind. route predicts the time of a call from the work of its kind, what the target reports, and how much slower than predicted it has been.

--- a/entry/call.go
+++ b/entry/call.go
@@ -13,6 +13,7 @@
 
 	"skylarkbeam/claim"
 	"skylarkbeam/outcome"
+	"skylarkbeam/route"
 )
 
 // call is one call of a caller.
@@ -47,6 +48,8 @@
 	first [2]string
 	// answered is when the answer was ready to be written.
 	answered time.Time
+	// permit is the one for the first attempt, if there is one already.
+	permit *route.Permit
 	// runs counts the attempts that may have run, those in flight included.
 	runs atomic.Int32
 	// unsent counts the attempts that ended before anything was sent.
@@ -159,21 +162,11 @@
 	c.base = ctx
 	ctx, c.cancel = context.WithDeadline(ctx, c.deadline)
 	defer c.cancel()
-	c.service.active.Store(true)
-	ticket, refused := c.service.scheduler.Admit(ctx, c.caller, c.deadline)
-	if refused != nil {
-		return notRun(refused.Reason, refused.RetryAfter, "not admitted")
+	end, no := e.admit(ctx, c)
+	if no != nil {
+		return no
 	}
-	c.admitted = e.timers.Now()
-	defer func() {
-		now := e.timers.Now()
-		if c.answered.IsZero() {
-			c.answered = now
-		}
-		// The time that a slow caller takes to read a large answer says nothing of how long calls take.
-		ticket.Done(now, c.answered.Sub(c.admitted))
-		e.adjustSoon(now, c.service)
-	}()
+	defer end()
 	if !c.idempotent && !c.relayed && c.key != "" {
 		return e.handleOnce(ctx, w, c)
 	}
@@ -197,6 +190,35 @@
 	}
 }
 
+// admit lets a call wait for its turn. For a service with registered targets it waits for a target, and the call has its
+// permit afterwards. End is to be called when the call has ended.
+func (e *Entry) admit(ctx context.Context, c *call) (end func(), no *Refusal) {
+	if e.table.Registered(c.service.name) {
+		permit, refused := e.place(ctx, c)
+		if refused != nil {
+			return nil, notRun(refused.Reason, refused.RetryAfter, "no target was free in time")
+		}
+		c.permit = permit
+		c.admitted = e.timers.Now()
+		return func() { c.service.line.wake() }, nil
+	}
+	c.service.active.Store(true)
+	ticket, refused := c.service.scheduler.Admit(ctx, c.caller, c.deadline)
+	if refused != nil {
+		return nil, notRun(refused.Reason, refused.RetryAfter, "not admitted")
+	}
+	c.admitted = e.timers.Now()
+	return func() {
+		now := e.timers.Now()
+		if c.answered.IsZero() {
+			c.answered = now
+		}
+		// The time that a slow caller takes to read a large answer says nothing of how long calls take.
+		ticket.Done(now, c.answered.Sub(c.admitted))
+		e.adjustSoon(now, c.service)
+	}, nil
+}
+
 // handleOnce runs a non-idempotent call under a claim.
 func (e *Entry) handleOnce(ctx context.Context, w http.ResponseWriter, c *call) *Refusal {
 	switch d := e.ledger.Take(ctx, c.claimKey(), c.digest()).(type) {
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -21,7 +21,7 @@
 	h := &hedge{
 		entry: e,
 		call:  c,
-		query: c.query(),
+		query: c.query(e.timers.Now()),
 		after: after,
 	}
 	timer := time.AfterFunc(after, h.run)
--- /dev/null
+++ b/entry/line.go
@@ -0,0 +1,210 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"skylarkbeam/outcome"
+	"skylarkbeam/route"
+	"skylarkbeam/share"
+)
+
+const (
+	// placeInterval is how often a call that waits for a registered target is tried again if no other call ends
+	// meanwhile. Each try reads the load of a few targets, whose budget of reads is the limit.
+	placeInterval = 30 * time.Millisecond
+	// placeFloor separates tries that are made because calls have ended.
+	placeFloor = 2 * time.Millisecond
+	// workMargin is what is left for the way to the target and back when it is judged whether a call can be in time.
+	workMargin = 5 * time.Millisecond
+)
+
+// line is where the calls of a service wait for registered targets at this entry.
+type line struct {
+	*share.Line
+	service string
+	// news wakes the task that places waiting calls.
+	news chan struct{}
+
+	mu sync.Mutex
+	// placing says that the task runs, waiting has the calls that it places.
+	placing bool
+	waiting map[*share.Place]*waiter
+}
+
+// waiter is a call that waits, and the permit that it has got.
+type waiter struct {
+	ctx    context.Context
+	call   *call
+	permit *route.Permit
+}
+
+func newLine(service string) *line {
+	return &line{
+		Line:    share.NewLine(),
+		service: service,
+		news:    make(chan struct{}, 1),
+		waiting: map[*share.Place]*waiter{},
+	}
+}
+
+// wake makes the waiting calls be tried again.
+func (l *line) wake() {
+	select {
+	case l.news <- struct{}{}:
+	default:
+	}
+}
+
+// place chooses a registered target for a call. While all are full the call waits in line. The refusal says why there is no
+// permit.
+func (e *Entry) place(ctx context.Context, c *call) (*route.Permit, *share.Refusal) {
+	l := c.service.line
+	now := e.timers.Now()
+	waits := c.waits(now, e.table.Work(l.service, c.query(now)))
+	l.Note(now, waits)
+	if l.Len() == 0 {
+		permit, reason := e.tryPlace(ctx, c)
+		if permit != nil {
+			return permit, nil
+		}
+		if reason != outcome.Queue && reason != outcome.Cold {
+			return nil, e.unplaced(c, reason)
+		}
+	}
+	l.Expect(e.table.Pace(now, l.service, c.query(now)))
+	p, refusal := l.Join(e.timers.Now(), waits)
+	if refusal != nil {
+		return nil, refusal
+	}
+	w := &waiter{
+		ctx:  ctx,
+		call: c,
+	}
+	e.wait(l, p, w)
+	select {
+	case <-p.Done:
+	case <-ctx.Done():
+		if l.Leave(p) {
+			l.forget(p)
+			return nil, &share.Refusal{
+				Reason: outcome.Canceled,
+			}
+		}
+		<-p.Done
+	}
+	if refusal := p.Refusal(); refusal != nil {
+		return nil, refusal
+	}
+	return w.permit, nil
+}
+
+// waits describes the call to the line.
+func (c *call) waits(now time.Time, work time.Duration) share.Call {
+	aim := c.deadline
+	if c.promise.aim > 0 {
+		aim = c.arrived.Add(c.promise.aim)
+	}
+	return share.Call{
+		Caller:   c.caller,
+		Rank:     c.promise.rank,
+		Aim:      aim,
+		Deadline: c.deadline,
+		Work:     work + workMargin,
+	}
+}
+
+// tryPlace reads the load of targets and chooses one.
+func (e *Entry) tryPlace(ctx context.Context, c *call) (*route.Permit, outcome.Reason) {
+	e.survey(ctx, c)
+	now := e.timers.Now()
+	return e.table.Pick(now, c.service.name, c.query(now))
+}
+
+func (e *Entry) unplaced(c *call, reason outcome.Reason) *share.Refusal {
+	return &share.Refusal{
+		Reason:     reason,
+		RetryAfter: e.table.RetryAfter(c.service.name, reason),
+	}
+}
+
+// wait enters a waiting call and starts the task that places it, unless it runs.
+func (e *Entry) wait(l *line, p *share.Place, w *waiter) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting[p] = w
+	if !l.placing {
+		l.placing = true
+		e.tasks.Go(func() { e.placeAll(l) })
+	}
+}
+
+func (l *line) forget(p *share.Place) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.waiting, p)
+}
+
+// next returns the call that goes next, or ends the task if none waits.
+func (l *line) next(now time.Time) (*share.Place, *waiter) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.First(now)
+	if p == nil {
+		l.placing = false
+		return nil, nil
+	}
+	return p, l.waiting[p]
+}
+
+// placeAll places the waiting calls in their order until none waits.
+func (e *Entry) placeAll(l *line) {
+	for {
+		l.Expire(e.timers.Now())
+		p, w := l.next(e.timers.Now())
+		if p == nil {
+			return
+		}
+		if w == nil || w.ctx.Err() != nil {
+			l.Leave(p)
+			l.forget(p)
+			continue
+		}
+		permit, reason := e.tryPlace(w.ctx, w.call)
+		now := e.timers.Now()
+		switch {
+		case permit != nil:
+			w.permit = permit
+			l.forget(p)
+			if !l.Grant(now, p) {
+				permit.Done(now, route.Result{
+					Kind: route.Canceled,
+				})
+			}
+		case reason == outcome.Queue || reason == outcome.Cold:
+			l.pause(e.done)
+		default:
+			l.Refuse(p, e.unplaced(w.call, reason))
+			l.forget(p)
+		}
+	}
+}
+
+// pause waits until a call has ended, or for the interval of tries.
+func (l *line) pause(done <-chan struct{}) {
+	floor := time.NewTimer(placeFloor)
+	defer floor.Stop()
+	select {
+	case <-floor.C:
+	case <-done:
+		return
+	}
+	again := time.NewTimer(placeInterval - placeFloor)
+	defer again.Stop()
+	select {
+	case <-l.news:
+	case <-again.C:
+	case <-done:
+	}
+}
--- a/entry/run.go
+++ b/entry/run.go
@@ -95,10 +95,16 @@
 // pick selects the target for the first attempt. While all targets are taken it waits, because the admission has found
 // that the call can still be in time.
 func (e *Entry) pick(ctx context.Context, c *call) (*route.Permit, outcome.Reason) {
+	if permit := c.permit; permit != nil {
+		c.permit = nil
+		return permit, ""
+	}
+	if e.table.Registered(c.service.name) {
+		return e.tryPlace(ctx, c)
+	}
 	for {
-		e.survey(ctx, c)
 		now := e.timers.Now()
-		permit, reason := e.table.Pick(now, c.service.name, c.query())
+		permit, reason := e.table.Pick(now, c.service.name, c.query(now))
 		if permit != nil || reason != outcome.Queue {
 			return permit, reason
 		}
@@ -121,18 +127,28 @@
 	if ctx.Err() != nil || !now.Before(c.deadline) || !c.mayRun() || !e.contact(now) {
 		return nil
 	}
-	return e.table.Repeat(now, c.service.name, c.query())
+	if e.table.Registered(c.service.name) {
+		e.survey(ctx, c)
+		now = e.timers.Now()
+	}
+	return e.table.Repeat(now, c.service.name, c.query(now))
 }
 
 // mayRun tells whether another target may run the call.
 func (c *call) mayRun() bool { return int(c.runs.Load()) < c.promise.attempts }
 
-func (c *call) query() route.Query {
-	return route.Query{
+func (c *call) query(now time.Time) route.Query {
+	q := route.Query{
 		Tried:      c.tried,
 		Idempotent: c.idempotent,
 		Again:      c.unsent > 0,
 		Repeat:     c.repeat,
 		Bulk:       c.promise.bulk,
+		Kind:       c.promise.route,
+		Aim:        c.promise.aim,
+	}
+	if c.promise.aim > 0 {
+		q.Left = c.arrived.Add(c.promise.aim).Sub(now)
 	}
+	return q
 }
--- a/entry/survey.go
+++ b/entry/survey.go
@@ -4,6 +4,10 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"skylarkbeam/target"
 )
 
 const (
@@ -17,7 +21,8 @@
 // came with earlier answers are out of date after milliseconds.
 func (e *Entry) survey(ctx context.Context, c *call) {
 	for range surveyRounds {
-		names := e.table.Survey(e.timers.Now(), c.service.name, c.query())
+		now := e.timers.Now()
+		names := e.table.Survey(now, c.service.name, c.query(now))
 		if len(names) == 0 {
 			return
 		}
@@ -37,7 +42,8 @@
 			continue
 		}
 		all.Go(func() {
-			if _, err := p.Read(ctx); err != nil {
+			_, err := p.Read(ctx)
+			if err != nil && !errors.Is(err, target.ErrBudget) && !errors.Is(ctx.Err(), context.Canceled) {
 				e.table.Unread(e.timers.Now(), name)
 			}
 		})
--- a/entry/trace.go
+++ b/entry/trace.go
@@ -48,6 +48,7 @@
 			zap.Duration("waited", c.admitted.Sub(c.arrived)),
 			zap.Float64("load", p.Basis.Load),
 			zap.Float64("slowness", p.Basis.Slowness),
+			zap.Float64("drag", p.Basis.Drag),
 			zap.Duration("age", p.Basis.Age),
 			zap.Duration("expected", p.Basis.Expected),
 			zap.Bool("cold", p.Basis.Cold),
--- a/entry/view.go
+++ b/entry/view.go
@@ -45,6 +45,8 @@
 	name      string
 	spec      setting.Service
 	scheduler *share.Scheduler
+	// line replaces the scheduler for a service whose targets are registered.
+	line *line
 	// adjusted is when the scheduler last got its capacity, in nanoseconds since the start of the process; active that there
 	// were calls since then.
 	adjusted atomic.Int64
@@ -163,9 +165,10 @@
 		spec: spec,
 	}
 	if have := old.services[name]; have != nil {
-		s.scheduler = have.scheduler
+		s.scheduler, s.line = have.scheduler, have.line
 		return s
 	}
+	s.line = newLine(name)
 	s.scheduler = share.New(share.Options{
 		Share: e.share,
 		Work:  time.Duration(spec.Work),
--- a/route/permit.go
+++ b/route/permit.go
@@ -25,6 +25,8 @@
 	target *target
 	start  time.Time
 	done   bool
+	// kind is the kind of the call.
+	kind string
 }
 
 // Basis is what the choice of a target was based on.
@@ -33,9 +35,11 @@
 	// relative to the usual time.
 	Load     float64
 	Slowness float64
+	// Drag is how much slower than that the target was found to be lately.
+	Drag float64
 	// Age is the age of the target's last report.
 	Age time.Duration
-	// Expected is when the answer was expected, from the choice on, with what the distance costs.
+	// Expected is when the answer was expected, from the choice on.
 	Expected time.Duration
 	// Cold says that the target was in its cold start.
 	Cold bool
--- a/route/registered.go
+++ b/route/registered.go
@@ -9,13 +9,20 @@
 	"skylarkbeam/outcome"
 )
 
+// Targets that a registry names are chosen by the time at which they are expected to answer. The load that the choice
+// depends on is read from a few targets right before it, because between two calls of one entry the other entries place
+// work as well, and neighbours on a shared host change the speed of a target several times a second. What the choice
+// answers is a load at which some targets are several times slower than others at any moment, all are nearly full, and a
+// call that waits behind two others is late.
+
 const (
-	// slownessMemory is the time constant with which the slowness that a target reported loses its value. Neighbours on
-	// a shared host change it several times a second.
+	// slownessMemory is the time constant with which the slowness that a target reported loses its value.
 	slownessMemory = 200 * time.Millisecond
 	// coldSharers is the number of entries that send to one cold target. Each of them alone keeps to its part of the
 	// rate, so a target gets at most this many calls more than its rate in any second.
 	coldSharers = 4
+	// coldFactor is how much slower a cold target is taken to be.
+	coldFactor = 2
 	// surveyAge is the age up to which a report needs no load read before a placement.
 	surveyAge = 15 * time.Millisecond
 	// surveySize is the number of targets whose load is read at once before a placement.
@@ -25,6 +32,30 @@
 	unreadFactor = 4
 	// goodSlowness is the slowness up to which an idle target needs no comparison with others.
 	goodSlowness = 1.2
+	// nearlyFull is the part of its slots from which on a target is taken to be slower, by fullFactor.
+	nearlyFull = 0.8
+	fullFactor = 1.6
+	// queueAhead is the number of calls that may wait at a target whose slots are all taken, so that it goes on without a
+	// pause when one ends.
+	queueAhead = 1
+	// dragWeight is the weight of a call in the drag of a target, dragMemory the time in which the drag fades without
+	// calls, so that a target that was slow is tried again.
+	dragWeight = 0.35
+	dragMemory = 4 * time.Second
+	// dragLimit bounds the drag of one call.
+	dragLimit = 20
+	// workWeight is the weight of a call in the usual work of its kind.
+	workWeight = 0.05
+	// aimPart is the part of the aim that a call is taken to need if its kind has not been measured.
+	aimPart = 0.4
+	// usualWork is the work of a call of which nothing is known.
+	usualWork = 100 * time.Millisecond
+	// far and farBulk are the delays up to which a call waits for a target in the failure domain of the entry rather
+	// than use one in another, where its bytes are charged.
+	far     = 30 * time.Millisecond
+	farBulk = 600 * time.Millisecond
+	// lateness is added to the score of a target that is expected to answer after the aim.
+	lateness = 500 * time.Millisecond
 )
 
 // registration is the state of a target that a registry names.
@@ -36,6 +67,9 @@
 	coldNext time.Time
 	// slowness is what the target reported last.
 	slowness float64
+	// drag is how much slower than expected the target has been at the time dragged.
+	drag    float64
+	dragged time.Time
 	// strange says that another instance answers at the address.
 	strange bool
 	// unread is when a load read got no answer in time.
@@ -87,57 +121,74 @@
 	}
 }
 
-// considerRegistered makes the target the choice if it has a free slot and is expected to answer first.
-func (s *service) considerRegistered(now time.Time, c *choice, t *target, q Query, spare bool) bool {
-	if t.strange {
+// usable tells whether a call may go to the registered target at all.
+func (t *target) usable(now time.Time, q Query) bool {
+	t.thaw(now)
+	return t.operating() && !t.strange && !slices.Contains(q.Tried, t.Name) && (!t.cold || t.mayWarm(now))
+}
+
+// mayWarm tells whether this entry may send to the cold target now.
+func (t *target) mayWarm(now time.Time) bool {
+	if t.Rate <= 0 || now.Before(t.coldNext) {
 		return false
 	}
-	load := t.load(now, 1)
-	if load+1 > float64(t.Slots)+0.5 || t.inflight >= t.Slots {
+	_, owned := (*t.service.table.owner.Load())(now, t.Name)
+	return owned
+}
+
+// considerRegistered makes the target the choice if it has room and is expected to answer first.
+func (s *service) considerRegistered(now time.Time, c *choice, t *target, q Query, spare bool) bool {
+	if !t.usable(now, q) || t.inflight >= t.Slots+queueAhead {
 		return false
 	}
-	if t.cold && (spare || !t.mayWarm(now)) {
+	load := t.present(now)
+	if load >= float64(t.Slots+queueAhead)-0.5 || spare && load > float64(t.Slots)-0.5 {
 		return false
 	}
-	score := t.expected(now, q, load) * (1 + scoreNoise*s.rand.Float64())
+	score := t.merit(now, q, load) * (1 + scoreNoise*s.rand.Float64())
 	if c.target == nil || score < c.score {
 		c.target, c.score = t, score
 	}
 	return true
 }
 
-// mayWarm tells whether this entry may send to the cold target now.
-func (t *target) mayWarm(now time.Time) bool {
-	if t.Rate <= 0 || now.Before(t.coldNext) {
-		return false
-	}
-	_, owned := (*t.service.table.owner.Load())(now, t.Name)
-	return owned
-}
-
 // permit starts an attempt at the registered target.
-func (t *target) permit(now time.Time, score float64) *Permit {
-	// The call itself is counted already.
-	basis := Basis{
-		Load:     t.load(now, 1) - 1,
-		Slowness: t.currentSlowness(now),
-		Expected: time.Duration(score),
-		Cold:     t.cold,
+func (t *target) permit(now time.Time, q Query) *Permit {
+	load := t.present(now) - 1 // The call itself is counted already.
+	p := &Permit{
+		Target:   t.Name,
+		Address:  t.Address,
+		Instance: t.Instance,
+		Basis: Basis{
+			Load:     max(load, 0),
+			Slowness: t.currentSlowness(now),
+			Drag:     t.currentDrag(now),
+			Expected: time.Duration(t.expected(now, q, load)),
+			Cold:     t.cold,
+		},
+		target: t,
+		start:  now,
+		kind:   q.Kind,
 	}
 	if !t.reported.IsZero() {
-		basis.Age = now.Sub(t.reported)
+		p.Basis.Age = now.Sub(t.reported)
 	}
 	if t.cold {
 		t.coldNext = now.Add(time.Duration(coldSharers / t.Rate * float64(time.Second)))
 	}
-	return &Permit{
-		Target:   t.Name,
-		Address:  t.Address,
-		Instance: t.Instance,
-		Basis:    basis,
-		target:   t,
-		start:    now,
+	return p
+}
+
+// present estimates the calls at the target: this entry's own, and those of others, which are taken to be as many as usual
+// once the report is older than a call lasts.
+func (t *target) present(now time.Time) float64 {
+	s := t.service
+	usual := s.usual * float64(t.Slots)
+	if t.reported.IsZero() {
+		return float64(t.inflight) + usual
 	}
+	age := float64(now.Sub(t.reported)) / max(s.latency, float64(usualWork))
+	return float64(t.inflight) + max(usual+(t.others-usual)*math.Exp(-age), 0)
 }
 
 // currentSlowness returns the slowness that the target is expected to have now.
@@ -150,44 +201,114 @@
 	return usual + (t.slowness-usual)*math.Exp(-age)
 }
 
-// expected returns the time that a call is expected to take at the target, in nanoseconds.
+// currentDrag returns how much slower than its report says the target is expected to be.
+func (t *target) currentDrag(now time.Time) float64 {
+	if t.drag <= 1 {
+		return 1
+	}
+	return 1 + (t.drag-1)*math.Exp(-float64(now.Sub(t.dragged))/float64(dragMemory))
+}
+
+// drags takes note of how much longer than expected a call took.
+func (t *target) drags(now time.Time, ratio float64) {
+	drag := t.currentDrag(now)
+	t.drag = drag + (min(max(ratio, 1), dragLimit)-drag)*dragWeight
+	t.dragged = now
+}
+
+// work returns the time that calls of the kind usually take at a target that is not slow, in nanoseconds.
+func (s *service) work(q Query) float64 {
+	if w, ok := s.works[q.Kind]; ok {
+		return w
+	}
+	if q.Aim > 0 {
+		return aimPart * float64(q.Aim)
+	}
+	return max(s.latency, float64(usualWork))
+}
+
+// Work returns the time that calls like q usually take at a target that is not slow.
+func (t *Table) Work(service string, q Query) time.Duration {
+	s := t.view.Load().services[service]
+	if s == nil {
+		return usualWork
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.work(q))
+}
+
+// Registered tells whether the targets of a service are named by a registry.
+func (t *Table) Registered(service string) bool {
+	s := t.view.Load().services[service]
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.live()
+}
+
+// measured learns from an answer to a call that did not wait at its target.
+func (s *service) measured(p *Permit, latency time.Duration) {
+	if p.kind == "" || p.Basis.Load > float64(p.target.Slots)-0.5 {
+		return
+	}
+	sample := float64(latency) / p.target.speedFactor(p.Basis.Load, p.Basis.Slowness, p.Basis.Drag, p.Basis.Cold)
+	w, ok := s.works[p.kind]
+	if !ok {
+		w = sample
+	}
+	s.works[p.kind] = w + (sample-w)*workWeight
+}
+
+// speedFactor returns how much longer than usual work takes at the target beside a number of other calls.
+func (t *target) speedFactor(load, slowness, drag float64, cold bool) float64 {
+	factor := slowness * drag
+	if load+1 >= nearlyFull*float64(t.Slots) {
+		factor *= fullFactor
+	}
+	if cold {
+		factor *= coldFactor
+	}
+	return factor
+}
+
+// expected returns the time that a call is expected to take at the target with so many other calls, in nanoseconds.
 func (t *target) expected(now time.Time, q Query, load float64) float64 {
 	s := t.service
-	work := max(s.latency, float64(time.Millisecond))
-	slow := 1.0
-	if s.latency > 0 {
-		slow = max(t.currentLatency(now)/(s.latency*slowFactor), 1)
-	}
-	cold := 1.0
-	if t.cold {
-		cold = 2
+	factor := t.speedFactor(load, t.currentSlowness(now), t.currentDrag(now), t.cold)
+	d := s.work(q) * factor
+	if ahead := load - float64(t.Slots) + 1; ahead > 0 {
+		d += ahead / float64(t.Slots) * max(s.latency, float64(usualWork)) * factor
 	}
-	d := work * t.currentSlowness(now) * slow * cold * (1 + load/float64(t.Slots))
 	if now.Sub(t.unread) < unreadTime {
 		d *= unreadFactor
 	}
-	d /= 1 - min(t.currentFailures(now), 0.9)
-	return d + t.distance(q)
+	return d
+}
+
+// merit returns the expected time with what speaks against the target beside it, in nanoseconds.
+func (t *target) merit(now time.Time, q Query, load float64) float64 {
+	d := t.expected(now, q, load)
+	score := d / (1 - min(t.currentFailures(now), 0.9))
+	if q.Left > 0 && d > float64(q.Left) {
+		score += float64(lateness)
+	}
+	return score + t.distance(q)
 }
 
 // distance returns what it costs to send a call to the failure domain of the target, as time in nanoseconds.
 func (t *target) distance(q Query) float64 {
-	if t.Domain == t.service.table.domain {
+	switch {
+	case t.Domain == t.service.table.domain:
 		return 0
-	}
-	if q.Bulk {
+	case q.Bulk:
 		return float64(farBulk)
 	}
 	return float64(far)
 }
 
-const (
-	// far and farBulk are the delays up to which a call waits for a target in the failure domain of the entry rather
-	// than use one in another, where its bytes are charged.
-	far     = 30 * time.Millisecond
-	farBulk = 600 * time.Millisecond
-)
-
 // Survey returns the targets whose load is to be read before a call is placed: those that are expected to answer first, as
 // far as their last report is too old, and none if a target is known to be idle.
 func (t *Table) Survey(now time.Time, service string, q Query) []string {
@@ -208,16 +329,12 @@
 	var candidates []candidate
 	ejecting := s.mayEject(now)
 	for _, t := range s.targets {
-		t.thaw(now)
-		if !t.registered() || !t.operating() || t.strange || slices.Contains(q.Tried, t.Name) || ejecting && t.barred(now, true) {
-			continue
-		}
-		if t.inflight >= t.Slots || t.cold && !t.mayWarm(now) {
+		if !t.registered() || !t.usable(now, q) || ejecting && t.barred(now, true) || t.inflight >= t.Slots+queueAhead {
 			continue
 		}
 		candidates = append(candidates, candidate{
 			target: t,
-			score:  t.expected(now, q, t.load(now, 1)) * (1 + scoreNoise*s.rand.Float64()),
+			score:  t.merit(now, q, t.present(now)) * (1 + scoreNoise*s.rand.Float64()),
 		})
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
@@ -229,7 +346,7 @@
 		t := c.target
 		if now.Sub(t.reported) > surveyAge {
 			names = append(names, t.Name)
-		} else if t.load(now, 1) < 0.5 && t.slowness <= goodSlowness && !t.cold {
+		} else if t.present(now) < 0.5 && t.slowness <= goodSlowness && !t.cold {
 			break
 		}
 	}
@@ -247,24 +364,24 @@
 	x.unread = now
 }
 
+// Pace returns the number of calls a second that the targets of a service can be expected to take from this entry.
+func (t *Table) Pace(now time.Time, service string, q Query) float64 {
+	s := t.view.Load().services[service]
+	if s == nil {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pace := 0.0
+	for _, x := range s.targets {
+		if x.operating() && !x.strange && !x.cold {
+			pace += float64(x.Slots) / x.speedFactor(float64(x.Slots), max(s.slowness, 1), x.currentDrag(now), false)
+		}
+	}
+	return pace / (s.work(q) / float64(time.Second)) / float64(t.entries.Load())
+}
+
 // live tells whether the targets of the service are registered, so that their load is read before each placement.
 func (s *service) live() bool {
 	return len(s.targets) > 0 && s.targets[0].registered()
 }
-
-// room returns the calls that this entry may have in flight, as far as reports tell, and all slots in use.
-func (s *service) room(now time.Time) (window, total float64) {
-	window = float64(s.inflight)
-	for _, t := range s.targets {
-		if !t.operating() || t.strange {
-			continue
-		}
-		slots := float64(t.Slots)
-		total += slots
-		if t.cold {
-			continue
-		}
-		window += min(max(slots-t.load(now, 1), 0), float64(t.Slots-t.inflight))
-	}
-	return max(window, 1), max(total, 1)
-}
--- a/route/service.go
+++ b/route/service.go
@@ -57,6 +57,8 @@
 	trust trust
 	// slowness is the average slowness that targets report.
 	slowness float64
+	// works has the usual time of calls by kind, in nanoseconds.
+	works map[string]float64
 }
 
 func newService(t *Table, name string, now time.Time, seed uint64) *service {
@@ -65,6 +67,7 @@
 		name:  name,
 		epoch: now,
 		rand:  rand.New(rand.NewPCG(seed, 1)),
+		works: map[string]float64{},
 		budget: budget{
 			epoch: now,
 		},
@@ -91,6 +94,7 @@
 
 // choice is the best candidate so far, and why others were not candidates.
 type choice struct {
+	query  Query
 	target *target
 	score  float64
 	until  time.Time
@@ -103,6 +107,7 @@
 // pick selects a target and starts an attempt. With spare, only a target with free capacity is selected.
 func (s *service) pick(now time.Time, q Query, spare bool) (*Permit, outcome.Reason) {
 	c := choice{
+		query: q,
 		trust: s.trust.level(),
 	}
 	s.choose(now, &c, q, spare, true)
@@ -237,7 +242,7 @@
 	s.inflight++
 	t.started += now.Sub(s.epoch)
 	if t.registered() {
-		return t.permit(now, c.score)
+		return t.permit(now, c.query)
 	}
 	return &Permit{
 		Target:   t.Name,
--- a/route/table.go
+++ b/route/table.go
@@ -321,6 +321,12 @@
 	Repeat bool
 	// Bulk says that the answer is large, so that its bytes between failure domains count.
 	Bulk bool
+	// Kind names calls that usually take equally long, such as those of a route; empty if nothing is known.
+	Kind string
+	// Aim is the time within which answers to calls of the kind are of full use, Left what is left of it; zero if there is
+	// none. Left is negative if it has passed.
+	Aim  time.Duration
+	Left time.Duration
 }
 
 // Pick selects the target for the first attempt of a call. Without a permit, the reason is Service, Drained, Cold or
--- a/route/target.go
+++ b/route/target.go
@@ -299,6 +299,10 @@
 		t.failures = t.currentFailures(now) * (1 - failureWeight)
 		t.sample(now, float64(r.Latency)/max(p.Basis.Slowness, 1))
 		s.sample(time.Duration(float64(r.Latency) / max(p.Basis.Slowness, 1)))
+		if t.registered() {
+			t.drags(now, float64(r.Latency)/max(float64(p.Basis.Expected), 1)*p.Basis.Drag)
+			s.measured(p, r.Latency)
+		}
 		if t.failures < 0.05 {
 			t.ejections = 0
 		}
@@ -308,6 +312,9 @@
 		}
 	case Failed:
 		t.fail(now, r.Latency)
+		if ratio := float64(r.Latency) / max(float64(p.Basis.Expected), 1) * p.Basis.Drag; t.registered() && ratio > t.currentDrag(now) {
+			t.drags(now, ratio)
+		}
 	case Shed:
 		t.limit = max(t.limit*0.7, 1)
 		t.sample(now, max(float64(r.Latency), s.latency))
@@ -321,6 +328,9 @@
 		if float64(r.Latency) > t.latency {
 			t.sample(now, float64(r.Latency))
 		}
+		if ratio := float64(r.Latency) / max(float64(p.Basis.Expected), 1) * p.Basis.Drag; t.registered() && ratio > t.currentDrag(now) {
+			t.drags(now, ratio)
+		}
 	}
 	return e
 }
--- a/route/window.go
+++ b/route/window.go
@@ -41,9 +41,6 @@
 			bearable += t.Bear
 		}
 	}
-	if s.live() {
-		return s.room(now)
-	}
 	total = float64(slots)
 	queue := s.queue()
 	// A call stays longer while targets queue, so the same calls a second take a larger window.
--- /dev/null
+++ b/share/line.go
@@ -0,0 +1,340 @@
+package share
+
+import (
+	"container/list"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"skylarkbeam/outcome"
+)
+
+const (
+	// greedyUse is the use of a caller, in multiples of the average one, from which on its calls go after those of others.
+	// Two calls at once are usual for callers that fetch a page and its parts.
+	greedyUse = 3.0
+	// useMemory is the time constant of a caller's use.
+	useMemory = 3 * time.Second
+	// paceMemory is the time constant of the measured pace at which calls leave a line, paceTrust the time of waiting for
+	// which the expected pace counts as much as the measured one.
+	paceMemory = 2 * time.Second
+	paceTrust  = 500 * time.Millisecond
+	// returnFloor and returnCeiling bound when a refused call is told to come back.
+	returnFloor   = 100 * time.Millisecond
+	returnCeiling = 5 * time.Second
+)
+
+// Call is a call that waits for a target.
+type Call struct {
+	// Caller is who is calling.
+	Caller string
+	// Rank orders calls that are otherwise alike; 0 goes first.
+	Rank int
+	// Aim is until when an answer is of full use, Deadline until when it is of any.
+	Aim      time.Time
+	Deadline time.Time
+	// Work is the time that the call usually takes at a target.
+	Work time.Duration
+}
+
+// Line is the calls of one service that wait for a target at one entry. It answers the load at which targets are full for
+// seconds, as when half of them are lost in a burst: in the order of arrival, every call would wait until its aim has just
+// passed, and all targets would work on answers of little use.
+//
+// Calls that can still be answered within their aim go first, those of a lower rank and then those with the earliest aim
+// before others. Calls of a caller that uses several times as much as the others go behind them, so that one that repeats
+// at once and often does not crowd out the rest. Calls that are late already take what is left. A call that cannot be
+// answered before its deadline is refused at once.
+//
+// A Line reads no clock and starts no goroutine. It is safe for concurrent use.
+type Line struct {
+	mu      sync.Mutex
+	waiting *list.List // of *Place, in order of arrival
+	callers map[string]*use
+	swept   time.Time
+	// expected is the number of calls a second that the targets are expected to take from this entry. Granted is the
+	// number of calls that left for a target while calls waited, and watched the seconds in which calls waited, both as far
+	// as they are remembered at the time settled.
+	expected float64
+	granted  float64
+	watched  float64
+	settled  time.Time
+}
+
+// use is how much a caller has asked for lately, in seconds of work.
+type use struct {
+	work float64
+	at   time.Time
+}
+
+// Place is the place of a call in a Line.
+type Place struct {
+	Call
+	// Done is closed once the call was granted or refused.
+	Done    chan struct{}
+	element *list.Element
+	refusal *Refusal
+	greedy  bool
+}
+
+// Refusal returns why the call was refused, nil if it was granted. It is valid once Done is closed.
+func (p *Place) Refusal() *Refusal { return p.refusal }
+
+// NewLine returns an empty line.
+func NewLine() *Line {
+	return &Line{
+		waiting: list.New(),
+		callers: map[string]*use{},
+	}
+}
+
+// Len returns the number of calls that wait.
+func (l *Line) Len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.waiting.Len()
+}
+
+// Note counts a call of a caller, whether it waits or not.
+func (l *Line) Note(now time.Time, c Call) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	u := l.callers[c.Caller]
+	if u == nil {
+		u = &use{}
+		l.callers[c.Caller] = u
+	}
+	u.work = u.current(now) + c.Work.Seconds()
+	u.at = now
+	l.sweep(now)
+}
+
+func (u *use) current(now time.Time) float64 {
+	age := now.Sub(u.at)
+	if age > 4*useMemory {
+		return 0
+	}
+	return u.work * (1 - float64(age)/float64(4*useMemory))
+}
+
+// sweep forgets callers that have not called for a while. The caller holds the lock.
+func (l *Line) sweep(now time.Time) {
+	if now.Sub(l.swept) < useMemory {
+		return
+	}
+	l.swept = now
+	for name, u := range l.callers {
+		if u.current(now) == 0 {
+			delete(l.callers, name)
+		}
+	}
+}
+
+// greedy tells whether a caller uses several times as much as the others. The caller holds the lock.
+func (l *Line) greedy(now time.Time, name string) bool {
+	if len(l.callers) < 2 {
+		return false
+	}
+	sum, own := 0.0, 0.0
+	for other, u := range l.callers {
+		c := u.current(now)
+		sum += c
+		if other == name {
+			own = c
+		}
+	}
+	return own > greedyUse*(sum-own)/float64(len(l.callers)-1)
+}
+
+// Join lets a call wait, or refuses it if it cannot be answered before its deadline.
+func (l *Line) Join(now time.Time, c Call) (*Place, *Refusal) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := &Place{
+		Call:   c,
+		Done:   make(chan struct{}),
+		greedy: l.greedy(now, c.Caller),
+	}
+	l.settle(now)
+	if refusal := l.hopeless(now, p, l.before(now, p)); refusal != nil {
+		return nil, refusal
+	}
+	p.element = l.waiting.PushBack(p)
+	return p, nil
+}
+
+// before returns the number of waiting calls that go before a new one. The caller holds the lock.
+func (l *Line) before(now time.Time, p *Place) int {
+	n := 0
+	for e := l.waiting.Front(); e != nil; e = e.Next() {
+		if !p.goesBefore(now, e.Value.(*Place)) {
+			n++
+		}
+	}
+	return n
+}
+
+// hopeless returns why a call with so many others before it cannot be answered in time, nil if it may be.
+func (l *Line) hopeless(now time.Time, p *Place, before int) *Refusal {
+	wait := time.Duration(0)
+	if pace := l.pace(); pace > 0 {
+		wait = seconds(float64(before) / pace)
+	}
+	if !now.Add(wait + p.Work).After(p.Deadline) {
+		return nil
+	}
+	reason := outcome.Deadline
+	if p.greedy {
+		reason = outcome.Share
+	}
+	return &Refusal{
+		Reason:     reason,
+		RetryAfter: l.retryAfter(),
+	}
+}
+
+// retryAfter estimates when the calls that wait now will have left. The caller holds the lock.
+func (l *Line) retryAfter() time.Duration {
+	pace := l.pace()
+	if pace <= 0 {
+		return returnFloor
+	}
+	return min(max(seconds(float64(l.waiting.Len()+1)/pace), returnFloor), returnCeiling)
+}
+
+// Expect sets the number of calls a second that the targets are expected to take from this entry, for the time until the
+// pace has been measured.
+func (l *Line) Expect(pace float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expected = pace
+}
+
+// pace returns the calls a second that leave for a target while calls wait; zero if nothing is known. The caller holds the
+// lock.
+func (l *Line) pace() float64 {
+	return (l.expected*paceTrust.Seconds() + l.granted) / (paceTrust.Seconds() + l.watched)
+}
+
+// settle brings the measured pace up to now. The caller holds the lock.
+func (l *Line) settle(now time.Time) {
+	d := now.Sub(l.settled).Seconds()
+	l.settled = now
+	fade := math.Exp(-d / paceMemory.Seconds())
+	l.granted *= fade
+	l.watched *= fade
+	if l.waiting.Len() > 0 {
+		l.watched += (1 - fade) * paceMemory.Seconds()
+	}
+}
+
+// class returns the class of a call; a lower one goes first.
+func (p *Place) class(now time.Time) int {
+	switch {
+	case now.Add(p.Work).After(p.Aim):
+		return 2
+	case p.greedy:
+		return 1
+	}
+	return 0
+}
+
+func (p *Place) goesBefore(now time.Time, other *Place) bool {
+	a, b := p.class(now), other.class(now)
+	switch {
+	case a != b:
+		return a < b
+	case p.Rank != other.Rank:
+		return p.Rank < other.Rank
+	default:
+		return p.Aim.Before(other.Aim)
+	}
+}
+
+// First returns the call that goes next, nil if none waits.
+func (l *Line) First(now time.Time) *Place {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var first *Place
+	for e := l.waiting.Front(); e != nil; e = e.Next() {
+		if p := e.Value.(*Place); first == nil || p.goesBefore(now, first) {
+			first = p
+		}
+	}
+	return first
+}
+
+// Grant takes a call out of the line that has got a target. It returns false if the call no longer waits.
+func (l *Line) Grant(now time.Time, p *Place) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settle(now)
+	if !l.remove(p) {
+		return false
+	}
+	l.granted++
+	close(p.Done)
+	return true
+}
+
+// Leave takes a call out of the line that gives up. It returns false if it was granted or refused before.
+func (l *Line) Leave(p *Place) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.remove(p)
+}
+
+func (l *Line) remove(p *Place) bool {
+	if p.element == nil {
+		return false
+	}
+	l.waiting.Remove(p.element)
+	p.element = nil
+	return true
+}
+
+// Expire refuses the calls that can no longer be answered before their deadline.
+func (l *Line) Expire(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settle(now)
+	if l.waiting.Len() == 0 {
+		return
+	}
+	ordered := make([]*Place, 0, l.waiting.Len())
+	for e := l.waiting.Front(); e != nil; e = e.Next() {
+		ordered = append(ordered, e.Value.(*Place))
+	}
+	slices.SortStableFunc(ordered, func(a, b *Place) int {
+		switch {
+		case a.goesBefore(now, b):
+			return -1
+		case b.goesBefore(now, a):
+			return 1
+		}
+		return 0
+	})
+	before := 0
+	for _, p := range ordered {
+		if refusal := l.hopeless(now, p, before); refusal != nil {
+			l.refuse(p, refusal)
+			continue
+		}
+		before++
+	}
+}
+
+// Refuse refuses a call that waits for a reason of the caller of Refuse.
+func (l *Line) Refuse(p *Place, refusal *Refusal) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refuse(p, refusal)
+}
+
+func (l *Line) refuse(p *Place, refusal *Refusal) {
+	if l.remove(p) {
+		p.refusal = refusal
+		close(p.Done)
+	}
+}
--- /dev/null
+++ b/share/line_test.go
@@ -0,0 +1,144 @@
+package share
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkbeam/outcome"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// at returns a call with 100 ms of work whose aim and deadline are so far from the start.
+func at(caller string, rank int, aim, deadline time.Duration) Call {
+	return Call{
+		Caller:   caller,
+		Rank:     rank,
+		Aim:      start.Add(aim),
+		Deadline: start.Add(deadline),
+		Work:     100 * time.Millisecond,
+	}
+}
+
+const ms = time.Millisecond
+
+// Guards against an order in which calls that can no longer be in time hold up calls that can, in which a lower rank does
+// not count, or in which a caller that takes several times as much as others goes before them.
+func TestLineOrder(t *testing.T) {
+	tests := map[string]struct {
+		calls []Call
+		now   time.Duration
+		greed string
+		want  []int
+	}{
+		"aim": {
+			calls: []Call{at("a", 0, 300*ms, 2000*ms), at("b", 0, 200*ms, 2000*ms), at("c", 0, 250*ms, 2000*ms)},
+			want:  []int{1, 2, 0},
+		},
+		"rank": {
+			calls: []Call{at("a", 2, 200*ms, 2000*ms), at("b", 1, 300*ms, 2000*ms)},
+			want:  []int{1, 0},
+		},
+		"late": {
+			calls: []Call{at("a", 0, 200*ms, 2000*ms), at("b", 1, 300*ms, 2000*ms)},
+			now:   150 * ms,
+			want:  []int{1, 0},
+		},
+		"greedy": {
+			calls: []Call{at("a", 0, 200*ms, 2000*ms), at("b", 0, 300*ms, 2000*ms), at("c", 0, 400*ms, 2000*ms)},
+			greed: "a",
+			want:  []int{1, 2, 0},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := NewLine()
+			for _, c := range test.calls {
+				l.Note(start, c)
+			}
+			for range 20 {
+				if test.greed != "" {
+					l.Note(start, at(test.greed, 0, 0, 0))
+				}
+			}
+			places := map[*Place]int{}
+			for i, c := range test.calls {
+				p, refusal := l.Join(start, c)
+				assert.Assert(t, refusal == nil)
+				places[p] = i
+			}
+			var have []int
+			for now := start.Add(test.now); l.Len() > 0; {
+				p := l.First(now)
+				assert.Assert(t, l.Grant(now, p))
+				have = append(have, places[p])
+			}
+			assert.DeepEqual(t, have, test.want)
+		})
+	}
+}
+
+// Guards against calls that wait until their deadline although they cannot be answered before, and against refusals of
+// calls that can. Until a pace has been measured, the expected one counts.
+func TestLineRefusesHopeless(t *testing.T) {
+	l := NewLine()
+	l.Expect(10)
+	var refused int
+	for i := range 20 {
+		if _, refusal := l.Join(start, at(fmt.Sprint(i), 0, 300*ms, 1000*ms)); refusal != nil {
+			refused++
+			assert.Equal(t, refusal.Reason, outcome.Deadline)
+			assert.Assert(t, refusal.RetryAfter >= 500*ms, "come back after %s", refusal.RetryAfter)
+		}
+	}
+	assert.Equal(t, refused, 10)
+
+	// The targets stand still: calls that could have been in time cannot any more.
+	l.Expire(start.Add(100 * ms))
+	assert.Assert(t, l.Len() < 10, "%d wait", l.Len())
+	l.Expire(start.Add(901 * ms))
+	assert.Equal(t, l.Len(), 0)
+}
+
+// Guards against a pace that is taken from the time in which nothing waited, when calls leave as they come.
+func TestLinePace(t *testing.T) {
+	l := NewLine()
+	l.Expect(20)
+	now := start
+	for range 50 {
+		p, refusal := l.Join(now, Call{
+			Aim:      now.Add(300 * ms),
+			Deadline: now.Add(time.Second),
+			Work:     100 * ms,
+		})
+		assert.Assert(t, refusal == nil)
+		l.Grant(now.Add(ms), p)
+		now = now.Add(time.Second)
+	}
+	var last *Refusal
+	joined := 0
+	for ; last == nil; joined++ {
+		_, last = l.Join(now, Call{
+			Aim:      now.Add(300 * ms),
+			Deadline: now.Add(time.Second),
+			Work:     100 * ms,
+		})
+	}
+	assert.Assert(t, joined > 15, "%d calls may wait at 20 calls a second", joined)
+}
+
+// Guards against a call that is granted after it has left, or left after it was granted.
+func TestLineLeave(t *testing.T) {
+	l := NewLine()
+	p, _ := l.Join(start, at("a", 0, 300*ms, 1000*ms))
+	assert.Assert(t, l.Leave(p))
+	assert.Assert(t, !l.Grant(start, p))
+	p, _ = l.Join(start, at("a", 0, 300*ms, 1000*ms))
+	assert.Assert(t, l.Grant(start, p))
+	assert.Assert(t, !l.Leave(p))
+	<-p.Done
+	assert.Assert(t, p.Refusal() == nil)
+}
