Hold calls at the entry until a target is free that answers in time; notice callers that ask for the end of the connection

In the first second after a start no load was read at all, because the budget of probes allows for a predecessor. A call that found no target for its second attempt was refused.

Change: no call queues at a target; a call that can still be in time waits for a target that is fast enough, one that is late takes any. Targets that do not answer a load read get none and are read again in the background.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -77,13 +77,27 @@
 	defer c.server.ended(c)
 	for c.next() {
 	}
-	c.tasks.Wait()
+	c.watch()
 	if c.ctx.Err() == nil {
 		c.linger()
 	}
 	c.abort()
 }
 
+// watch waits for the responses to the last requests. A caller that goes away meanwhile ends them.
+func (c *conn) watch() {
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		if _, err := c.br.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.cancel()
+		}
+	}()
+	c.tasks.Wait()
+	_ = c.nc.SetReadDeadline(time.Now()) // Ends the read.
+	<-watched
+}
+
 // linger tells the caller that no more will be written and reads what it still sends.
 func (c *conn) linger() {
 	tcp, ok := c.nc.(*net.TCPConn)
@@ -115,9 +129,14 @@
 	}
 	limits := c.server.opts.Limits()
 	c.head.left = limits.Head
-	_ = c.nc.SetReadDeadline(time.Now().Add(limits.Read))
+	late := time.Now().Add(limits.Read)
+	_ = c.nc.SetReadDeadline(late)
 	req, err := http.ReadRequest(c.br)
 	c.head.left = -1
+	if err != nil && !time.Now().Before(late) {
+		// What was read so far can pass for a malformed request.
+		err = os.ErrDeadlineExceeded
+	}
 	_ = c.nc.SetReadDeadline(time.Time{})
 	if err == nil && req.Host == "" && req.ProtoAtLeast(1, 1) {
 		err = errNoHost
@@ -167,6 +186,7 @@
 			c.cancel()
 			return false
 		case over:
+			_ = c.nc.SetReadDeadline(time.Time{})
 			return false
 		}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -71,9 +71,11 @@
 	// hadContact is what watchContact saw last.
 	hadContact atomic.Bool
 	inflight   atomic.Int64
-	done       chan struct{}
-	stopOnce   sync.Once
-	tasks      sync.WaitGroup
+	// readTime is the average time of load reads in nanoseconds.
+	readTime atomic.Int64
+	done     chan struct{}
+	stopOnce sync.Once
+	tasks    sync.WaitGroup
 }
 
 // newEntry puts an entry together from its parts.
--- a/entry/line.go
+++ b/entry/line.go
@@ -16,6 +16,8 @@
 	placeInterval = 30 * time.Millisecond
 	// placeFloor separates tries that are made because calls have ended.
 	placeFloor = 2 * time.Millisecond
+	// placeDepth is the number of waiting calls that are tried in each round.
+	placeDepth = 8
 	// workMargin is what is left for the way to the target and back when it is judged whether a call can be in time.
 	workMargin = 5 * time.Millisecond
 )
@@ -118,6 +120,11 @@
 // tryPlace reads the load of targets and chooses one.
 func (e *Entry) tryPlace(ctx context.Context, c *call) (*route.Permit, outcome.Reason) {
 	e.survey(ctx, c)
+	return e.choose(c)
+}
+
+// choose chooses a target by what is known of them.
+func (e *Entry) choose(c *call) (*route.Permit, outcome.Reason) {
 	now := e.timers.Now()
 	return e.table.Pick(now, c.service.name, c.query(now))
 }
@@ -146,51 +153,71 @@
 	delete(l.waiting, p)
 }
 
-// next returns the call that goes next, or ends the task if none waits.
-func (l *line) next(now time.Time) (*share.Place, *waiter) {
+// next returns the calls that wait in their order, or ends the task if none waits.
+func (l *line) next(now time.Time) []*share.Place {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p := l.First(now)
-	if p == nil {
-		l.placing = false
-		return nil, nil
-	}
-	return p, l.waiting[p]
+	places := l.Waiting(now)
+	l.placing = len(places) > 0
+	return places
+}
+
+func (l *line) waiterAt(p *share.Place) *waiter {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.waiting[p]
 }
 
-// placeAll places the waiting calls in their order until none waits.
+// placeAll places the waiting calls in their order until none waits. The loads are read for the first of them. A call that
+// still waits for a fast target does not hold up one behind it that takes any.
 func (e *Entry) placeAll(l *line) {
 	for {
 		l.Expire(e.timers.Now())
-		p, w := l.next(e.timers.Now())
-		if p == nil {
+		places := l.next(e.timers.Now())
+		if len(places) == 0 {
 			return
 		}
-		if w == nil || w.ctx.Err() != nil {
-			l.Leave(p)
-			l.forget(p)
-			continue
-		}
-		permit, reason := e.tryPlace(w.ctx, w.call)
-		now := e.timers.Now()
-		switch {
-		case permit != nil:
-			w.permit = permit
-			l.forget(p)
-			if !l.Grant(now, p) {
-				permit.Done(now, route.Result{
-					Kind: route.Canceled,
-				})
+		placed := false
+		for i, p := range places[:min(len(places), placeDepth)] {
+			w := l.waiterAt(p)
+			if w == nil || w.ctx.Err() != nil {
+				l.Leave(p)
+				l.forget(p)
+				continue
 			}
-		case reason == outcome.Queue || reason == outcome.Cold:
+			if i == 0 {
+				e.survey(w.ctx, w.call)
+			}
+			placed = e.settle(l, p, w) || placed
+		}
+		if !placed {
 			l.pause(e.done)
-		default:
-			l.Refuse(p, e.unplaced(w.call, reason))
-			l.forget(p)
 		}
 	}
 }
 
+// settle grants a waiting call a target or refuses it. It returns false if the call goes on waiting.
+func (e *Entry) settle(l *line, p *share.Place, w *waiter) bool {
+	permit, reason := e.choose(w.call)
+	now := e.timers.Now()
+	switch {
+	case permit != nil:
+		w.permit = permit
+		l.forget(p)
+		if !l.Grant(now, p) {
+			permit.Done(now, route.Result{
+				Kind: route.Canceled,
+			})
+		}
+	case reason == outcome.Queue || reason == outcome.Cold:
+		return false
+	default:
+		l.Refuse(p, e.unplaced(w.call, reason))
+		l.forget(p)
+	}
+	return true
+}
+
 // pause waits until a call has ended, or for the interval of tries.
 func (l *line) pause(done <-chan struct{}) {
 	floor := time.NewTimer(placeFloor)
--- a/entry/run.go
+++ b/entry/run.go
@@ -100,7 +100,11 @@
 		return permit, ""
 	}
 	if e.table.Registered(c.service.name) {
-		return e.tryPlace(ctx, c)
+		permit, refusal := e.place(ctx, c)
+		if refusal != nil {
+			return nil, refusal.Reason
+		}
+		return permit, ""
 	}
 	for {
 		now := e.timers.Now()
@@ -128,8 +132,11 @@
 		return nil
 	}
 	if e.table.Registered(c.service.name) {
-		e.survey(ctx, c)
-		now = e.timers.Now()
+		if !e.table.Spend(now, c.service.name) {
+			return nil
+		}
+		permit, _ := e.place(ctx, c)
+		return permit
 	}
 	return e.table.Repeat(now, c.service.name, c.query(now))
 }
@@ -141,7 +148,7 @@
 	q := route.Query{
 		Tried:      c.tried,
 		Idempotent: c.idempotent,
-		Again:      c.unsent > 0,
+		Again:      c.unsent > 0 || len(c.tried) > 0,
 		Repeat:     c.repeat,
 		Bulk:       c.promise.bulk,
 		Kind:       c.promise.route,
--- a/entry/view.go
+++ b/entry/view.go
@@ -200,7 +200,12 @@
 		opts.silence = -1
 	}
 	opts.load = spec.Load
-	budget := e.budget(now, name, max(spec.Probes/entries, 1))
+	started := e.started
+	if opts.instance != "" {
+		// The platform bounds the average over a long time, so a process need not allow for its predecessor.
+		started = time.Time{}
+	}
+	budget := e.budget(now, name, max(spec.Probes/entries, 1), started)
 	if have := old.pools[name]; have != nil && have.opts == opts {
 		return have
 	}
@@ -223,12 +228,12 @@
 }
 
 // budget returns the probe budget of a target, which outlives its pools.
-func (e *Entry) budget(now time.Time, name string, quota int) *target.Budget {
+func (e *Entry) budget(now time.Time, name string, quota int, started time.Time) *target.Budget {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	b := e.budgets[name]
 	if b == nil {
-		b = target.NewBudget(quota, e.started)
+		b = target.NewBudget(quota, started)
 		b.SetGate(e.mayProbe)
 		e.budgets[name] = b
 		return b
--- a/route/registered.go
+++ b/route/registered.go
@@ -27,17 +27,15 @@
 	surveyAge = 15 * time.Millisecond
 	// surveySize is the number of targets whose load is read at once before a placement.
 	surveySize = 3
-	// unreadTime is how long a target that did not answer a load read is taken for slower by unreadFactor.
-	unreadTime   = 300 * time.Millisecond
-	unreadFactor = 4
+	// absentFloor is how long a target that did not answer a load read gets no calls and no further read; it doubles with
+	// each further read without an answer, up to absentLimit.
+	absentFloor = 100 * time.Millisecond
+	absentLimit = time.Second
 	// goodSlowness is the slowness up to which an idle target needs no comparison with others.
 	goodSlowness = 1.2
 	// nearlyFull is the part of its slots from which on a target is taken to be slower, by fullFactor.
 	nearlyFull = 0.8
 	fullFactor = 1.6
-	// queueAhead is the number of calls that may wait at a target whose slots are all taken, so that it goes on without a
-	// pause when one ends.
-	queueAhead = 1
 	// dragWeight is the weight of a call in the drag of a target, dragMemory the time in which the drag fades without
 	// calls, so that a target that was slow is tried again.
 	dragWeight = 0.35
@@ -72,8 +70,10 @@
 	dragged time.Time
 	// strange says that another instance answers at the address.
 	strange bool
-	// unread is when a load read got no answer in time.
-	unread time.Time
+	// unread is the number of load reads in a row that got no answer in time, absent until when the target gets no calls
+	// for that.
+	unread int
+	absent time.Time
 }
 
 // registered tells whether a registry names the target.
@@ -89,6 +89,7 @@
 
 // recognize takes instance and cold time from a report.
 func (t *target) recognize(now time.Time, r outcome.Report) {
+	t.unread = 0
 	if r.Instance != "" {
 		t.strange = r.Instance != t.Instance
 	}
@@ -124,7 +125,8 @@
 // usable tells whether a call may go to the registered target at all.
 func (t *target) usable(now time.Time, q Query) bool {
 	t.thaw(now)
-	return t.operating() && !t.strange && !slices.Contains(q.Tried, t.Name) && (!t.cold || t.mayWarm(now))
+	return t.operating() && !t.strange && t.unread == 0 && t.inflight < t.Slots &&
+		!slices.Contains(q.Tried, t.Name) && (!t.cold || t.mayWarm(now))
 }
 
 // mayWarm tells whether this entry may send to the cold target now.
@@ -138,11 +140,11 @@
 
 // considerRegistered makes the target the choice if it has room and is expected to answer first.
 func (s *service) considerRegistered(now time.Time, c *choice, t *target, q Query, spare bool) bool {
-	if !t.usable(now, q) || t.inflight >= t.Slots+queueAhead {
+	if !t.usable(now, q) {
 		return false
 	}
 	load := t.present(now)
-	if load >= float64(t.Slots+queueAhead)-0.5 || spare && load > float64(t.Slots)-0.5 {
+	if load > float64(t.Slots)-0.5 || q.holds(s) && t.expected(now, q, load) > float64(q.Left) {
 		return false
 	}
 	score := t.merit(now, q, load) * (1 + scoreNoise*s.rand.Float64())
@@ -152,6 +154,12 @@
 	return true
 }
 
+// holds tells whether the call rather waits than goes to a target that is expected to answer after its aim: a target that is
+// not slow could still answer before.
+func (q Query) holds(s *service) bool {
+	return q.Aim > 0 && s.work(q) < float64(q.Left)
+}
+
 // permit starts an attempt at the registered target.
 func (t *target) permit(now time.Time, q Query) *Permit {
 	load := t.present(now) - 1 // The call itself is counted already.
@@ -282,9 +290,6 @@
 	if ahead := load - float64(t.Slots) + 1; ahead > 0 {
 		d += ahead / float64(t.Slots) * max(s.latency, float64(usualWork)) * factor
 	}
-	if now.Sub(t.unread) < unreadTime {
-		d *= unreadFactor
-	}
 	return d
 }
 
@@ -310,15 +315,28 @@
 }
 
 // Survey returns the targets whose load is to be read before a call is placed: those that are expected to answer first, as
-// far as their last report is too old, and none if a target is known to be idle.
-func (t *Table) Survey(now time.Time, service string, q Query) []string {
+// far as their last report is too old, and none if a target is known to be idle. Absent are targets that did not answer
+// the last time and are due for another read, for which the call need not wait.
+func (t *Table) Survey(now time.Time, service string, q Query) (names, absent []string) {
 	s := t.view.Load().services[service]
 	if s == nil {
-		return nil
+		return nil, nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.survey(now, q)
+	return s.survey(now, q), s.overdue(now)
+}
+
+// overdue returns the absent targets that are due for a load read, and counts them as being read.
+func (s *service) overdue(now time.Time) []string {
+	var names []string
+	for _, t := range s.targets {
+		if t.unread > 0 && t.operating() && now.After(t.absent) {
+			t.absent = now.Add(absentLimit)
+			names = append(names, t.Name)
+		}
+	}
+	return names
 }
 
 func (s *service) survey(now time.Time, q Query) []string {
@@ -329,7 +347,7 @@
 	var candidates []candidate
 	ejecting := s.mayEject(now)
 	for _, t := range s.targets {
-		if !t.registered() || !t.usable(now, q) || ejecting && t.barred(now, true) || t.inflight >= t.Slots+queueAhead {
+		if !t.registered() || !t.usable(now, q) || ejecting && t.barred(now, true) {
 			continue
 		}
 		candidates = append(candidates, candidate{
@@ -361,7 +379,8 @@
 	}
 	x.service.mu.Lock()
 	defer x.service.mu.Unlock()
-	x.unread = now
+	x.absent = now.Add(min(absentFloor<<min(x.unread, 10), absentLimit))
+	x.unread++
 }
 
 // Pace returns the number of calls a second that the targets of a service can be expected to take from this entry.
--- a/share/line.go
+++ b/share/line.go
@@ -252,17 +252,29 @@
 	}
 }
 
-// First returns the call that goes next, nil if none waits.
-func (l *Line) First(now time.Time) *Place {
+// Waiting returns the calls that wait in the order in which they go.
+func (l *Line) Waiting(now time.Time) []*Place {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var first *Place
+	return l.ordered(now)
+}
+
+// ordered returns the waiting calls in their order. The caller holds the lock.
+func (l *Line) ordered(now time.Time) []*Place {
+	list := make([]*Place, 0, l.waiting.Len())
 	for e := l.waiting.Front(); e != nil; e = e.Next() {
-		if p := e.Value.(*Place); first == nil || p.goesBefore(now, first) {
-			first = p
-		}
+		list = append(list, e.Value.(*Place))
 	}
-	return first
+	slices.SortStableFunc(list, func(a, b *Place) int {
+		switch {
+		case a.goesBefore(now, b):
+			return -1
+		case b.goesBefore(now, a):
+			return 1
+		}
+		return 0
+	})
+	return list
 }
 
 // Grant takes a call out of the line that has got a target. It returns false if the call no longer waits.
@@ -302,21 +314,8 @@
 	if l.waiting.Len() == 0 {
 		return
 	}
-	ordered := make([]*Place, 0, l.waiting.Len())
-	for e := l.waiting.Front(); e != nil; e = e.Next() {
-		ordered = append(ordered, e.Value.(*Place))
-	}
-	slices.SortStableFunc(ordered, func(a, b *Place) int {
-		switch {
-		case a.goesBefore(now, b):
-			return -1
-		case b.goesBefore(now, a):
-			return 1
-		}
-		return 0
-	})
 	before := 0
-	for _, p := range ordered {
+	for _, p := range l.ordered(now) {
 		if refusal := l.hopeless(now, p, before); refusal != nil {
 			l.refuse(p, refusal)
 			continue
--- a/share/line_test.go
+++ b/share/line_test.go
@@ -72,7 +72,7 @@
 			}
 			var have []int
 			for now := start.Add(test.now); l.Len() > 0; {
-				p := l.First(now)
+				p := l.Waiting(now)[0]
 				assert.Assert(t, l.Grant(now, p))
 				have = append(have, places[p])
 			}
