Compare targets by the chance to be late and the price of bytes between failure domains

Change: a placement weighs in answers that are in time: the chance to be late, failures, the price of the bytes of the kind. A call with time left waits for a target near by if its bytes are dear.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -252,6 +252,7 @@
 		end(route.Result{
 			Kind:   kind,
 			Report: o.Report,
+			Length: a.length,
 		}, false)
 		return a
 	}
@@ -265,6 +266,7 @@
 		end(route.Result{
 			Kind:   k,
 			Report: o.Report,
+			Length: o.Length,
 		}, !whole)
 	}
 	return a
--- a/entry/run.go
+++ b/entry/run.go
@@ -153,6 +153,8 @@
 		Bulk:       c.promise.bulk,
 		Kind:       c.promise.route,
 		Aim:        c.promise.aim,
+		Until:      c.deadline.Sub(now),
+		Size:       len(c.body),
 	}
 	if c.promise.aim > 0 {
 		q.Left = c.arrived.Add(c.promise.aim).Sub(now)
--- a/entry/trace.go
+++ b/entry/trace.go
@@ -44,6 +44,7 @@
 	e.trace(zapcore.DebugLevel, c, msgPlaced, func() []zap.Field {
 		return []zap.Field{
 			zap.String("target", p.Target),
+			zap.String("domain", p.Domain),
 			zap.Int32("attempt", c.runs.Load()),
 			zap.Duration("waited", c.admitted.Sub(c.arrived)),
 			zap.Float64("load", p.Basis.Load),
--- a/route/permit.go
+++ b/route/permit.go
@@ -10,6 +10,7 @@
 // Permit allows one attempt at one target. Done must be called exactly once.
 type Permit struct {
 	Target  string
+	Domain  string
 	Address netip.AddrPort
 	// Instance is the instance that the attempt must reach; empty if any may run it.
 	Instance string
@@ -25,8 +26,8 @@
 	target *target
 	start  time.Time
 	done   bool
-	// kind is the kind of the call.
-	kind string
+	// query describes the call.
+	query Query
 }
 
 // Basis is what the choice of a target was based on.
@@ -69,6 +70,8 @@
 	Latency time.Duration
 	// Report is what the target said, the zero Report if nothing.
 	Report outcome.Report
+	// Length is the length of the answer in bytes, -1 if it is not known.
+	Length int64
 	// Running is until when the target may still run the call although the attempt has ended, as after a broken
 	// connection; zero if the call has ended or never began.
 	Running time.Time
--- a/route/registered.go
+++ b/route/registered.go
@@ -48,12 +48,25 @@
 	aimPart = 0.4
 	// usualWork is the work of a call of which nothing is known.
 	usualWork = 100 * time.Millisecond
-	// far and farBulk are the delays up to which a call waits for a target in the failure domain of the entry rather
-	// than use one in another, where its bytes are charged.
-	far     = 30 * time.Millisecond
-	farBulk = 600 * time.Millisecond
-	// lateness is added to the score of a target that is expected to answer after the aim.
-	lateness = 500 * time.Millisecond
+	// farPrice is what a byte between failure domains costs, in answers that are in time: 15 answers a megabyte.
+	farPrice = 15e-6
+	// headBytes are the bytes of the heads of a call and its answer.
+	headBytes = 600
+	// bulkBytes and usualBytes are the bytes of calls that have not been measured.
+	bulkBytes  = 100e3
+	usualBytes = 2e3
+	// cheapFar is the price up to which a call goes to another failure domain without need, dearFar the one from which on
+	// it goes there only if it cannot be answered otherwise.
+	cheapFar = 0.05
+	dearFar  = 0.9
+	// slackWorks and lastWorks are the time left, in usual works, from which on a call waits for a target in its own
+	// failure domain: until its aim if the price is above cheapFar, until its deadline if it is above dearFar.
+	slackWorks = 2
+	lastWorks  = 3
+	// workSpread is the standard deviation of the logarithm of the time of calls, relative to the expected time.
+	workSpread = 0.35
+	// slope is what an answer that takes as long as its aim costs more than one at once, if both are in time.
+	slope = 0.05
 )
 
 // registration is the state of a target that a registry names.
@@ -144,10 +157,10 @@
 		return false
 	}
 	load := t.present(now)
-	if load > float64(t.Slots)-0.5 || q.holds(s) && t.expected(now, q, load) > float64(q.Left) {
+	if load > float64(t.Slots)-0.5 || q.holds(s) && t.expected(now, q, load) > float64(q.Left) || s.staysNear(t, q) {
 		return false
 	}
-	score := t.merit(now, q, load) * (1 + scoreNoise*s.rand.Float64())
+	score := t.cost(now, q, load) + scoreNoise*slope*s.rand.Float64()
 	if c.target == nil || score < c.score {
 		c.target, c.score = t, score
 	}
@@ -165,6 +178,7 @@
 	load := t.present(now) - 1 // The call itself is counted already.
 	p := &Permit{
 		Target:   t.Name,
+		Domain:   t.Domain,
 		Address:  t.Address,
 		Instance: t.Instance,
 		Basis: Basis{
@@ -176,7 +190,7 @@
 		},
 		target: t,
 		start:  now,
-		kind:   q.Kind,
+		query:  q,
 	}
 	if !t.reported.IsZero() {
 		p.Basis.Age = now.Sub(t.reported)
@@ -199,9 +213,26 @@
 	return float64(t.inflight) + max(usual+(t.others-usual)*math.Exp(-age), 0)
 }
 
+// usualSlowness is the average slowness of targets until they have reported any.
+const usualSlowness = 1.5
+
+// reportSlowness takes a report into the average.
+func (s *service) reportSlowness(slowness float64) {
+	s.slownessN++
+	s.slowness += (slowness - s.slowness) * max(latencyMean, 1/float64(s.slownessN))
+}
+
+// meanSlowness returns the slowness that is to be expected of a target that has not reported any lately.
+func (s *service) meanSlowness() float64 {
+	if s.slownessN == 0 {
+		return usualSlowness
+	}
+	return max(s.slowness, 1)
+}
+
 // currentSlowness returns the slowness that the target is expected to have now.
 func (t *target) currentSlowness(now time.Time) float64 {
-	usual := max(t.service.slowness, 1)
+	usual := t.service.meanSlowness()
 	if t.slowness == 0 {
 		return usual
 	}
@@ -259,17 +290,57 @@
 
 // measured learns from an answer to a call that did not wait at its target.
 func (s *service) measured(p *Permit, latency time.Duration) {
-	if p.kind == "" || p.Basis.Load > float64(p.target.Slots)-0.5 {
+	kind := p.query.Kind
+	if kind == "" || p.Basis.Load > float64(p.target.Slots)-0.5 {
 		return
 	}
 	sample := float64(latency) / p.target.speedFactor(p.Basis.Load, p.Basis.Slowness, p.Basis.Drag, p.Basis.Cold)
-	w, ok := s.works[p.kind]
+	w, ok := s.works[kind]
 	if !ok {
 		w = sample
 	}
-	s.works[p.kind] = w + (sample-w)*workWeight
+	s.works[kind] = w + (sample-w)*workWeight
+}
+
+// weighed learns from the length of an answer. The price of a kind follows it in about 20 calls.
+func (s *service) weighed(p *Permit, length int64) {
+	kind := p.query.Kind
+	if kind == "" || length < 0 {
+		return
+	}
+	b, ok := s.bytes[kind]
+	if !ok {
+		b = float64(length)
+	}
+	s.bytes[kind] = b + (float64(length)-b)*workWeight
+}
+
+// price returns what it costs to send the call to another failure domain, in answers that are in time.
+func (s *service) price(q Query) float64 {
+	b, ok := s.bytes[q.Kind]
+	switch {
+	case ok:
+	case q.Bulk:
+		b = bulkBytes
+	default:
+		b = usualBytes
+	}
+	return (b + float64(q.Size) + headBytes) * farPrice
+}
+
+// staysNear tells whether the call rather waits for a target in the failure domain of the entry than go to this one.
+func (s *service) staysNear(t *target, q Query) bool {
+	if !t.far() || !s.near {
+		return false
+	}
+	price, work := s.price(q), s.work(q)
+	return price > cheapFar && float64(q.Left) > slackWorks*work ||
+		price > dearFar && float64(q.Until) > lastWorks*work
 }
 
+// far tells whether the target is in another failure domain than the entry.
+func (t *target) far() bool { return t.Domain != t.service.table.domain }
+
 // speedFactor returns how much longer than usual work takes at the target beside a number of other calls.
 func (t *target) speedFactor(load, slowness, drag float64, cold bool) float64 {
 	factor := slowness * drag
@@ -293,25 +364,31 @@
 	return d
 }
 
-// merit returns the expected time with what speaks against the target beside it, in nanoseconds.
-func (t *target) merit(now time.Time, q Query, load float64) float64 {
+// cost returns what speaks against sending the call to the target, in answers that are in time: that it is late, that it
+// fails, the price of its bytes, and a little of its time.
+func (t *target) cost(now time.Time, q Query, load float64) float64 {
+	s := t.service
 	d := t.expected(now, q, load)
-	score := d / (1 - min(t.currentFailures(now), 0.9))
-	if q.Left > 0 && d > float64(q.Left) {
-		score += float64(lateness)
+	aim := float64(q.Aim)
+	if aim <= 0 {
+		aim = max(float64(q.Until), float64(usualWork))
+	}
+	c := slope*d/aim + t.currentFailures(now)
+	if q.Aim > 0 {
+		c += lateChance(d, float64(q.Left))
+	}
+	if t.far() {
+		c += s.price(q)
 	}
-	return score + t.distance(q)
+	return c
 }
 
-// distance returns what it costs to send a call to the failure domain of the target, as time in nanoseconds.
-func (t *target) distance(q Query) float64 {
-	switch {
-	case t.Domain == t.service.table.domain:
-		return 0
-	case q.Bulk:
-		return float64(farBulk)
+// lateChance returns the chance that a call of which an answer is expected after d is answered later than left.
+func lateChance(d, left float64) float64 {
+	if left <= 0 {
+		return 1
 	}
-	return float64(far)
+	return 0.5 * math.Erfc(math.Log(left/d)/(workSpread*math.Sqrt2))
 }
 
 // Survey returns the targets whose load is to be read before a call is placed: those that are expected to answer first, as
@@ -346,13 +423,14 @@
 	}
 	var candidates []candidate
 	ejecting := s.mayEject(now)
+	s.look()
 	for _, t := range s.targets {
-		if !t.registered() || !t.usable(now, q) || ejecting && t.barred(now, true) {
+		if !t.registered() || !t.usable(now, q) || ejecting && t.barred(now, true) || s.staysNear(t, q) {
 			continue
 		}
 		candidates = append(candidates, candidate{
 			target: t,
-			score:  t.merit(now, q, t.present(now)) * (1 + scoreNoise*s.rand.Float64()),
+			score:  t.cost(now, q, t.present(now)) + scoreNoise*slope*s.rand.Float64(),
 		})
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
@@ -394,12 +472,19 @@
 	pace := 0.0
 	for _, x := range s.targets {
 		if x.operating() && !x.strange && !x.cold {
-			pace += float64(x.Slots) / x.speedFactor(float64(x.Slots), max(s.slowness, 1), x.currentDrag(now), false)
+			pace += float64(x.Slots) / x.speedFactor(float64(x.Slots), s.meanSlowness(), x.currentDrag(now), false)
 		}
 	}
 	return pace / (s.work(q) / float64(time.Second)) / float64(t.entries.Load())
 }
 
+// look notes whether targets in the failure domain of the entry are in operation.
+func (s *service) look() {
+	s.near = slices.ContainsFunc(s.targets, func(t *target) bool {
+		return !t.far() && t.operating() && !t.strange && t.unread == 0
+	})
+}
+
 // live tells whether the targets of the service are registered, so that their load is read before each placement.
 func (s *service) live() bool {
 	return len(s.targets) > 0 && s.targets[0].registered()
--- a/route/service.go
+++ b/route/service.go
@@ -55,10 +55,15 @@
 	// usual is the average number of calls that other entries have at a target, for each slot.
 	usual float64
 	trust trust
-	// slowness is the average slowness that targets report.
-	slowness float64
+	// slowness is the average slowness that targets report, over so many reports.
+	slowness  float64
+	slownessN int
 	// works has the usual time of calls by kind, in nanoseconds.
 	works map[string]float64
+	// bytes has the usual length of answers by kind.
+	bytes map[string]float64
+	// near says that targets in the failure domain of the entry are in operation.
+	near bool
 }
 
 func newService(t *Table, name string, now time.Time, seed uint64) *service {
@@ -68,6 +73,7 @@
 		epoch: now,
 		rand:  rand.New(rand.NewPCG(seed, 1)),
 		works: map[string]float64{},
+		bytes: map[string]float64{},
 		budget: budget{
 			epoch: now,
 		},
@@ -111,7 +117,7 @@
 		trust: s.trust.level(),
 	}
 	s.choose(now, &c, q, spare, true)
-	if c.target == nil {
+	if c.target == nil && !s.live() {
 		// Nothing passed the random gates, or all targets were tried. Ejected targets stay left out: a refusal tells the
 		// caller at once what a call to them would tell it later.
 		if !spare {
@@ -246,6 +252,7 @@
 	}
 	return &Permit{
 		Target:   t.Name,
+		Domain:   t.Domain,
 		Address:  t.Address,
 		Instance: t.instance,
 		Cold:     !t.isWarm(),
--- a/route/table.go
+++ b/route/table.go
@@ -327,6 +327,10 @@
 	// none. Left is negative if it has passed.
 	Aim  time.Duration
 	Left time.Duration
+	// Until is what is left until the deadline.
+	Until time.Duration
+	// Size is the length of the call's body in bytes.
+	Size int
 }
 
 // Pick selects the target for the first attempt of a call. Without a permit, the reason is Service, Drained, Cold or
--- a/route/target.go
+++ b/route/target.go
@@ -269,7 +269,7 @@
 	t.others = max(float64(r.Active+r.Queued-t.inflight), 0)
 	if r.Slowness > 0 {
 		t.slowness = r.Slowness
-		t.service.slowness += (r.Slowness - t.service.slowness) * latencyMean
+		t.service.reportSlowness(r.Slowness)
 	}
 	if t.reported.IsZero() {
 		t.usual = t.others
@@ -302,6 +302,7 @@
 		if t.registered() {
 			t.drags(now, float64(r.Latency)/max(float64(p.Basis.Expected), 1)*p.Basis.Drag)
 			s.measured(p, r.Latency)
+			s.weighed(p, r.Length)
 		}
 		if t.failures < 0.05 {
 			t.ejections = 0
