Count load reads of registered targets on the average of ten seconds

Cause: the budget of load reads allowed 10 a second for each entry and target. While calls wait loads are read every 30 ms, so reads were refused and calls were placed by old reports. The platform bounds the average over a long time.

--- a/entry/view.go
+++ b/entry/view.go
@@ -23,6 +23,9 @@
 	silenceFloor = 100 * time.Millisecond
 	// silenceFactor is that time in multiples of the usual work of the service.
 	silenceFactor = 10
+	// probeSpan is the time over which the budget of load reads of registered targets is an average. While calls wait,
+	// load is read more often than in between.
+	probeSpan = 10 * time.Second
 	// evenShare is the share of each caller where the settings know no callers.
 	evenShare = 0.05
 )
@@ -200,12 +203,7 @@
 		opts.silence = -1
 	}
 	opts.load = spec.Load
-	started := e.started
-	if opts.instance != "" {
-		// The platform bounds the average over a long time, so a process need not allow for its predecessor.
-		started = time.Time{}
-	}
-	budget := e.budget(now, name, max(spec.Probes/entries, 1), started)
+	budget := e.budget(now, name, max(spec.Probes/entries, 1), opts.instance != "")
 	if have := old.pools[name]; have != nil && have.opts == opts {
 		return have
 	}
@@ -227,13 +225,18 @@
 	}
 }
 
-// budget returns the probe budget of a target, which outlives its pools.
-func (e *Entry) budget(now time.Time, name string, quota int, started time.Time) *target.Budget {
+// budget returns the probe budget of a target, which outlives its pools. For a registered target the platform bounds the
+// average over a long time, so a process need not allow for its predecessor.
+func (e *Entry) budget(now time.Time, name string, quota int, registered bool) *target.Budget {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	b := e.budgets[name]
 	if b == nil {
-		b = target.NewBudget(quota, started)
+		if registered {
+			b = target.NewAverageBudget(quota, probeSpan)
+		} else {
+			b = target.NewBudget(quota, e.started)
+		}
 		b.SetGate(e.mayProbe)
 		e.budgets[name] = b
 		return b
--- a/target/budget.go
+++ b/target/budget.go
@@ -12,7 +12,9 @@
 // count at any moment, where a probe counts from its start until one second after its end. So a target sees at most
 // quota probes of this entry in any second, however long each takes. It is safe for concurrent use.
 type Budget struct {
-	mu     sync.Mutex
+	mu sync.Mutex
+	// window is the time for which a probe counts, quota the number of probes that may count at once.
+	window time.Duration
 	quota  int
 	next   int       // quota from the time of raise on
 	raise  time.Time // zero if no change is due
@@ -26,8 +28,18 @@
 // the process: probes of a process that was killed and replaced by this one may still count.
 func NewBudget(quota int, start time.Time) *Budget {
 	return &Budget{
-		quota: quota,
-		from:  start.Add(window),
+		window: window,
+		quota:  quota,
+		from:   start.Add(window),
+	}
+}
+
+// NewAverageBudget returns a budget of quota probes per second on the average of a span, which may come in bursts. It
+// allows probes at once.
+func NewAverageBudget(quota int, span time.Duration) *Budget {
+	return &Budget{
+		window: span,
+		quota:  quota * int(span/time.Second),
 	}
 }
 
@@ -36,6 +48,7 @@
 func (b *Budget) Set(quota int, from time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	quota *= int(b.window / time.Second)
 	b.raise = time.Time{}
 	if quota <= b.quota {
 		b.quota = quota
@@ -74,7 +87,7 @@
 		b.quota = b.next
 		b.raise = time.Time{}
 	}
-	wait = window
+	wait = b.window
 	kept := b.until[:0]
 	for _, t := range b.until {
 		if !t.Before(now) {
@@ -88,7 +101,7 @@
 		return wait, false
 	}
 	if b.gate != nil && !b.gate(now) {
-		return window, false
+		return b.window, false
 	}
 	b.flying++
 	return 0, true
@@ -99,7 +112,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.end()
-	b.until = append(b.until, end.Add(window))
+	b.until = append(b.until, end.Add(b.window))
 }
 
 // Cancel ends a probe of which nothing was sent.
