Stop taking calls early enough in the grace period to answer them

Change: it takes calls for as long as callers keep its address, a third of the grace period at most, and then refuses connections, which sends callers to another address at once.

--- a/entry/addresses.go
+++ b/entry/addresses.go
@@ -23,16 +23,12 @@
 
 // serveAddresses tells a caller which entries to use, those in its own failure domain first, and for how long.
 func (e *Entry) serveAddresses(req *restful.Request, resp *restful.Response) {
-	keep := setting.Duration(defaultKeep)
-	if settings := e.view.Load().settings; settings != nil {
-		keep = settings.Limits.Keep
-	}
 	writeJSON(resp, struct {
 		Addresses []address        `json:"addresses"`
 		Keep      setting.Duration `json:"keep"`
 	}{
 		Addresses: e.addresses(req.QueryParameter("domain")),
-		Keep:      keep,
+		Keep:      setting.Duration(e.Keep()),
 	})
 }
 
--- a/entry/server.go
+++ b/entry/server.go
@@ -23,6 +23,8 @@
 	// idleTimeout is longer than any caller keeps an address, so that a caller and not the entry ends the use of an idle
 	// connection.
 	idleTimeout = 5 * time.Minute
+	// gracePart is the part of a grace period, as 1/n, in which calls are still taken.
+	gracePart = 3
 	// graceMargin is the part of a grace period that is left for the end of the process.
 	graceMargin = 300 * time.Millisecond
 	// closeTimeout bounds the last writes to the table on shutdown.
@@ -104,20 +106,18 @@
 func (e *Entry) Shutdown(ctx context.Context) {
 	e.leaving.Store(true)
 	e.fleet.Leave()
-	keep := defaultKeep
-	if settings := e.view.Load().settings; settings != nil {
-		keep = time.Duration(settings.Limits.Keep)
-	}
-	e.log.Info("leaving", zap.Duration("keep", keep+leaveMargin))
+	stay := e.Keep() + leaveMargin
 	if e.opts.Grace > 0 {
-		// The process is killed at the end of the grace period, whatever callers still know.
+		// The process is killed at the end of the grace period. A call that is taken late in it could not be answered, so
+		// callers that still have the address are better off with a refused connection.
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, e.opts.Grace-graceMargin)
 		defer cancel()
-		keep = min(keep, e.opts.Grace/2)
+		stay = min(e.Keep(), e.opts.Grace/gracePart)
 		e.callerServer.Finish()
 	}
-	wait := time.NewTimer(keep + leaveMargin)
+	e.log.Info("leaving", zap.Duration("stay", stay))
+	wait := time.NewTimer(stay)
 	defer wait.Stop()
 	select {
 	case <-wait.C:
@@ -129,10 +129,22 @@
 	e.Close()
 }
 
+// Keep returns how long callers keep the addresses that an entry gave them.
+func (e *Entry) Keep() time.Duration {
+	if settings := e.view.Load().settings; settings != nil {
+		return time.Duration(settings.Limits.Keep)
+	}
+	return defaultKeep
+}
+
 // Close stops the entry at once. Calls in flight are cut.
 func (e *Entry) Close() {
 	e.stopOnce.Do(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		limit := closeTimeout
+		if e.opts.Grace > 0 {
+			limit = graceMargin
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
 		defer cancel()
 		e.callerServer.Close()
 		if err := e.fleet.Close(ctx); err != nil {
