--- a/entry/status.go
+++ b/entry/status.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"sort"
 	"time"
 
 	restful "github.com/emicklei/go-restful/v3"
@@ -106,26 +105,23 @@
 
 func (e *Entry) phases() []phase {
 	v := e.view.Load()
-	uses := map[string]string{}
-	for _, s := range e.table.Status(e.timers.Now()) {
-		uses[s.Target] = useOf(s)
-	}
 	var rows []phase
-	for serviceName, s := range v.services {
-		for name := range s.spec.Targets {
-			report, _ := v.pools[name].Report()
-			rows = append(rows, phase{
-				Target:   name,
-				Service:  serviceName,
-				Owner:    e.fleet.Owner(name),
-				Warm:     e.fleet.Warm(name),
-				Instance: report.Instance,
-				Phase:    report.Phase,
-				Use:      uses[name],
-			})
+	for _, s := range e.table.Status(e.timers.Now()) {
+		p := v.pools[s.Target]
+		if p == nil {
+			continue
 		}
+		report, _ := p.Report()
+		rows = append(rows, phase{
+			Target:   s.Target,
+			Service:  s.Service,
+			Owner:    e.fleet.Owner(s.Target),
+			Warm:     e.fleet.Warm(s.Target),
+			Instance: report.Instance,
+			Phase:    report.Phase,
+			Use:      useOf(s),
+		})
 	}
-	sort.Slice(rows, func(i, j int) bool { return rows[i].Target < rows[j].Target })
 	return rows
 }
 
--- a/entry/survey.go
+++ b/entry/survey.go
@@ -6,7 +6,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"skylarkbeam/outcome"
 	"skylarkbeam/target"
 )
 
@@ -33,23 +32,24 @@
 		for _, name := range absent {
 			e.readLoad(name, absentTime, nil)
 		}
-		if len(names) == 0 || e.readLoads(ctx, names) {
+		if len(names) == 0 || e.readLoads(ctx, c, names) {
 			return
 		}
 	}
 }
 
-// readLoads reads the load of targets at the same time. It returns true as soon as one of them is idle and at its usual
-// speed, and false once all have answered or the time is over.
-func (e *Entry) readLoads(ctx context.Context, names []string) bool {
-	reports := make(chan outcome.Report, len(names))
+// readLoads reads the load of targets at the same time. It returns true as soon as what is known is enough to place the
+// call, and false once all have answered or the time is over.
+func (e *Entry) readLoads(ctx context.Context, c *call, names []string) bool {
+	read := make(chan struct{}, len(names))
 	for _, name := range names {
-		e.readLoad(name, e.surveyLimit(), reports)
+		e.readLoad(name, e.surveyLimit(), read)
 	}
 	for range names {
 		select {
-		case r := <-reports:
-			if r.Slots > 0 && r.Active+r.Queued == 0 && r.Slowness <= idleSlowness && r.Cold == 0 {
+		case <-read:
+			now := e.timers.Now()
+			if more, _ := e.table.Survey(now, c.service.name, c.query(now)); len(more) == 0 {
 				return true
 			}
 		case <-ctx.Done():
@@ -71,21 +71,15 @@
 	e.readTime.Store(usual + (int64(d)-usual)/readWeight)
 }
 
-// idleSlowness is the slowness up to which a call need not wait for the load of further targets.
-const idleSlowness = 1.1
-
-// readLoad reads the load of a target in the background and sends the report, the zero Report if there is none, to reports
-// unless that is nil.
-func (e *Entry) readLoad(name string, limit time.Duration, reports chan<- outcome.Report) {
+// readLoad reads the load of a target in the background and tells read, unless that is nil, when it has ended.
+func (e *Entry) readLoad(name string, limit time.Duration, read chan<- struct{}) {
 	p := e.view.Load().pools[name]
 	e.tasks.Go(func() {
-		var report outcome.Report
 		if p != nil {
 			ctx, cancel := context.WithTimeout(context.Background(), limit)
 			defer cancel()
-			var err error
 			start := e.timers.Now()
-			report, err = p.Read(ctx)
+			_, err := p.Read(ctx)
 			if err == nil {
 				e.noteRead(e.timers.Now().Sub(start))
 			}
@@ -93,8 +87,8 @@
 				e.table.Unread(e.timers.Now(), name)
 			}
 		}
-		if reports != nil {
-			reports <- report
+		if read != nil {
+			read <- struct{}{}
 		}
 	})
 }
--- a/route/registered.go
+++ b/route/registered.go
@@ -424,6 +424,7 @@
 	var candidates []candidate
 	ejecting := s.mayEject(now)
 	s.look()
+	q = s.untried(q)
 	for _, t := range s.targets {
 		if !t.registered() || !t.usable(now, q) || ejecting && t.barred(now, true) || s.staysNear(t, q) {
 			continue
@@ -485,6 +486,17 @@
 	})
 }
 
+// untried returns the query without the targets that were tried if no other is in operation.
+func (s *service) untried(q Query) Query {
+	other := slices.ContainsFunc(s.targets, func(t *target) bool {
+		return t.operating() && !t.strange && t.unread == 0 && !slices.Contains(q.Tried, t.Name)
+	})
+	if !other {
+		q.Tried = nil
+	}
+	return q
+}
+
 // live tells whether the targets of the service are registered, so that their load is read before each placement.
 func (s *service) live() bool {
 	return len(s.targets) > 0 && s.targets[0].registered()
--- a/route/service.go
+++ b/route/service.go
@@ -112,6 +112,9 @@
 
 // pick selects a target and starts an attempt. With spare, only a target with free capacity is selected.
 func (s *service) pick(now time.Time, q Query, spare bool) (*Permit, outcome.Reason) {
+	if s.live() {
+		q = s.untried(q)
+	}
 	c := choice{
 		query: q,
 		trust: s.trust.level(),
