Let an entry choose among an aperture of targets

Change: an entry chooses among 12 targets of its failure domain while one of them has room. The apertures begin at the place of the entry among those of its failure domain, so they cover the targets evenly. The budget of a target is shared by the entries whose aperture has it. Failed load reads are logged at level debug.

--- a/entry/background.go
+++ b/entry/background.go
@@ -38,6 +38,11 @@
 			interval: 250 * time.Millisecond,
 			run:      e.watchContact,
 		},
+		{
+			name:     "find position",
+			interval: time.Second,
+			run:      e.findPosition,
+		},
 		{
 			name:     "trim connections",
 			interval: 5 * time.Second,
@@ -114,6 +119,25 @@
 	}
 }
 
+// findPosition tells the table the place of this entry among those of its failure domain that are in operation.
+func (e *Entry) findPosition() {
+	index, count := 0, 1
+	for _, m := range e.Usable() {
+		if m.Domain != e.opts.Domain || m.Name == e.opts.Name {
+			continue
+		}
+		count++
+		if m.Name < e.opts.Name {
+			index++
+		}
+	}
+	if e.position.index == index && e.position.count == count {
+		return
+	}
+	e.position.index, e.position.count = index, count
+	e.table.SetPosition(index, count)
+}
+
 func (e *Entry) trim() {
 	for _, p := range e.view.Load().pools {
 		p.Trim()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -71,6 +71,8 @@
 	// hadContact is what watchContact saw last.
 	hadContact atomic.Bool
 	inflight   atomic.Int64
+	// position is what findPosition told the table last.
+	position struct{ index, count int }
 	// readTime is the average time of load reads in nanoseconds.
 	readTime atomic.Int64
 	done     chan struct{}
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -137,13 +137,17 @@
 	for _, domain := range state.Domains {
 		drained[domain] = true
 	}
+	sizes := map[string]int{}
+	for _, t := range state.Registered {
+		sizes[t.Service]++
+	}
 	var targets []route.Target
 	for _, t := range state.Registered {
 		spec, ok := next.settings.Services[t.Service]
 		if !ok {
 			continue
 		}
-		next.pools[t.Name] = e.pool(now, old, next.settings, t.Service, t.Name, poolOptions{
+		next.pools[t.Name] = e.pool(now, old, next.settings, t.Service, t.Name, sizes[t.Service], poolOptions{
 			address:  t.Address,
 			instance: t.Instance,
 		})
--- a/entry/survey.go
+++ b/entry/survey.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"skylarkbeam/target"
 )
@@ -83,6 +84,9 @@
 			if err == nil {
 				e.noteRead(e.timers.Now().Sub(start))
 			}
+			if err != nil {
+				e.calls.Debug("load read failed", zap.String("target", name), zap.String("error", err.Error()))
+			}
 			if err != nil && !errors.Is(err, target.ErrBudget) {
 				e.table.Unread(e.timers.Now(), name)
 			}
--- a/entry/view.go
+++ b/entry/view.go
@@ -26,6 +26,8 @@
 	// probeSpan is the time over which the budget of load reads of registered targets is an average. While calls wait,
 	// load is read more often than in between.
 	probeSpan = 10 * time.Second
+	// spareSharers is the number of entries beyond the even number that may read the load of a target.
+	spareSharers = 2
 	// evenShare is the share of each caller where the settings know no callers.
 	evenShare = 0.05
 )
@@ -113,7 +115,7 @@
 	for name, spec := range settings.Services {
 		next.services[name] = e.service(old, name, spec)
 		for targetName, t := range spec.Targets {
-			next.pools[targetName] = e.pool(now, old, settings, name, targetName, poolOptions{
+			next.pools[targetName] = e.pool(now, old, settings, name, targetName, len(spec.Targets), poolOptions{
 				address: t.Address,
 			})
 			targets = append(targets, route.Target{
@@ -192,8 +194,9 @@
 	return settings.Classes[settings.Callers[caller].Class].Share
 }
 
-// pool returns the connection pool to a target. The options have what is known of the target alone.
-func (e *Entry) pool(now time.Time, old *view, settings *setting.Settings, serviceName, name string, opts poolOptions) *pool {
+// pool returns the connection pool to a target, one of so many of its service. The options have what is known of the target
+// alone.
+func (e *Entry) pool(now time.Time, old *view, settings *setting.Settings, serviceName, name string, targets int, opts poolOptions) *pool {
 	spec := settings.Services[serviceName]
 	entries := e.entries(settings)
 	opts.connections = max(spec.Connections/entries, 1)
@@ -203,7 +206,11 @@
 		opts.silence = -1
 	}
 	opts.load = spec.Load
-	budget := e.budget(now, name, max(spec.Probes/entries, 1), opts.instance != "")
+	sharers := entries
+	if opts.instance != "" {
+		sharers = min(entries, entries*route.Aperture/max(targets, 1)+spareSharers)
+	}
+	budget := e.budget(now, name, max(spec.Probes/sharers, 1), opts.instance != "")
 	if have := old.pools[name]; have != nil && have.opts == opts {
 		return have
 	}
--- a/route/registered.go
+++ b/route/registered.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"skylarkbeam/outcome"
 )
 
@@ -25,6 +27,9 @@
 	coldFactor = 2
 	// surveyAge is the age up to which a report needs no load read before a placement.
 	surveyAge = 15 * time.Millisecond
+	// Aperture is the number of targets of a failure domain among which an entry chooses, as long as one of them has room.
+	// Fewer targets are read more often and keep their connections.
+	Aperture = 12
 	// surveySize is the number of targets whose load is read at once before a placement.
 	surveySize = 3
 	// absentFloor is how long a target that did not answer a load read gets no calls and no further read; it doubles with
@@ -151,20 +156,125 @@
 	return owned
 }
 
-// considerRegistered makes the target the choice if it has room and is expected to answer first.
-func (s *service) considerRegistered(now time.Time, c *choice, t *target, q Query, spare bool) bool {
-	if !t.usable(now, q) {
-		return false
+// pickRegistered selects a registered target with room that costs least, and starts an attempt.
+func (s *service) pickRegistered(now time.Time, q Query) (*Permit, outcome.Reason) {
+	q = s.untried(q)
+	var best *target
+	least := 0.0
+	for _, t := range s.candidates(now, q) {
+		load := t.present(now)
+		if !t.room(load) || q.holds(s) && t.expected(now, q, load) > float64(q.Left) {
+			continue
+		}
+		cost := t.cost(now, q, load) + scoreNoise*slope*s.rand.Float64()
+		if best == nil || cost < least {
+			best, least = t, cost
+		}
 	}
-	load := t.present(now)
-	if load > float64(t.Slots)-0.5 || q.holds(s) && t.expected(now, q, load) > float64(q.Left) || s.staysNear(t, q) {
-		return false
+	if best != nil {
+		best.inflight++
+		s.inflight++
+		best.started += now.Sub(s.epoch)
+		return best.permit(now, q), ""
 	}
-	score := t.cost(now, q, load) + scoreNoise*slope*s.rand.Float64()
-	if c.target == nil || score < c.score {
-		c.target, c.score = t, score
+	operating, warm := false, false
+	for _, t := range s.targets {
+		operating = operating || t.operating() && !t.strange
+		warm = warm || t.operating() && !t.strange && !t.cold
+	}
+	switch {
+	case !operating:
+		return nil, outcome.Drained
+	case !warm:
+		return nil, outcome.Cold
 	}
-	return true
+	return nil, outcome.Queue
+}
+
+// candidates returns the targets to which the call may go: those of the aperture, or more while none of these has room.
+func (s *service) candidates(now time.Time, q Query) []*target {
+	s.look()
+	ejecting := s.mayEject(now)
+	var list []*target
+	counted, room, far := 0, false, false
+	for _, t := range s.targets {
+		if t.far() && !far {
+			// The aperture of the other failure domains.
+			counted, room, far = 0, false, true
+		}
+		if counted >= Aperture && room {
+			continue
+		}
+		if !t.operating() || t.strange || t.unread > 0 {
+			continue
+		}
+		counted++
+		if !t.usable(now, q) || ejecting && t.barred(now, q.Idempotent) || s.staysNear(t, q) {
+			continue
+		}
+		list = append(list, t)
+		room = room || t.room(t.present(now))
+	}
+	return list
+}
+
+// room tells whether one more call finds a free slot beside so many others.
+func (t *target) room(load float64) bool { return load <= float64(t.Slots)-0.5 }
+
+// arrange puts the targets in the order in which this entry uses them: those in its failure domain first. The order within
+// a group begins at the position of the entry among those of its failure domain, so that the apertures of the entries
+// overlap and cover the targets evenly, and shift a little when an entry comes or goes.
+func (s *service) arrange(list []*target) []*target {
+	near, far := make([]*target, 0, len(list)), make([]*target, 0, len(list))
+	for _, t := range list {
+		if t.far() {
+			far = append(far, t)
+		} else {
+			near = append(near, t)
+		}
+	}
+	index, count := s.table.position()
+	return append(turned(near, index, count), turned(far, index, count)...)
+}
+
+// turned sorts targets by the hash of their names and begins at a part of index/count of the list.
+func turned(list []*target, index, count int) []*target {
+	slices.SortFunc(list, func(a, b *target) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
+	})
+	if len(list) == 0 {
+		return list
+	}
+	at := index * len(list) / count % len(list)
+	return slices.Concat(list[at:], list[:at])
+}
+
+// SetPosition tells the place of this entry among the entries of its failure domain, from 0 to count - 1.
+func (t *Table) SetPosition(index, count int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.place.Store(&place{
+		index: index,
+		count: max(count, 1),
+	})
+	for _, s := range t.view.Load().services {
+		s.mu.Lock()
+		if s.live() {
+			s.targets = s.arrange(s.targets)
+		}
+		s.mu.Unlock()
+	}
+}
+
+// place is the place of an entry among others.
+type place struct {
+	index int
+	count int
+}
+
+func (t *Table) position() (index, count int) {
+	p := t.place.Load()
+	return p.index, p.count
 }
 
 // holds tells whether the call rather waits than goes to a target that is expected to answer after its aim: a target that is
@@ -407,8 +517,14 @@
 // overdue returns the absent targets that are due for a load read, and counts them as being read.
 func (s *service) overdue(now time.Time) []string {
 	var names []string
+	counted := 0
 	for _, t := range s.targets {
-		if t.unread > 0 && t.operating() && now.After(t.absent) {
+		if counted == Aperture {
+			break
+		}
+		if t.unread == 0 {
+			counted++
+		} else if t.operating() && now.After(t.absent) {
 			t.absent = now.Add(absentLimit)
 			names = append(names, t.Name)
 		}
@@ -421,14 +537,12 @@
 		target *target
 		score  float64
 	}
+	if !s.live() {
+		return nil
+	}
 	var candidates []candidate
-	ejecting := s.mayEject(now)
-	s.look()
 	q = s.untried(q)
-	for _, t := range s.targets {
-		if !t.registered() || !t.usable(now, q) || ejecting && t.barred(now, true) || s.staysNear(t, q) {
-			continue
-		}
+	for _, t := range s.candidates(now, q) {
 		candidates = append(candidates, candidate{
 			target: t,
 			score:  t.cost(now, q, t.present(now)) + scoreNoise*slope*s.rand.Float64(),
--- a/route/service.go
+++ b/route/service.go
@@ -83,6 +83,9 @@
 func (s *service) setTargets(list []*target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(list) > 0 && list[0].registered() {
+		list = s.arrange(list)
+	}
 	s.targets = list
 }
 
@@ -100,7 +103,6 @@
 
 // choice is the best candidate so far, and why others were not candidates.
 type choice struct {
-	query  Query
 	target *target
 	score  float64
 	until  time.Time
@@ -113,14 +115,13 @@
 // pick selects a target and starts an attempt. With spare, only a target with free capacity is selected.
 func (s *service) pick(now time.Time, q Query, spare bool) (*Permit, outcome.Reason) {
 	if s.live() {
-		q = s.untried(q)
+		return s.pickRegistered(now, q)
 	}
 	c := choice{
-		query: q,
 		trust: s.trust.level(),
 	}
 	s.choose(now, &c, q, spare, true)
-	if c.target == nil && !s.live() {
+	if c.target == nil {
 		// Nothing passed the random gates, or all targets were tried. Ejected targets stay left out: a refusal tells the
 		// caller at once what a call to them would tell it later.
 		if !spare {
@@ -163,18 +164,13 @@
 		if !t.operating() {
 			continue
 		}
-		t.thaw(now)
 		c.operating = true
 		warm := t.isWarm()
 		c.warm = c.warm || warm
 		if slices.Contains(q.Tried, t.Name) || ejecting && t.barred(now, q.Idempotent || !gated) {
 			continue
 		}
-		if t.registered() {
-			if !s.considerRegistered(now, c, t, q, spare) {
-				continue
-			}
-		} else if !s.consider(now, c, t, q.Idempotent, spare, gated) {
+		if !s.consider(now, c, t, q.Idempotent, spare, gated) {
 			continue
 		}
 		if count--; count == 0 {
@@ -250,9 +246,6 @@
 	t.inflight++
 	s.inflight++
 	t.started += now.Sub(s.epoch)
-	if t.registered() {
-		return t.permit(now, c.query)
-	}
 	return &Permit{
 		Target:   t.Name,
 		Domain:   t.Domain,
--- a/route/table.go
+++ b/route/table.go
@@ -97,8 +97,9 @@
 	mu   sync.Mutex // serializes changes of view
 	seed *rand.Rand
 
-	// domain is the failure domain of this entry.
+	// domain is the failure domain of this entry, place its place among the entries there.
 	domain string
+	place  atomic.Pointer[place]
 	// started is when the process started.
 	started time.Time
 	// window and slack are the budget of repeats over time; see SetBudget.
@@ -119,6 +120,9 @@
 		started: o.Started,
 		seed:    rand.New(rand.NewPCG(o.Seed, 0x9e3779b97f4a7c15)),
 	}
+	t.place.Store(&place{
+		count: 1,
+	})
 	t.SetEntries(max(o.Entries, 1))
 	t.SetRepeats(repeatShare)
 	t.SetOwner(func(time.Time, string) (time.Time, bool) { return time.Time{}, false })
