Let three entries follow the store and the others follow them

Change: three entries, chosen by hash among those that are heard and reach the store, follow it. The others take rows from one of them, near by if possible, and choose another one when it is not heard or does not answer. Greetings go to five members near by and two others in a round, and tell other failure domains only of the own one.

--- a/cmd/skylarkbeam/serve.go
+++ b/cmd/skylarkbeam/serve.go
@@ -172,7 +172,8 @@
 	if err != nil {
 		return err
 	}
-	tuneCollector()
+	// Memory has a price there, and an entry has few calls for its size.
+	debug.SetMemoryLimit(boot.Memory / 2)
 	log := logging.NewWriter(s.Out, logging.Options{})
 	defer log.Close()
 	opts, client := platform.Options(boot, log.Logger())
--- a/feed/follow.go
+++ b/feed/follow.go
@@ -26,9 +26,9 @@
 	// watchTime is how long one request waits for changes. Each request has a price, and what a silent connection hides
 	// is learned from the other entries meanwhile.
 	watchTime = 15 * time.Second
-	// gatherTime separates the end of a wait that brought changes from the next request, so that changes in quick
+	// GatherTime separates the end of a wait that brought changes from the next request, so that changes in quick
 	// succession share requests.
-	gatherTime = 300 * time.Millisecond
+	GatherTime = 300 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed request, which doubles with each further one.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = time.Second
@@ -39,6 +39,8 @@
 	Table  *Table
 	Source Source
 	Timers *timer.Service
+	// Gather returns the time between the end of a request that brought changes and the next one; GatherTime by default.
+	Gather func() time.Duration
 	// Changed is called after each change of a row.
 	Changed func()
 	// Lost and Regained are told when the service stops and starts to answer; Regained with how long it was away.
@@ -49,6 +51,9 @@
 
 // Follow keeps a table current until ctx ends.
 func Follow(ctx context.Context, o Options) {
+	if o.Gather == nil {
+		o.Gather = func() time.Duration { return GatherTime }
+	}
 	f := follower{
 		Options: o,
 	}
@@ -58,7 +63,7 @@
 		read = read && err != nil || errors.Is(err, ErrHistory)
 		switch {
 		case err == nil && changed:
-			f.pause(ctx, gatherTime)
+			f.pause(ctx, f.Gather())
 		case err != nil && !errors.Is(err, ErrHistory):
 			f.pause(ctx, f.backoff())
 		}
--- a/feed/table.go
+++ b/feed/table.go
@@ -1,8 +1,10 @@
 package feed
 
 import (
+	"context"
 	"slices"
 	"sync"
+	"time"
 )
 
 // keptDeletions bounds the deletions that a Table remembers in order to pass them on. An entry that lacks older ones gets
@@ -21,6 +23,8 @@
 	horizon  uint64
 	latest   uint64
 	loaded   bool
+	// changed is closed by the next change of a row.
+	changed chan struct{}
 }
 
 // NewTable returns an empty copy of the table with the name.
@@ -29,6 +33,7 @@
 		name:    name,
 		rows:    map[string]Row{},
 		deleted: map[string]Row{},
+		changed: make(chan struct{}),
 	}
 }
 
@@ -81,9 +86,35 @@
 		t.loaded = true
 	}
 	t.complete = max(t.complete, b.Version)
+	if changed {
+		close(t.changed)
+		t.changed = make(chan struct{})
+	}
 	return changed
 }
 
+// Wait returns what a copy that is complete up to the given version lacks as soon as there is anything, and what there is
+// after the given time or at the end of ctx.
+func (t *Table) Wait(ctx context.Context, after uint64, limit time.Duration) Batch {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	for {
+		t.mu.RLock()
+		news, changed := t.latest > after || after < t.horizon, t.changed
+		t.mu.RUnlock()
+		if news {
+			return t.Since(after)
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return t.Since(after)
+		case <-ctx.Done():
+			return t.Since(after)
+		}
+	}
+}
+
 // put takes over one row unless a newer one is known. The caller holds the lock.
 func (t *Table) put(row Row) bool {
 	if row.Version <= t.rows[row.Key].Version || row.Version <= t.deleted[row.Key].Version {
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -22,11 +22,13 @@
 	// greetInterval is how often an entry exchanges greetings. An entry that is not heard for three of them gets no more
 	// callers.
 	greetInterval = time.Second
-	// greetFanout is the number of members that an entry greets in a round. In a larger fleet, what it hears of the others
-	// travels through several rounds.
-	greetFanout = 8
+	// greetNear and greetFar are the numbers of members in the own failure domain and in others that an entry greets in a
+	// round. In a larger fleet, what it hears of the others travels through several rounds; bytes between failure domains
+	// have a price.
+	greetNear = 5
+	greetFar  = 2
 	// lagTime is how long an entry that learns of a newer table from a peer waits for its own request to bring it. It is
-	// longer than the pause after which package feed asks again.
+	// longer than the pauses after which the reader and this entry ask again.
 	lagTime = 500 * time.Millisecond
 	// joinTime is how long a process waits after its start until it owns targets: by then it knows the other members.
 	joinTime = 1500 * time.Millisecond
@@ -73,8 +75,9 @@
 	Greet(ctx context.Context, to netip.AddrPort, g *Greeting) (*Greeting, error)
 	// Members returns the members that a peer knows.
 	Members(ctx context.Context, to netip.AddrPort) (*Roll, error)
-	// Rows returns what a copy of a table lacks that is complete up to a version.
-	Rows(ctx context.Context, to netip.AddrPort, table string, after uint64) (*feed.Batch, error)
+	// Rows returns what a copy of a table lacks that is complete up to a version, as soon as there is anything or after the
+	// wait.
+	Rows(ctx context.Context, to netip.AddrPort, table string, after uint64, wait time.Duration) (*feed.Batch, error)
 }
 
 // Follower is the part of an entry in a fleet whose desired state is written by an operator into tables of a platform,
@@ -96,6 +99,11 @@
 	leaving   bool
 	// fetching names the tables that are being fetched from a peer.
 	fetching map[string]bool
+	// misses is the number of failed calls to the store in a row.
+	misses int
+	// watches are the requests for news under way, by number.
+	watches  map[int]watch
+	requests int
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -109,7 +117,9 @@
 	// heard is when this entry or a peer last heard the member, since when it was put on the roll.
 	heard time.Time
 	since time.Time
-	busy  bool
+	// avoided is when the member did not answer a request for rows.
+	avoided time.Time
+	busy    bool
 }
 
 // Follow starts to follow the tables. It returns at once; Contact is false until the state is known.
@@ -133,6 +143,7 @@
 		changed:  make(chan struct{}),
 		members:  map[string]*member{},
 		fetching: map[string]bool{},
+		watches:  map[int]watch{},
 		ctx:      ctx,
 		cancel:   cancel,
 		done:     make(chan struct{}),
@@ -158,9 +169,12 @@
 func (f *Follower) follow(table *feed.Table) {
 	name := zap.String("table", table.Name())
 	feed.Follow(f.ctx, feed.Options{
-		Table:   table,
-		Source:  f.opt.Store,
+		Table: table,
+		Source: upstream{
+			follower: f,
+		},
 		Timers:  f.opt.Timers,
+		Gather:  f.gather,
 		Changed: f.compose,
 		Lost:    func(err error) { f.log.Warn("the store does not answer", name, zap.Error(err)) },
 		Regained: func(away time.Duration) {
@@ -264,6 +278,7 @@
 	defer ticks.Stop()
 	for {
 		f.greetRound(false)
+		f.redirect()
 		select {
 		case <-ticks.C:
 		case <-f.ctx.Done():
@@ -279,7 +294,7 @@
 			defer f.greeted(to.name)
 			ctx, cancel := context.WithTimeout(f.ctx, peerTimeout)
 			defer cancel()
-			if err := f.greet(ctx, to.control); err != nil {
+			if err := f.greet(ctx, to); err != nil {
 				f.log.Debug("greeting failed", zap.String("peer", to.name), zap.Error(err))
 			}
 		})
@@ -324,8 +339,8 @@
 			}
 		}
 	}
-	if !all && len(list) > greetFanout {
-		list = slices.Clone(list[:greetFanout]) // the order of a map is random
+	if !all {
+		list = f.some(list)
 	}
 	for _, to := range list {
 		if m := f.members[to.name]; m != nil {
@@ -335,6 +350,36 @@
 	return list
 }
 
+// some returns a part of the members, at random, and the reader that this entry follows. The caller holds the lock.
+func (f *Follower) some(list []address) []address {
+	var part []address
+	near, far := 0, 0
+	for _, to := range list { // The order of a map is random.
+		m := f.members[to.name]
+		switch {
+		case m == nil || f.followed(to.name):
+			part = append(part, to)
+		case m.record.Domain == f.own.Domain && near < greetNear:
+			near++
+			part = append(part, to)
+		case m.record.Domain != f.own.Domain && far < greetFar:
+			far++
+			part = append(part, to)
+		}
+	}
+	return part
+}
+
+// followed tells whether this entry takes rows from the member. The caller holds the lock.
+func (f *Follower) followed(name string) bool {
+	for _, w := range f.watches {
+		if w.reader == name {
+			return true
+		}
+	}
+	return false
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -342,9 +387,9 @@
 	return b
 }
 
-func (f *Follower) greet(ctx context.Context, to netip.AddrPort) error {
+func (f *Follower) greet(ctx context.Context, to address) error {
 	start := f.now()
-	reply, err := f.opt.Peers.Greet(ctx, to, f.greeting())
+	reply, err := f.opt.Peers.Greet(ctx, to.control, f.greeting(f.domainOf(to.name)))
 	if err != nil {
 		return err
 	}
@@ -352,7 +397,19 @@
 	return nil
 }
 
-func (f *Follower) greeting() *Greeting {
+// domainOf returns the failure domain of a member, empty if it is not known.
+func (f *Follower) domainOf(name string) string {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	if m := f.members[name]; m != nil {
+		return m.record.Domain
+	}
+	return ""
+}
+
+// greeting returns a greeting for a member in a failure domain. One in another domain is told only of the members in the
+// domain of this entry, because bytes between domains have a price.
+func (f *Follower) greeting(domain string) *Greeting {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	now := f.now()
@@ -369,7 +426,8 @@
 		g.Tables[name] = table.Latest()
 	}
 	for name, m := range f.members {
-		if !m.heard.IsZero() && now.Sub(m.heard) < 10*greetInterval {
+		told := domain == f.own.Domain || m.record.Domain == f.own.Domain
+		if told && !m.heard.IsZero() && now.Sub(m.heard) < 10*greetInterval {
 			g.Heard[name] = int(now.Sub(m.heard) / tenth)
 		}
 	}
@@ -449,7 +507,7 @@
 	}
 	ctx, cancel := context.WithTimeout(f.ctx, peerTimeout)
 	defer cancel()
-	batch, err := f.opt.Peers.Rows(ctx, from, table.Name(), table.Complete())
+	batch, err := f.opt.Peers.Rows(ctx, from, table.Name(), table.Complete(), 0)
 	if err != nil {
 		f.log.Debug("fetching rows from a peer failed", zap.String("table", table.Name()), zap.Error(err))
 		return
--- a/fleet/follower_test.go
+++ b/fleet/follower_test.go
@@ -174,7 +174,7 @@
 		return nil, err
 	}
 	p.hear(g, p.now())
-	return p.greeting(), nil
+	return p.greeting(g.Record.Domain), nil
 }
 
 func (w *wire) Members(_ context.Context, to netip.AddrPort) (*Roll, error) {
@@ -185,12 +185,12 @@
 	return p.roll(), nil
 }
 
-func (w *wire) Rows(_ context.Context, to netip.AddrPort, table string, after uint64) (*feed.Batch, error) {
+func (w *wire) Rows(ctx context.Context, to netip.AddrPort, table string, after uint64, wait time.Duration) (*feed.Batch, error) {
 	p, err := w.find(to)
 	if err != nil {
 		return nil, err
 	}
-	b := p.tables[table].Since(after)
+	b := p.tables[table].Wait(ctx, after, wait)
 	return &b, nil
 }
 
--- a/fleet/followerhttp.go
+++ b/fleet/followerhttp.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"net/url"
 	"strconv"
+	"time"
 
 	restful "github.com/emicklei/go-restful/v3"
 
@@ -41,7 +42,7 @@
 		return
 	}
 	f.hear(&g, f.now())
-	answer(resp, f.greeting())
+	answer(resp, f.greeting(g.Record.Domain))
 }
 
 func (f *Follower) serveMembers(_ *restful.Request, resp *restful.Response) {
@@ -59,7 +60,15 @@
 		http.Error(resp, "the table is not known yet", http.StatusServiceUnavailable)
 		return
 	}
-	answer(resp, table.Since(after))
+	wait, err := time.ParseDuration(req.QueryParameter("wait"))
+	if err != nil || wait <= 0 {
+		answer(resp, table.Since(after))
+		return
+	}
+	ctx, cancel := context.WithCancel(req.Request.Context())
+	defer cancel()
+	defer context.AfterFunc(f.ctx, cancel)()
+	answer(resp, table.Wait(ctx, after, min(wait, peerWait)))
 }
 
 // Greet sends a greeting and returns the one of the peer.
@@ -76,12 +85,14 @@
 	return &roll, err
 }
 
-// Rows asks a peer for what a copy of a table lacks that is complete up to a version.
-func (c *Client) Rows(ctx context.Context, to netip.AddrPort, table string, after uint64) (*feed.Batch, error) {
+// Rows asks a peer for what a copy of a table lacks that is complete up to a version, as soon as there is anything or after
+// the wait.
+func (c *Client) Rows(ctx context.Context, to netip.AddrPort, table string, after uint64, wait time.Duration) (*feed.Batch, error) {
 	var batch feed.Batch
 	query := url.Values{
 		"table": {table},
 		"after": {strconv.FormatUint(after, 10)},
+		"wait":  {wait.String()},
 	}
 	err := c.call(ctx, http.MethodGet, to, Path+rowsPath+"?"+query.Encode(), nil, maxSnapshotBytes, &batch)
 	return &batch, err
--- a/fleet/http.go
+++ b/fleet/http.go
@@ -107,7 +107,7 @@
 	c.http = &http.Client{
 		Transport: &http.Transport{
 			DisableCompression:  true,
-			MaxIdleConnsPerHost: 1,
+			MaxIdleConnsPerHost: 3,
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 				conn, err := dialer.DialContext(ctx, network, address)
 				if err != nil {
