--- a/fleet/follower_test.go
+++ b/fleet/follower_test.go
@@ -53,6 +53,12 @@
 	s.changed = make(chan struct{})
 }
 
+func (s *tables) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 func (s *tables) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -90,9 +96,11 @@
 func (s *tables) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (feed.Batch, error) {
 	limit := time.NewTimer(wait)
 	defer limit.Stop()
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
 	for over := false; ; {
 		s.mu.Lock()
-		s.calls++
 		b := feed.Batch{
 			Version: s.version,
 		}
