Keep targets whose registrations lapse, and find requests that the store has swallowed

Change: targets that vanish together stay for 2.5 s, unless they come back. A service without targets refuses with 503. The request for the desired state waits 2 s; when it fails, all other requests to the store are made again, and until one is answered they ask for an answer at once.

--- a/entry/call.go
+++ b/entry/call.go
@@ -193,7 +193,7 @@
 // admit lets a call wait for its turn. For a service with registered targets it waits for a target, and the call has its
 // permit afterwards. End is to be called when the call has ended.
 func (e *Entry) admit(ctx context.Context, c *call) (end func(), no *Refusal) {
-	if e.table.Registered(c.service.name) {
+	if c.view.registered {
 		permit, refused := e.place(ctx, c)
 		if refused != nil {
 			return nil, notRun(refused.Reason, refused.RetryAfter, "no target was free in time")
--- a/entry/line.go
+++ b/entry/line.go
@@ -126,13 +126,18 @@
 // choose chooses a target by what is known of them.
 func (e *Entry) choose(c *call) (*route.Permit, outcome.Reason) {
 	now := e.timers.Now()
-	return e.table.Pick(now, c.service.name, c.query(now))
+	permit, reason := e.table.Pick(now, c.service.name, c.query(now))
+	if reason == outcome.Service {
+		// The service exists, but no target of it is registered.
+		reason = outcome.Drained
+	}
+	return permit, reason
 }
 
 func (e *Entry) unplaced(c *call, reason outcome.Reason) *share.Refusal {
 	return &share.Refusal{
 		Reason:     reason,
-		RetryAfter: e.table.RetryAfter(c.service.name, reason),
+		RetryAfter: orLater(e.table.RetryAfter(c.service.name, reason)),
 	}
 }
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -99,7 +99,7 @@
 		c.permit = nil
 		return permit, ""
 	}
-	if e.table.Registered(c.service.name) {
+	if c.view.registered {
 		permit, refusal := e.place(ctx, c)
 		if refusal != nil {
 			return nil, refusal.Reason
@@ -131,7 +131,7 @@
 	if ctx.Err() != nil || !now.Before(c.deadline) || !c.mayRun() || !e.contact(now) {
 		return nil
 	}
-	if e.table.Registered(c.service.name) {
+	if c.view.registered {
 		if !e.table.Spend(now, c.service.name) {
 			return nil
 		}
--- a/entry/view.go
+++ b/entry/view.go
@@ -40,7 +40,9 @@
 	services map[string]*service
 	pools    map[string]*pool
 	paths    setting.Paths
-	routes   setting.Routes
+	// registered says that targets register themselves, so that the settings name none.
+	registered bool
+	routes     setting.Routes
 	// promises holds what callers are owed, by route.
 	promises map[string]*routed
 }
@@ -110,6 +112,8 @@
 		services: map[string]*service{},
 		pools:    map[string]*pool{},
 		paths:    settings.Paths(),
+
+		registered: state.Parsed != nil,
 	}
 	var targets []route.Target
 	for name, spec := range settings.Services {
--- a/feed/follow.go
+++ b/feed/follow.go
@@ -23,9 +23,8 @@
 }
 
 const (
-	// watchTime is how long one request waits for changes. Each request has a price, and what a silent connection hides
-	// is learned from the other entries meanwhile.
-	watchTime = 15 * time.Second
+	// WaitTime is how long one request waits for changes by default. Each request has a price.
+	WaitTime = 15 * time.Second
 	// GatherTime separates the end of a wait that brought changes from the next request, so that changes in quick
 	// succession share requests.
 	GatherTime = 300 * time.Millisecond
@@ -39,6 +38,9 @@
 	Table  *Table
 	Source Source
 	Timers *timer.Service
+	// Wait is how long one request waits for changes; WaitTime by default. A request that is lost without a sign is found
+	// after that.
+	Wait time.Duration
 	// Gather returns the time between the end of a request that brought changes and the next one; GatherTime by default.
 	Gather func() time.Duration
 	// Changed is called after each change of a row.
@@ -54,6 +56,9 @@
 	if o.Gather == nil {
 		o.Gather = func() time.Duration { return GatherTime }
 	}
+	if o.Wait <= 0 {
+		o.Wait = WaitTime
+	}
 	f := follower{
 		Options: o,
 	}
@@ -83,7 +88,7 @@
 	if read {
 		b, err = f.Source.Read(ctx, f.Table.Name())
 	} else {
-		b, err = f.Source.Watch(ctx, f.Table.Name(), f.Table.Complete(), watchTime)
+		b, err = f.Source.Watch(ctx, f.Table.Name(), f.Table.Complete(), f.wait())
 	}
 	if errors.Is(err, ErrHistory) {
 		f.Logger.Info("the table's history is gone, reading it anew", zap.String("table", f.Table.Name()),
@@ -101,6 +106,15 @@
 	return changed, nil
 }
 
+// wait returns how long the next request is to wait. After a failure it asks for an answer at once, which shows whether the
+// service is back.
+func (f *follower) wait() time.Duration {
+	if f.failures > 0 {
+		return 0
+	}
+	return f.Wait
+}
+
 func (f *follower) fail(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -30,6 +30,10 @@
 	// lagTime is how long an entry that learns of a newer table from a peer waits for its own request to bring it. It is
 	// longer than the pauses after which the reader and this entry ask again.
 	lagTime = 500 * time.Millisecond
+	// pulseTime is how long a request for changes of the desired state waits. It shows that the store answers; when it
+	// fails, all other requests to the store are made again. A store that has swallowed a request without a sign is found
+	// within the 3 s after which an entry has to know again what was acknowledged.
+	pulseTime = 2 * time.Second
 	// joinTime is how long a process waits after its start until it owns targets: by then it knows the other members.
 	joinTime = 1500 * time.Millisecond
 	// ownerSilence is how long an unheard member still counts as an owner.
@@ -57,8 +61,8 @@
 	// Caller and Control are the addresses for callers and for peers.
 	Caller  netip.AddrPort
 	Control netip.AddrPort
-	// Tables are the names of the tables with the desired state and the registry, Members the one in which entries find
-	// each other.
+	// Tables are the names of the tables with the desired state and the registry, in this order, and Members is the one in
+	// which entries find each other.
 	Tables  []string
 	Members string
 	// Seeds are control addresses of entries to ask while the store does not answer.
@@ -168,7 +172,12 @@
 
 func (f *Follower) follow(table *feed.Table) {
 	name := zap.String("table", table.Name())
+	wait := time.Duration(feed.WaitTime)
+	if table.Name() == f.opt.Tables[0] {
+		wait = pulseTime
+	}
 	feed.Follow(f.ctx, feed.Options{
+		Wait:  wait,
 		Table: table,
 		Source: upstream{
 			follower: f,
@@ -184,6 +193,15 @@
 	})
 }
 
+// later composes the state anew after a while.
+func (f *Follower) later(d time.Duration) {
+	time.AfterFunc(d, func() {
+		if f.ctx.Err() == nil {
+			f.compose()
+		}
+	})
+}
+
 // Recompose derives the state anew, after something beside the tables has changed.
 func (f *Follower) Recompose() { f.compose() }
 
@@ -206,6 +224,10 @@
 		return
 	}
 	next.Version = former.Version + 1
+	if again := keepLapsed(f.now(), former, next); again > 0 {
+		f.log.Warn("many targets have vanished from the registry, keeping them for a while", zap.Duration("again", again))
+		f.later(again)
+	}
 	f.state.Store(next)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -653,4 +675,6 @@
 	Cold time.Time
 	// Leaving says that the target is about to end.
 	Leaving bool
+	// Lapsed is when the registration vanished together with many others; zero if it is there.
+	Lapsed time.Time
 }
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -73,7 +73,7 @@
 	defer f.following("", cancel)()
 	batch, err := f.opt.Store.Watch(ctx, table, after, wait)
 	if err != nil && f.ctx.Err() == nil && ctx.Err() != nil {
-		// This entry is no reader any more.
+		// This entry is no reader any more, or another request has failed.
 		return feed.Batch{
 			Version: after,
 		}, nil
@@ -146,6 +146,14 @@
 	} else {
 		f.misses++
 	}
+	if f.misses == 1 {
+		// What the store has swallowed is not answered any more.
+		for _, w := range f.watches {
+			if w.reader == "" {
+				w.cancel()
+			}
+		}
+	}
 	detached := f.misses >= detachAfter
 	if detached != f.own.Detached {
 		f.own.Detached = detached
--- a/fleet/upstream_test.go
+++ b/fleet/upstream_test.go
@@ -199,3 +199,66 @@
 		}
 	})
 }
+
+// swallowing is a store that at times takes requests without ever answering them, so that the client gives up.
+type swallowing struct {
+	*tables
+	silent atomic.Bool
+	// outages counts how often the store has fallen silent. What it was asked before that is lost.
+	outages atomic.Int64
+}
+
+func (s *swallowing) fall() {
+	s.outages.Add(1)
+	s.silent.Store(true)
+}
+
+func (s *swallowing) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (feed.Batch, error) {
+	limit, cancel := context.WithTimeout(ctx, wait+700*time.Millisecond)
+	defer cancel()
+	outages := s.outages.Load()
+	answer := make(chan feed.Batch, 1)
+	failed := make(chan error, 1)
+	go func() {
+		b, err := s.tables.Watch(limit, table, after, wait)
+		if err != nil {
+			failed <- err
+			return
+		}
+		if !s.silent.Load() && s.outages.Load() == outages {
+			answer <- b
+		}
+	}()
+	select {
+	case b := <-answer:
+		return b, nil
+	case err := <-failed:
+		return feed.Batch{}, err
+	case <-limit.Done():
+		return feed.Batch{}, limit.Err()
+	}
+}
+
+// Guards against entries that wait for the answer to a request which the store has swallowed, and miss what is acknowledged
+// after its return.
+func TestSwallowedRequest(t *testing.T) {
+	simulation.Run(t, func(t *testing.T) {
+		store := &swallowing{
+			tables: newTables("op", "servers", "entries"),
+		}
+		_, list := followers(t, 6, func(int) Store { return store })
+		time.Sleep(5 * time.Second)
+		for n := range 20 {
+			store.fall()
+			time.Sleep(time.Duration(500+400*n) * time.Millisecond)
+			store.silent.Store(false)
+			time.Sleep(time.Second)
+			store.set("op", "config", fmt.Sprint(n))
+			// The entries are bound by what is acknowledged once the store has been well for 3 s.
+			time.Sleep(2 * time.Second)
+			for i, f := range list {
+				assert.Equal(t, f.State().Domains[0], fmt.Sprint(n), "entry %d, outage %d", i, n)
+			}
+		}
+	})
+}
--- a/route/registered.go
+++ b/route/registered.go
@@ -387,17 +387,6 @@
 	return time.Duration(s.work(q))
 }
 
-// Registered tells whether the targets of a service are named by a registry.
-func (t *Table) Registered(service string) bool {
-	s := t.view.Load().services[service]
-	if s == nil {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.live()
-}
-
 // measured learns from an answer to a call that did not wait at its target.
 func (s *service) measured(p *Permit, latency time.Duration) {
 	kind := p.query.Kind
