--- a/route/budget.go
+++ b/route/budget.go
@@ -15,10 +15,13 @@
 // that would fail.
 const hedgeReserve = 3.0
 
-// budgetSteps is the number of steps into which the window of a budget is divided. The oldest step counts in full, so the
-// budget is too strict by at most a twentieth.
+// budgetSteps is the number of steps into which the window of a budget is divided. The oldest step lies in the window in part:
+// its repeats count in full and its first attempts not at all, so the budget is never too generous.
 const budgetSteps = 20
 
+// slackPart is the part of the slack that is used. The rest allows for entries that do not know of each other yet.
+const slackPart = 0.85
+
 // budgetRule says how many repeats are allowed.
 type budgetRule struct {
 	// share is the part of first attempts.
@@ -33,7 +36,7 @@
 func (t *Table) budgetRule(now time.Time) budgetRule {
 	rule := budgetRule{
 		share: math.Float64frombits(t.repeats.Load()),
-		slack: math.Float64frombits(t.slack.Load()) / float64(t.entries.Load()),
+		slack: slackPart * math.Float64frombits(t.slack.Load()) / float64(t.entries.Load()),
 	}
 	if rule.slack == 0 {
 		return rule
@@ -108,8 +111,12 @@
 	oldest := b.number(now, rule) - budgetSteps
 	left := rule.slack
 	for i := range b.steps {
-		if s := &b.steps[i]; s.number >= oldest {
-			left += rule.share*s.first - s.repeats
+		s := &b.steps[i]
+		if s.number >= oldest {
+			left -= s.repeats
+		}
+		if s.number > oldest {
+			left += rule.share * s.first
 		}
 	}
 	return left
