--- a/cmd/skylarkbeam/command.go
+++ b/cmd/skylarkbeam/command.go
@@ -21,6 +21,7 @@
 	newStatus,
 	newDrain,
 	newRestore,
+	newExplain,
 	newVersion,
 }
 
--- a/cmd/skylarkbeam/serve.go
+++ b/cmd/skylarkbeam/serve.go
@@ -7,9 +7,11 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"strings"
 	"syscall"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -40,7 +42,8 @@
                       limits.isolation of the settings decides
   -config FILE        JSON file with any of these flags as fields
   -boot FILE          settings file of a machine of the users' platform (TOML), in place
-                      of all other flags; see docs/platform.md
+                      of the flags above; see docs/platform.md
+  -metrics PORT       with -boot, port for metrics at the machine's address
 
 Each flag can also be set in the environment, as in SKYLARKBEAM_NAME=entry-1.
 
@@ -64,7 +67,7 @@
 
 // serveFlags are the flags of serve as they are written.
 type serveFlags struct {
-	name, domain, caller, control, advertise, platform, seeds, isolation, boot string
+	name, domain, caller, control, advertise, platform, seeds, isolation, boot, metrics string
 }
 
 func newServe(s streams) *ffcli.Command {
@@ -75,7 +78,7 @@
 				return err
 			}
 			if f.boot != "" {
-				return serveBoot(ctx, s, f.boot)
+				return serveBoot(ctx, s, f)
 			}
 			return serve(ctx, s, f)
 		})
@@ -98,6 +101,7 @@
 	flags.StringVar(&f.seeds, "seeds", "", "")
 	flags.StringVar(&f.isolation, "isolation", "", "")
 	flags.StringVar(&f.boot, "boot", "", "")
+	flags.StringVar(&f.metrics, "metrics", "", "")
 	flags.String("config", "", "")
 }
 
@@ -149,7 +153,9 @@
 	if err != nil {
 		return err
 	}
-	log := logging.NewWriter(s.Out, logging.Options{})
+	log := logging.NewWriter(s.Out, logging.Options{
+		Metrics: metrics.GetDefaultSet(),
+	})
 	defer log.Close()
 	opts.Logger = log.Logger()
 	client := store.NewClient(store.ClientOptions{
@@ -167,16 +173,28 @@
 }
 
 // serveBoot runs an entry on a machine of the users' platform.
-func serveBoot(ctx context.Context, s streams, path string) error {
-	boot, err := platform.ReadBoot(path)
+func serveBoot(ctx context.Context, s streams, f serveFlags) error {
+	boot, err := platform.ReadBoot(f.boot)
 	if err != nil {
 		return err
 	}
+	if f.metrics != "" {
+		port, err := strconv.ParseUint(f.metrics, 10, 16)
+		if err != nil || port == 0 {
+			return &usageError{
+				reason: "-metrics must be a port, not \"" + f.metrics + "\"",
+				usage:  serveUsage,
+			}
+		}
+		boot.Metrics = netip.AddrPortFrom(boot.Caller.Addr(), uint16(port))
+	}
 	// Memory has a price there, and an entry has few calls for its size.
 	debug.SetMemoryLimit(boot.MemoryLimit())
-	log := logging.NewWriter(s.Out, logging.Options{})
+	log := logging.NewWriter(s.Out, logging.Options{
+		Metrics: metrics.GetDefaultSet(),
+	})
 	defer log.Close()
-	machine := platform.NewMachine(path, boot, log.Logger())
+	machine := platform.NewMachine(f.boot, boot, log.Logger())
 	defer machine.Close()
 	e, err := entry.Assemble(machine.Options())
 	if err != nil {
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -95,6 +95,7 @@
 func (e *Entry) refuse(w http.ResponseWriter, no *Refusal) {
 	if no.NotRun() {
 		e.counters.Refused(no.Reason)
+		e.counters.retry.Update(no.RetryAfter.Seconds())
 	}
 	e.counters.outcomes[no.Outcome].Inc()
 	e.protocol.Refuse(w, no)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -85,6 +85,7 @@
 		release()
 		now := e.timers.Now()
 		r.Latency = now.Sub(start)
+		e.counters.attempted(c.service.name, r.Latency)
 		if running {
 			r.Running = deadline
 		}
--- a/entry/background.go
+++ b/entry/background.go
@@ -100,6 +100,9 @@
 func (e *Entry) probeCold() {
 	now := e.timers.Now()
 	v := e.view.Load()
+	if v.registered {
+		return // These targets say themselves for how long they are cold.
+	}
 	for _, s := range e.table.Status(now) {
 		p := v.pools[s.Target]
 		if p == nil || s.Warm || !s.Operating {
--- a/entry/call.go
+++ b/entry/call.go
@@ -200,6 +200,7 @@
 		}
 		c.permit = permit
 		c.admitted = e.timers.Now()
+		e.counters.waited(c.service.name, c.admitted.Sub(c.arrived))
 		return func() { c.service.line.wake() }, nil
 	}
 	c.service.active.Store(true)
@@ -208,6 +209,7 @@
 		return nil, notRun(refused.Reason, refused.RetryAfter, "not admitted")
 	}
 	c.admitted = e.timers.Now()
+	e.counters.waited(c.service.name, c.admitted.Sub(c.arrived))
 	return func() {
 		now := e.timers.Now()
 		if c.answered.IsZero() {
--- a/entry/control.go
+++ b/entry/control.go
@@ -52,6 +52,13 @@
 	})
 }
 
+// MetricsHandler serves the metrics under /metrics.
+func (e *Entry) MetricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { e.counters.Write(w) })
+	return mux
+}
+
 func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", restful.MIME_JSON)
 	if err := json.NewEncoder(w).Encode(value); err != nil {
--- a/entry/counters.go
+++ b/entry/counters.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -27,9 +28,19 @@
 	falls     *metrics.Counter
 	warmed    *metrics.Counter
 	probes    *metrics.Counter
+	late      *metrics.Counter
 	duration  *metrics.Histogram
+	retry     *metrics.Histogram
+	reads     map[string]*metrics.Counter
 }
 
+// Results of load reads, as label values.
+const (
+	readAnswered = "answered"
+	readLate     = "late"
+	readRefused  = "budget"
+)
+
 // NewCounters creates the metrics with every reason at zero, so that a reason that never occurred is visible as such.
 func NewCounters() *Counters {
 	set := metrics.NewSet()
@@ -47,7 +58,13 @@
 		falls:     set.NewCounter("skylarkbeam_target_falls_total"),
 		warmed:    set.NewCounter("skylarkbeam_targets_warmed_total"),
 		probes:    set.NewCounter("skylarkbeam_probes_total"),
+		late:      set.NewCounter("skylarkbeam_late_answers_total"),
 		duration:  set.NewHistogram("skylarkbeam_call_seconds"),
+		retry:     set.NewHistogram("skylarkbeam_retry_after_seconds"),
+		reads:     map[string]*metrics.Counter{},
+	}
+	for _, result := range []string{readAnswered, readLate, readRefused} {
+		c.reads[result] = set.NewCounter(fmt.Sprintf("skylarkbeam_load_reads_total{result=%q}", result))
 	}
 	for _, r := range slices.Concat(outcome.Refusals, outcome.Retries) {
 		c.refusals[r] = set.NewCounter(fmt.Sprintf("skylarkbeam_refusals_total{reason=%q}", r))
@@ -99,6 +116,22 @@
 	return counts
 }
 
+// waited takes the time that a call of a service waited for its turn.
+func (c *Counters) waited(service string, d time.Duration) {
+	c.set.GetOrCreateHistogram(fmt.Sprintf("skylarkbeam_wait_seconds{service=%q}", service)).Update(d.Seconds())
+}
+
+// attempted takes the time that an attempt at a target of a service took.
+func (c *Counters) attempted(service string, d time.Duration) {
+	c.set.GetOrCreateHistogram(fmt.Sprintf("skylarkbeam_attempt_seconds{service=%q}", service)).Update(d.Seconds())
+}
+
+// watch registers the gauges of a service, which stay for as long as the process runs.
+func (c *Counters) watch(service string, inflight, waiting func() float64) {
+	c.set.GetOrCreateGauge(fmt.Sprintf("skylarkbeam_service_in_flight{service=%q}", service), inflight)
+	c.set.GetOrCreateGauge(fmt.Sprintf("skylarkbeam_service_waiting{service=%q}", service), waiting)
+}
+
 // Gauge registers a value that is computed when the metrics are read.
 func (c *Counters) Gauge(name string, value func() float64) {
 	c.set.NewGauge(name, value)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -136,6 +136,10 @@
 		if ev.Former != "" {
 			e.fleet.Fell(ev.Target, ev.Former, ev.Falls)
 		}
+	case route.Absent:
+		e.log.Info("target does not answer", zap.String("target", ev.Target))
+	case route.Returned:
+		e.log.Info("target answers again", zap.String("target", ev.Target), zap.Duration("away", ev.Away))
 	case route.Warmed:
 		e.counters.warmed.Inc()
 		e.log.Info("target has finished its cold start; all entries may send to it",
--- a/entry/options.go
+++ b/entry/options.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"skylarkbeam/fleet"
@@ -48,6 +49,7 @@
 	Peers   *fleet.Client
 	Caller  netip.AddrPort
 	Control netip.AddrPort
+	Metrics *metrics.Set
 	Logger  *zap.Logger
 }
 
--- a/entry/provide.go
+++ b/entry/provide.go
@@ -72,7 +72,8 @@
 			Peers:   peers,
 			Caller:  addressOf(l.caller),
 			Control: addressOf(l.control),
-			Logger:  log,
+			Metrics: counters.set,
+			Logger:  log.With(zap.String("entry", opts.Name)),
 		})
 	}
 	control := opts.Advertise
--- a/entry/server.go
+++ b/entry/server.go
@@ -163,6 +163,7 @@
 		e.peers.Close()
 	})
 	e.tasks.Wait()
+	e.log.Info("stopped")
 }
 
 func (e *Entry) closePools() {
--- a/entry/survey.go
+++ b/entry/survey.go
@@ -66,10 +66,21 @@
 	return min(max(readFactor*usual, surveyTime), absentTime)
 }
 
-// noteRead takes a load read into the average.
-func (e *Entry) noteRead(d time.Duration) {
-	usual := e.readTime.Load()
-	e.readTime.Store(usual + (int64(d)-usual)/readWeight)
+// noteRead takes note of a load read: of its time, or of a target that did not answer.
+func (e *Entry) noteRead(name string, d time.Duration, err error) {
+	if err == nil {
+		e.counters.reads[readAnswered].Inc()
+		usual := e.readTime.Load()
+		e.readTime.Store(usual + (int64(d)-usual)/readWeight)
+		return
+	}
+	e.calls.Debug("load read failed", zap.String("target", name), zap.String("error", err.Error()))
+	if errors.Is(err, target.ErrBudget) {
+		e.counters.reads[readRefused].Inc()
+		return
+	}
+	e.counters.reads[readLate].Inc()
+	e.notify(e.table.Unread(e.timers.Now(), name))
 }
 
 // readLoad reads the load of a target in the background and tells read, unless that is nil, when it has ended.
@@ -81,15 +92,7 @@
 			defer cancel()
 			start := e.timers.Now()
 			_, err := p.Read(ctx)
-			if err == nil {
-				e.noteRead(e.timers.Now().Sub(start))
-			}
-			if err != nil {
-				e.calls.Debug("load read failed", zap.String("target", name), zap.String("error", err.Error()))
-			}
-			if err != nil && !errors.Is(err, target.ErrBudget) {
-				e.table.Unread(e.timers.Now(), name)
-			}
+			e.noteRead(name, e.timers.Now().Sub(start), err)
 		}
 		if read != nil {
 			read <- struct{}{}
--- a/entry/trace.go
+++ b/entry/trace.go
@@ -103,6 +103,9 @@
 func (e *Entry) traceAnswered(c *call, a *answer) {
 	level := zapcore.DebugLevel
 	late := c.promise.aim > 0 && e.timers.Now().Sub(c.arrived) > c.promise.aim
+	if late {
+		e.counters.late.Inc()
+	}
 	if late || a.Status >= 500 {
 		level = zapcore.InfoLevel
 	}
--- a/entry/view.go
+++ b/entry/view.go
@@ -178,6 +178,10 @@
 		return s
 	}
 	s.line = newLine(name)
+	waiting := s.line
+	e.counters.watch(name,
+		func() float64 { return float64(e.table.Inflight(name)) },
+		func() float64 { return float64(waiting.Len()) })
 	s.scheduler = share.New(share.Options{
 		Share: e.share,
 		Work:  time.Duration(spec.Work),
--- a/feed/table.go
+++ b/feed/table.go
@@ -23,6 +23,8 @@
 	horizon  uint64
 	latest   uint64
 	loaded   bool
+	// confirmed is when the last batch was applied.
+	confirmed time.Time
 	// changed is closed by the next change of a row.
 	changed chan struct{}
 }
@@ -65,6 +67,13 @@
 	return t.complete
 }
 
+// Confirmed returns when the copy was last known to be current, zero if never.
+func (t *Table) Confirmed() time.Time {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.confirmed
+}
+
 // Latest returns the version of the newest change of a row. Copies with the same rows have the same latest version, even
 // if one of them has been confirmed later.
 func (t *Table) Latest() uint64 {
@@ -86,6 +95,7 @@
 		t.loaded = true
 	}
 	t.complete = max(t.complete, b.Version)
+	t.confirmed = time.Now()
 	if changed {
 		close(t.changed)
 		t.changed = make(chan struct{})
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"net/netip"
 	"slices"
@@ -10,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -70,6 +72,8 @@
 	Peers FollowerPeers
 	// Compose derives the state from the rows of the tables. The former state is nil at first. An error keeps it.
 	Compose func(former *State, tables map[string]map[string]feed.Row) (*State, error)
+	// Metrics receives the gauges, and Logger the changes of state; both may be nil.
+	Metrics *metrics.Set
 	Logger  *zap.Logger
 }
 
@@ -121,6 +125,8 @@
 	// heard is when this entry or a peer last heard the member, since when it was put on the roll.
 	heard time.Time
 	since time.Time
+	// lost says that the member has not been heard for ownerSilence, which was logged.
+	lost bool
 	// avoided is when the member did not answer a request for rows.
 	avoided time.Time
 	busy    bool
@@ -131,6 +137,9 @@
 	if opt.Logger == nil {
 		opt.Logger = zap.NewNop()
 	}
+	if opt.Metrics == nil {
+		opt.Metrics = metrics.NewSet()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{
 		opt: opt,
@@ -159,6 +168,7 @@
 	for _, table := range f.tables {
 		f.tasks.Go(func() { f.follow(table) })
 	}
+	f.gauges()
 	f.tasks.Go(f.join)
 	f.tasks.Go(f.greetings)
 	go func() {
@@ -168,6 +178,34 @@
 	return f
 }
 
+// gauges registers the values that are computed when the metrics are read.
+func (f *Follower) gauges() {
+	for name, table := range f.tables {
+		f.opt.Metrics.GetOrCreateGauge(fmt.Sprintf("skylarkbeam_table_age_seconds{table=%q}", name), func() float64 {
+			return f.now().Sub(table.Confirmed()).Seconds()
+		})
+	}
+	f.opt.Metrics.GetOrCreateGauge("skylarkbeam_members_heard", func() float64 {
+		f.mu.RLock()
+		defer f.mu.RUnlock()
+		n := 0
+		for _, m := range f.members {
+			if f.now().Sub(m.heard) < ownerSilence {
+				n++
+			}
+		}
+		return float64(n)
+	})
+	f.opt.Metrics.GetOrCreateGauge("skylarkbeam_store_detached", func() float64 {
+		f.mu.RLock()
+		defer f.mu.RUnlock()
+		if f.own.Detached {
+			return 1
+		}
+		return 0
+	})
+}
+
 func (f *Follower) now() time.Time { return f.opt.Timers.Now() }
 
 func (f *Follower) follow(table *feed.Table) {
@@ -343,6 +381,14 @@
 	var list []address
 	for name, m := range f.members {
 		silence := now.Sub(later(m.heard, m.since))
+		if lost := silence > ownerSilence; lost != m.lost {
+			m.lost = lost
+			if lost {
+				f.log.Warn("a member is not heard any more", zap.String("peer", name), zap.Duration("silence", silence))
+			} else {
+				f.log.Info("a member is heard again", zap.String("peer", name))
+			}
+		}
 		if silence > forgetTime {
 			delete(f.members, name)
 			continue
--- a/route/event.go
+++ b/route/event.go
@@ -1,6 +1,9 @@
 package route
 
-// Event is a change that other entries must learn: Fell or Warmed. It is nil if there is none.
+import "time"
+
+// Event is a change of a target: Fell and Warmed, which other entries must learn, Absent and Returned. It is nil if there is
+// none.
 type Event interface{ event() }
 
 // Fell means that this entry has seen an instance of the target that is not known to be warm. The owner must be told. If
@@ -21,5 +24,19 @@
 	Falls    int
 }
 
-func (Fell) event()   {}
-func (Warmed) event() {}
+// Absent means that a registered target has stopped to answer load reads, and Returned that it answers again.
+type Absent struct {
+	Target string
+}
+
+// Returned means that an absent target answers again.
+type Returned struct {
+	Target string
+	// Away is how long it was absent.
+	Away time.Duration
+}
+
+func (Fell) event()     {}
+func (Warmed) event()   {}
+func (Absent) event()   {}
+func (Returned) event() {}
--- a/route/registered.go
+++ b/route/registered.go
@@ -88,9 +88,10 @@
 	dragged time.Time
 	// strange says that another instance answers at the address.
 	strange bool
-	// unread is the number of load reads in a row that got no answer in time, absent until when the target gets no calls
-	// for that.
+	// unread is the number of load reads in a row that got no answer in time, lost when the first of them ended, and absent
+	// until when the target gets no calls for that.
 	unread int
+	lost   time.Time
 	absent time.Time
 }
 
@@ -106,13 +107,21 @@
 }
 
 // recognize takes instance and cold time from a report.
-func (t *target) recognize(now time.Time, r outcome.Report) {
-	t.unread = 0
-	if r.Instance != "" {
-		t.strange = r.Instance != t.Instance
+func (t *target) recognize(now time.Time, r outcome.Report) Event {
+	if r.Instance == "" {
+		return nil
+	}
+	var e Event
+	if t.unread > 0 {
+		e = Returned{
+			Target: t.Name,
+			Away:   now.Sub(t.lost),
+		}
 	}
+	t.unread = 0
+	t.strange = r.Instance != t.Instance
 	if t.strange {
-		return
+		return e
 	}
 	if r.Cold > 0 {
 		t.chill(now, now.Add(r.Cold))
@@ -122,6 +131,7 @@
 	} else if r.Phase == outcome.PhaseWarm {
 		t.draining = time.Time{}
 	}
+	return e
 }
 
 // chill starts or continues the cold time of the target.
@@ -553,16 +563,23 @@
 	return names
 }
 
-// Unread records that a target did not answer a load read in time.
-func (t *Table) Unread(now time.Time, name string) {
+// Unread records that a target did not answer a load read in time. It returns Absent for the first one.
+func (t *Table) Unread(now time.Time, name string) Event {
 	x := t.view.Load().targets[name]
 	if x == nil {
-		return
+		return nil
 	}
 	x.service.mu.Lock()
 	defer x.service.mu.Unlock()
 	x.absent = now.Add(min(absentFloor<<min(x.unread, 10), absentLimit))
 	x.unread++
+	if x.unread > 1 {
+		return nil
+	}
+	x.lost = now
+	return Absent{
+		Target: name,
+	}
 }
 
 // Pace returns the number of calls a second that the targets of a service can be expected to take from this entry.
--- a/route/table.go
+++ b/route/table.go
@@ -301,7 +301,7 @@
 	if report.Instance == x.instance {
 		x.setLoad(now, report)
 	}
-	if e != nil || x.isWarm() || x.Bear <= 0 {
+	if e != nil || x.registered() || x.isWarm() || x.Bear <= 0 {
 		return e
 	}
 	// The cold start of a target without calls ends by time alone, under the same conditions.
@@ -427,6 +427,17 @@
 	return true
 }
 
+// Inflight returns the number of calls of this entry at the targets of a service.
+func (t *Table) Inflight(service string) int {
+	s := t.view.Load().services[service]
+	if s == nil {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inflight
+}
+
 // HedgeAfter returns the time after which an attempt is slower than usual: the 95th percentile of the latency of the
 // service. It returns false until enough calls have been measured.
 func (t *Table) HedgeAfter(service string) (time.Duration, bool) {
--- a/route/target.go
+++ b/route/target.go
@@ -196,8 +196,7 @@
 // to a call can tell of a warm instance that it is cold again: the phase in a load read can be old.
 func (t *target) identify(now, sent time.Time, r outcome.Report, answered bool) Event {
 	if t.registered() {
-		t.recognize(now, r)
-		return nil
+		return t.recognize(now, r)
 	}
 	if r.Instance == "" || r.Instance != t.instance && sent.Before(t.seen) {
 		return nil
