--- a/feed/table_test.go
+++ b/feed/table_test.go
@@ -31,6 +31,21 @@
 	}
 }
 
+// batch returns changes that are complete up to a version.
+func batch(version uint64, rows ...Row) Batch {
+	return Batch{
+		Rows:    rows,
+		Version: version,
+	}
+}
+
+// all returns all rows of a table at a version.
+func all(version uint64, rows ...Row) Batch {
+	b := batch(version, rows...)
+	b.Whole = true
+	return b
+}
+
 func versions(t *Table) map[string]uint64 {
 	have := map[string]uint64{}
 	for key, row := range t.Rows() {
@@ -47,31 +62,24 @@
 		want    map[string]uint64
 	}{
 		"older row": {
-			batches: []Batch{{Rows: []Row{row("a", 5)}, Version: 5}, {Rows: []Row{row("a", 4)}, Version: 4}},
+			batches: []Batch{batch(5, row("a", 5)), batch(4, row("a", 4))},
 			want:    map[string]uint64{"a": 5},
 		},
 		"older row after deletion": {
-			batches: []Batch{{Rows: []Row{gone("a", 5)}, Version: 5}, {Rows: []Row{row("a", 4)}, Version: 4}},
+			batches: []Batch{batch(5, gone("a", 5)), batch(4, row("a", 4))},
 			want:    map[string]uint64{},
 		},
 		"row after deletion": {
-			batches: []Batch{{Rows: []Row{gone("a", 5)}, Version: 5}, {Rows: []Row{row("a", 6)}, Version: 6}},
+			batches: []Batch{batch(5, gone("a", 5)), batch(6, row("a", 6))},
 			want:    map[string]uint64{"a": 6},
 		},
 		"whole copy": {
-			batches: []Batch{
-				{Rows: []Row{row("a", 1), row("b", 2)}, Version: 2, Whole: true},
-				{Rows: []Row{row("b", 2)}, Version: 4, Whole: true},
-			},
-			want: map[string]uint64{"b": 2},
+			batches: []Batch{all(2, row("a", 1), row("b", 2)), all(4, row("b", 2))},
+			want:    map[string]uint64{"b": 2},
 		},
 		"whole copy of an earlier time": {
-			batches: []Batch{
-				{Rows: []Row{row("a", 1)}, Version: 1, Whole: true},
-				{Rows: []Row{row("b", 5)}, Version: 5},
-				{Rows: []Row{row("a", 1)}, Version: 3, Whole: true},
-			},
-			want: map[string]uint64{"a": 1, "b": 5},
+			batches: []Batch{all(1, row("a", 1)), batch(5, row("b", 5)), all(3, row("a", 1))},
+			want:    map[string]uint64{"a": 1, "b": 5},
 		},
 	}
 	for name, test := range tests {
@@ -90,10 +98,7 @@
 func TestCopiesConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		source := NewTable("t")
-		source.Apply(Batch{
-			Version: 1,
-			Whole:   true,
-		})
+		source.Apply(all(1))
 		behind := NewTable("t")
 		behind.Apply(source.Since(0))
 		n := rapid.IntRange(1, 3*keptDeletions).Draw(t, "writes")
@@ -104,10 +109,7 @@
 			if random.IntN(2) == 0 {
 				r = gone(key, v)
 			}
-			b := Batch{
-				Rows:    []Row{r},
-				Version: v,
-			}
+			b := batch(v, r)
 			source.Apply(b)
 			if random.IntN(3) == 0 {
 				// Seen by chance, so the copy is complete only up to where it was.
@@ -125,20 +127,13 @@
 func TestWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := NewTable("t")
-		table.Apply(Batch{
-			Rows:    []Row{row("a", 3)},
-			Version: 7,
-			Whole:   true,
-		})
+		table.Apply(all(7, row("a", 3)))
 		start := time.Now()
 		assert.Equal(t, len(table.Wait(t.Context(), 2, time.Minute).Rows), 1)
 		assert.Equal(t, time.Since(start), time.Duration(0))
 		go func() {
 			time.Sleep(5 * time.Second)
-			table.Apply(Batch{
-				Rows:    []Row{row("b", 9)},
-				Version: 9,
-			})
+			table.Apply(batch(9, row("b", 9)))
 		}()
 		b := table.Wait(t.Context(), 7, time.Minute)
 		assert.Equal(t, time.Since(start), 5*time.Second)
