Wait for the end of slow spells, and forgive one load read without an answer

Change: a call waits in line while a target cannot answer before the deadline or its slow spell is expected to end sooner; the drag is computed over at least 50 ms; a target that answered within the last second may miss one load read.

--- a/route/registered.go
+++ b/route/registered.go
@@ -33,9 +33,13 @@
 	// surveySize is the number of targets whose load is read at once before a placement.
 	surveySize = 3
 	// absentFloor is how long a target that did not answer a load read gets no calls and no further read; it doubles with
-	// each further read without an answer, up to absentLimit.
+	// each further read without an answer, up to absentLimit. A target that answered within absentGrace may miss one read,
+	// because a lost packet costs as much.
 	absentFloor = 100 * time.Millisecond
 	absentLimit = time.Second
+	absentGrace = time.Second
+	// slowSpell is how long a target that reports to be slow is expected to stay so.
+	slowSpell = 300 * time.Millisecond
 	// goodSlowness is the slowness up to which an idle target needs no comparison with others.
 	goodSlowness = 1.2
 	// nearlyFull is the part of its slots from which on a target is taken to be slower, by fullFactor.
@@ -45,8 +49,10 @@
 	// calls, so that a target that was slow is tried again.
 	dragWeight = 0.35
 	dragMemory = 4 * time.Second
-	// dragLimit bounds the drag of one call.
+	// dragLimit bounds the drag of one call, dragFloor is the time that each is expected to take at least when its drag is
+	// computed: the way to the target is a part of it.
 	dragLimit = 20
+	dragFloor = 50 * time.Millisecond
 	// workWeight is the weight of a call in the usual work of its kind.
 	workWeight = 0.05
 	// aimPart is the part of the aim that a call is taken to need if its kind has not been measured.
@@ -88,9 +94,10 @@
 	dragged time.Time
 	// strange says that another instance answers at the address.
 	strange bool
-	// unread is the number of load reads in a row that got no answer in time, lost when the first of them ended, and absent
-	// until when the target gets no calls for that.
+	// unread is the number of load reads in a row that got no answer in time, not counting the one that may be missed.
+	// Lost is when the first of them ended, and absent until when the target gets no calls for that.
 	unread int
+	missed bool
 	lost   time.Time
 	absent time.Time
 }
@@ -118,7 +125,7 @@
 			Away:   now.Sub(t.lost),
 		}
 	}
-	t.unread = 0
+	t.unread, t.missed = 0, false
 	t.strange = r.Instance != t.Instance
 	if t.strange {
 		return e
@@ -173,7 +180,7 @@
 	least := 0.0
 	for _, t := range s.candidates(now, q) {
 		load := t.present(now)
-		if !t.room(load) || q.holds(s) && t.expected(now, q, load) > float64(q.Left) {
+		if !t.room(load) || s.waits(now, t, q, load) {
 			continue
 		}
 		cost := t.cost(now, q, load) + scoreNoise*slope*s.rand.Float64()
@@ -287,10 +294,22 @@
 	return p.index, p.count
 }
 
-// holds tells whether the call rather waits than goes to a target that is expected to answer after its aim: a target that is
-// not slow could still answer before.
-func (q Query) holds(s *service) bool {
-	return q.Aim > 0 && s.work(q) < float64(q.Left)
+// waits tells whether the call rather waits in line than goes to the target beside so many others: if another one could
+// still answer within the aim, if this one cannot answer before the deadline, or if its slow spell is expected to end sooner
+// than the call would. A slot that is busy with a late answer for a second serves four calls in that time otherwise.
+func (s *service) waits(now time.Time, t *target, q Query, load float64) bool {
+	expected, work := t.expected(now, q, load), s.work(q)
+	if q.Aim > 0 && work < float64(q.Left) && expected > float64(q.Left) {
+		return true
+	}
+	if q.Until <= 0 {
+		return false
+	}
+	usual := work * t.speedFactor(load, 1, t.currentDrag(now), t.cold)
+	if left := float64(q.Until); expected > left && usual < left {
+		return true
+	}
+	return expected-usual > float64(slowSpell) && float64(q.Until) > float64(slowSpell)+2*usual
 }
 
 // permit starts an attempt at the registered target.
@@ -368,8 +387,13 @@
 	return 1 + (t.drag-1)*math.Exp(-float64(now.Sub(t.dragged))/float64(dragMemory))
 }
 
-// drags takes note of how much longer than expected a call took.
-func (t *target) drags(now time.Time, ratio float64) {
+// drags takes note of how much longer than expected a call took. One that did not end by itself may only make the drag
+// greater.
+func (t *target) drags(now time.Time, p *Permit, latency time.Duration, ended bool) {
+	ratio := float64(latency) / max(float64(p.Basis.Expected), float64(dragFloor)) * p.Basis.Drag
+	if !ended && ratio <= t.currentDrag(now) {
+		return
+	}
 	drag := t.currentDrag(now)
 	t.drag = drag + (min(max(ratio, 1), dragLimit)-drag)*dragWeight
 	t.dragged = now
@@ -571,6 +595,10 @@
 	}
 	x.service.mu.Lock()
 	defer x.service.mu.Unlock()
+	if !x.missed && now.Sub(x.reported) < absentGrace {
+		x.missed = true
+		return nil
+	}
 	x.absent = now.Add(min(absentFloor<<min(x.unread, 10), absentLimit))
 	x.unread++
 	if x.unread > 1 {
--- a/route/target.go
+++ b/route/target.go
@@ -299,7 +299,7 @@
 		t.sample(now, float64(r.Latency)/max(p.Basis.Slowness, 1))
 		s.sample(time.Duration(float64(r.Latency) / max(p.Basis.Slowness, 1)))
 		if t.registered() {
-			t.drags(now, float64(r.Latency)/max(float64(p.Basis.Expected), 1)*p.Basis.Drag)
+			t.drags(now, p, r.Latency, true)
 			s.measured(p, r.Latency)
 			s.weighed(p, r.Length)
 		}
@@ -312,8 +312,8 @@
 		}
 	case Failed:
 		t.fail(now, r.Latency)
-		if ratio := float64(r.Latency) / max(float64(p.Basis.Expected), 1) * p.Basis.Drag; t.registered() && ratio > t.currentDrag(now) {
-			t.drags(now, ratio)
+		if t.registered() {
+			t.drags(now, p, r.Latency, false)
 		}
 	case Shed:
 		t.limit = max(t.limit*0.7, 1)
@@ -328,8 +328,8 @@
 		if float64(r.Latency) > t.latency {
 			t.sample(now, float64(r.Latency))
 		}
-		if ratio := float64(r.Latency) / max(float64(p.Basis.Expected), 1) * p.Basis.Drag; t.registered() && ratio > t.currentDrag(now) {
-			t.drags(now, ratio)
+		if t.registered() {
+			t.drags(now, p, r.Latency, false)
 		}
 	}
 	return e
