Compare the drag of a target with that of the others

Cause: the usual work of a kind of call and the drags of its targets had only their product determined, so both drifted: after a change of the work one target kept a drag of 15.

Change: the drag counts relative to the average drag of the targets that answer; what they have in common goes into the work. TestDrag fails without it.

--- a/route/registered.go
+++ b/route/registered.go
@@ -379,8 +379,14 @@
 	return usual + (t.slowness-usual)*math.Exp(-age)
 }
 
-// currentDrag returns how much slower than its report says the target is expected to be.
+// currentDrag returns how much slower than its report says the target is expected to be, compared with the others. What
+// all have in common belongs to the work of the calls.
 func (t *target) currentDrag(now time.Time) float64 {
+	return max(t.ownDrag(now)/max(t.service.drag, 1), 1)
+}
+
+// ownDrag returns how much longer than expected calls lately took at the target.
+func (t *target) ownDrag(now time.Time) float64 {
 	if t.drag <= 1 {
 		return 1
 	}
@@ -391,12 +397,15 @@
 // greater.
 func (t *target) drags(now time.Time, p *Permit, latency time.Duration, ended bool) {
 	ratio := float64(latency) / max(float64(p.Basis.Expected), float64(dragFloor)) * p.Basis.Drag
-	if !ended && ratio <= t.currentDrag(now) {
+	drag := t.ownDrag(now)
+	if !ended && ratio <= drag {
 		return
 	}
-	drag := t.currentDrag(now)
 	t.drag = drag + (min(max(ratio, 1), dragLimit)-drag)*dragWeight
 	t.dragged = now
+	if ended {
+		t.service.drag += (t.drag - t.service.drag) * latencyMean
+	}
 }
 
 // work returns the time that calls of the kind usually take at a target that is not slow, in nanoseconds.
--- a/route/service.go
+++ b/route/service.go
@@ -58,6 +58,8 @@
 	// slowness is the average slowness that targets report, over so many reports.
 	slowness  float64
 	slownessN int
+	// drag is the average drag of the targets that answer calls.
+	drag float64
 	// works has the usual time of calls by kind, in nanoseconds.
 	works map[string]float64
 	// bytes has the usual length of answers by kind.
@@ -72,6 +74,7 @@
 		name:  name,
 		epoch: now,
 		rand:  rand.New(rand.NewPCG(seed, 1)),
+		drag:  1,
 		works: map[string]float64{},
 		bytes: map[string]float64{},
 		budget: budget{
