Forecast the waits of all calls in line together, and refuse those without a turn at once

Cause: a call that joined the line was judged by the calls before it alone.

Ruled out: a fixed limit of waiting calls (refuses short bursts that can be served); refusing all late calls (targets in a slow spell take them and nothing else).

Change: the line forecasts the waits of all its calls: those that are expected to be late before their turn go behind the late ones and have what the timely calls leave. bench/rush replays the load with fake targets: nearly full, slow in spells, half of them lost, one greedy caller; each mechanism is switched off in turn.

--- /dev/null
+++ b/bench/rush.go
@@ -0,0 +1,551 @@
+package bench
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"skylarkbeam/outcome"
+	"skylarkbeam/route"
+	"skylarkbeam/share"
+)
+
+// Rush describes a run with registered targets: entries that read the load of targets before each placement and let calls
+// wait in a line. Targets accept every call and let it wait without a limit, and neighbours on their hosts make them several
+// times slower for a part of a second. The defaults are the smallest deployment of the users.
+type Rush struct {
+	// Entries and Targets are numbers of processes in one failure domain.
+	Entries int
+	Targets int
+	// Load is the offered load as a fraction of the capacity of all slots at the average slowness.
+	Load float64
+	// Lost is the part of the targets that vanishes in the middle third of the run.
+	Lost float64
+	// Dragged is the number of targets that are several times slower than they report.
+	Dragged int
+	// Greedy is additional load of one caller, as a fraction of the capacity.
+	Greedy float64
+	Policy Policy
+	Seed   uint64
+	Length time.Duration
+
+	// Blind entries read no loads before a placement.
+	Blind bool
+	// Unordered entries let calls wait in the order of their arrival, and refuse none before its deadline.
+	Unordered bool
+	// Hasty entries let no call wait for a faster target while a slower one has room.
+	Hasty bool
+}
+
+const (
+	rushSlots    = 4
+	rushWork     = 120 * time.Millisecond
+	rushAim      = 400 * time.Millisecond
+	rushDeadline = 1600 * time.Millisecond
+	// rushSigma is the standard deviation of the logarithm of the work of calls.
+	rushSigma = 0.5
+	// A host is slow for spells of rushSpell on average, rushBusy of the time, by rushSlow.
+	rushSpell = 300 * time.Millisecond
+	rushBusy  = 0.25
+	rushSlow  = 4.0
+	// rushDrag is how much slower a dragged target is.
+	rushDrag = 4.0
+	// A target with rushKnee of its slots in use is slower by rushFull.
+	rushKnee = 0.8
+	rushFull = 1.7
+	// rushTrip is the time of the way to a target.
+	rushTrip = 500 * time.Microsecond
+	// rushTry is how often waiting calls are tried if no call ends, rushPause the least time between tries, rushDepth the
+	// number of calls that are tried, and rushRead the limit of a load read, as in package entry.
+	rushTry   = 30 * time.Millisecond
+	rushPause = 2 * time.Millisecond
+	rushDepth = 8
+	rushRead  = 20 * time.Millisecond
+	// rushCallers is the number of callers that are not greedy.
+	rushCallers = 40
+)
+
+// Tally is what a Rush measured.
+type Tally struct {
+	Offered int
+	// Timely calls were answered within their aim, Answered ones within their deadline.
+	Timely   int
+	Answered int
+	// Refused calls were refused, after waiting for Waited in sum. Cut calls ended at their deadline.
+	Refused int
+	Waited  time.Duration
+	Cut     int
+	// Reads is the number of load reads.
+	Reads int
+	// Fair and FairTimely count the calls of callers that are not greedy.
+	Fair       int
+	FairTimely int
+}
+
+// InTime returns the part of the calls that were answered within their aim.
+func (t *Tally) InTime() float64 { return float64(t.Timely) / float64(max(t.Offered, 1)) }
+
+// Served returns the part of the calls that were answered.
+func (t *Tally) Served() float64 { return float64(t.Answered) / float64(max(t.Offered, 1)) }
+
+type rush struct {
+	loop
+	Rush
+	rand    *rand.Rand
+	targets []*rushTarget
+	entries []*rushEntry
+	tally   *Tally
+}
+
+type rushTarget struct {
+	rush     *rush
+	name     string
+	running  []*rushCall
+	queue    []*rushCall
+	slowness float64
+	drag     float64
+	gone     bool
+}
+
+type rushEntry struct {
+	rush     *rush
+	table    *route.Table
+	line     *share.Line
+	inflight map[string]int
+	waiting  []*rushCall
+	placing  bool
+	woken    bool
+}
+
+type rushCall struct {
+	entry    *rushEntry
+	caller   string
+	arrived  time.Duration
+	place    *share.Place
+	permit   *route.Permit
+	target   *rushTarget
+	sent     time.Duration
+	held     time.Duration // since when the call waits for a target
+	tried    []string
+	over     bool
+	slowness float64
+}
+
+// RunRush simulates one configuration.
+func RunRush(c Rush) *Tally {
+	c.Entries, c.Targets = max(c.Entries, 1), max(c.Targets, 1)
+	r := &rush{
+		Rush:  c,
+		rand:  rand.New(rand.NewPCG(c.Seed, 4)),
+		tally: &Tally{},
+	}
+	var specs []route.Target
+	for i := range c.Targets {
+		t := &rushTarget{
+			rush:     r,
+			name:     fmt.Sprint("t", i),
+			slowness: 1,
+			drag:     1,
+		}
+		if i < c.Dragged {
+			t.drag = rushDrag
+		}
+		r.targets = append(r.targets, t)
+		specs = append(specs, route.Target{
+			Name:     t.name,
+			Service:  serviceName,
+			Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 80),
+			Slots:    rushSlots,
+			Instance: t.name,
+		})
+		t.disturb()
+	}
+	for i := range c.Entries {
+		e := &rushEntry{
+			rush: r,
+			table: route.New(route.Options{
+				Entries: c.Entries,
+				Seed:    r.rand.Uint64(),
+				Started: start,
+			}),
+			line:     share.NewLine(),
+			inflight: map[string]int{},
+		}
+		e.table.SetTargets(start, specs)
+		e.table.SetPosition(i, c.Entries)
+		r.entries = append(r.entries, e)
+	}
+	slowness := 1 + rushBusy*(rushSlow-1)
+	capacity := float64(c.Targets*rushSlots) / (rushWork.Seconds() * slowness)
+	r.arrivals(c.Load*capacity, func() string { return fmt.Sprint("caller", r.rand.IntN(rushCallers)) })
+	r.arrivals(c.Greedy*capacity, func() string { return "greedy" })
+	if c.Lost > 0 {
+		r.after(c.Length/3, func() { r.lose(true) })
+		r.after(2*c.Length/3, func() { r.lose(false) })
+	}
+	r.runUntil(c.Length)
+	return r.tally
+}
+
+// arrivals lets calls arrive at random times, at random entries.
+func (r *rush) arrivals(rate float64, caller func() string) {
+	if rate <= 0 {
+		return
+	}
+	r.after(time.Duration(r.rand.ExpFloat64()/rate*float64(time.Second)), func() {
+		r.entries[r.rand.IntN(len(r.entries))].arrive(caller())
+		r.arrivals(rate, caller)
+	})
+}
+
+// lose lets targets vanish with their calls, or return.
+func (r *rush) lose(gone bool) {
+	for _, t := range r.targets[:int(r.Lost*float64(len(r.targets)))] {
+		t.gone = gone
+		broken := slices.Concat(t.running, t.queue)
+		t.running, t.queue = nil, nil
+		for _, c := range broken {
+			c.end(route.Failed, outcome.Report{})
+			c.again()
+		}
+	}
+}
+
+// disturb makes the host of the target slow in spells.
+func (t *rushTarget) disturb() {
+	r := t.rush
+	spell := time.Duration(r.rand.ExpFloat64() * float64(rushSpell))
+	quiet := time.Duration(r.rand.ExpFloat64() * float64(rushSpell) * (1 - rushBusy) / rushBusy)
+	r.after(quiet, func() {
+		t.slowness = rushSlow
+		r.after(spell, func() {
+			t.slowness = 1
+			t.disturb()
+		})
+	})
+}
+
+func (t *rushTarget) report() outcome.Report {
+	return outcome.Report{
+		Instance: t.name,
+		Phase:    outcome.PhaseWarm,
+		Active:   len(t.running),
+		Slots:    rushSlots,
+		Queued:   len(t.queue),
+		Slowness: t.slowness,
+	}
+}
+
+func (t *rushTarget) arrive(c *rushCall) {
+	switch {
+	case c.over || c.target != t:
+	case t.gone:
+		c.end(route.Unsent, outcome.Report{})
+		c.again()
+	case len(t.running) < rushSlots:
+		t.run(c)
+	default:
+		t.queue = append(t.queue, c)
+	}
+}
+
+func (t *rushTarget) run(c *rushCall) {
+	r := t.rush
+	t.running = append(t.running, c)
+	work := float64(rushWork) * math.Exp(r.rand.NormFloat64()*rushSigma-rushSigma*rushSigma/2) * t.slowness * t.drag
+	if float64(len(t.running)) >= rushKnee*rushSlots {
+		work *= rushFull
+	}
+	r.after(time.Duration(work), func() {
+		if !slices.Contains(t.running, c) {
+			return
+		}
+		t.remove(c)
+		report := t.report()
+		r.after(rushTrip, func() {
+			if !c.over {
+				c.answer(report)
+			}
+		})
+	})
+}
+
+// remove takes a call out of the target and starts those that waited for its slot.
+func (t *rushTarget) remove(c *rushCall) {
+	is := func(other *rushCall) bool { return other == c }
+	t.running = slices.DeleteFunc(t.running, is)
+	t.queue = slices.DeleteFunc(t.queue, is)
+	for len(t.queue) > 0 && len(t.running) < rushSlots {
+		next := t.queue[0]
+		t.queue = t.queue[1:]
+		t.run(next)
+	}
+}
+
+func (e *rushEntry) arrive(caller string) {
+	r := e.rush
+	c := &rushCall{
+		entry:   e,
+		caller:  caller,
+		arrived: r.now,
+	}
+	r.tally.Offered++
+	if caller != "greedy" {
+		r.tally.Fair++
+	}
+	r.after(rushDeadline, c.cut)
+	if r.Policy == Route {
+		e.line.Note(r.time(), e.waits(c))
+	}
+	e.place(c)
+}
+
+// place sends the call to a target, or lets it wait.
+func (e *rushEntry) place(c *rushCall) {
+	c.held = e.rush.now
+	if e.rush.Policy != Route {
+		e.send(c, e.plain())
+		return
+	}
+	if e.line.Len() > 0 {
+		e.join(c)
+		return
+	}
+	e.survey(c, func() {
+		if !c.over && !e.choose(c) {
+			e.join(c)
+		}
+	})
+}
+
+// plain chooses a target by the policies to compare with.
+func (e *rushEntry) plain() *rushTarget {
+	targets := e.rush.targets
+	first := targets[e.rush.rand.IntN(len(targets))]
+	switch e.rush.Policy {
+	case TwoChoices:
+		if second := targets[e.rush.rand.IntN(len(targets))]; e.inflight[second.name] < e.inflight[first.name] {
+			return second
+		}
+	case Least:
+		for _, t := range targets {
+			if e.inflight[t.name] < e.inflight[first.name] {
+				first = t
+			}
+		}
+	}
+	return first
+}
+
+func (e *rushEntry) query(c *rushCall) route.Query {
+	age := e.rush.now - c.arrived
+	q := route.Query{
+		Tried:      c.tried,
+		Idempotent: true,
+		Again:      len(c.tried) > 0,
+		Kind:       serviceName,
+		Aim:        rushAim,
+		Left:       rushAim - age,
+		Until:      rushDeadline - age,
+	}
+	if e.rush.Hasty {
+		q.Aim, q.Left, q.Until = 0, 0, 0
+	}
+	return q
+}
+
+func (e *rushEntry) waits(c *rushCall) share.Call {
+	arrived := start.Add(c.arrived)
+	return share.Call{
+		Caller:   c.caller,
+		Aim:      arrived.Add(rushAim),
+		Deadline: arrived.Add(rushDeadline),
+		Work:     e.table.Work(serviceName, e.query(c)),
+	}
+}
+
+// survey reads the load of targets for the call, and goes on once they have answered or the limit has passed.
+func (e *rushEntry) survey(c *rushCall, next func()) {
+	r := e.rush
+	if r.Blind {
+		next()
+		return
+	}
+	names, absent := e.table.Survey(r.time(), serviceName, e.query(c))
+	wait := time.Duration(0)
+	for i, name := range slices.Concat(names, absent) {
+		r.tally.Reads++
+		t := r.targets[slices.IndexFunc(r.targets, func(t *rushTarget) bool { return t.name == name })]
+		if t.gone {
+			if i < len(names) {
+				wait = rushRead
+			}
+			r.after(rushRead, func() { e.table.Unread(r.time(), t.name) })
+			continue
+		}
+		wait = max(wait, 2*rushTrip)
+		r.after(rushTrip, func() {
+			report := t.report()
+			r.after(rushTrip, func() { e.table.Observe(r.time(), t.name, report) })
+		})
+	}
+	r.after(wait, next)
+}
+
+// choose places the call by what is known of the targets.
+func (e *rushEntry) choose(c *rushCall) bool {
+	r := e.rush
+	p, _ := e.table.Pick(r.time(), serviceName, e.query(c))
+	if p == nil {
+		return false
+	}
+	c.permit = p
+	e.send(c, r.targets[slices.IndexFunc(r.targets, func(t *rushTarget) bool { return t.name == p.Target })])
+	return true
+}
+
+func (e *rushEntry) send(c *rushCall, t *rushTarget) {
+	c.target, c.sent = t, e.rush.now
+	e.inflight[t.name]++
+	e.rush.after(rushTrip, func() { t.arrive(c) })
+}
+
+func (e *rushEntry) join(c *rushCall) {
+	r := e.rush
+	if !r.Unordered {
+		e.line.Expect(e.table.Pace(r.time(), serviceName, e.query(c)))
+		p, refusal := e.line.Join(r.time(), e.waits(c))
+		if refusal != nil {
+			c.refuse()
+			return
+		}
+		c.place = p
+	}
+	e.waiting = append(e.waiting, c)
+	if !e.placing {
+		e.placing = true
+		e.placeAll()
+	}
+}
+
+// ordered returns the calls that wait in the order in which they are tried, and refuses those without a chance.
+func (e *rushEntry) ordered() []*rushCall {
+	e.waiting = slices.DeleteFunc(e.waiting, func(c *rushCall) bool { return c.over })
+	if e.rush.Unordered {
+		return slices.Clone(e.waiting)
+	}
+	e.line.Expire(e.rush.time())
+	var list []*rushCall
+	byPlace := map[*share.Place]*rushCall{}
+	for _, c := range e.waiting {
+		if c.place.Refusal() != nil {
+			c.refuse()
+			continue
+		}
+		byPlace[c.place] = c
+	}
+	for _, p := range e.line.Waiting(e.rush.time()) {
+		list = append(list, byPlace[p])
+	}
+	return list
+}
+
+// placeAll tries to place the calls that wait until none does.
+func (e *rushEntry) placeAll() {
+	calls := e.ordered()
+	if len(calls) == 0 {
+		e.placing = false
+		return
+	}
+	e.survey(calls[0], func() {
+		for _, c := range calls[:min(len(calls), rushDepth)] {
+			if c.over || !e.choose(c) {
+				continue
+			}
+			if c.place != nil {
+				e.line.Grant(e.rush.time(), c.place)
+			}
+			e.waiting = slices.DeleteFunc(e.waiting, func(other *rushCall) bool { return other == c })
+		}
+		e.woken = false
+		e.pause(e.rush.now)
+	})
+}
+
+// pause waits until a call has ended, or for the interval of tries.
+func (e *rushEntry) pause(since time.Duration) {
+	e.rush.after(rushPause, func() {
+		if e.woken || e.rush.now-since >= rushTry {
+			e.placeAll()
+			return
+		}
+		e.pause(since)
+	})
+}
+
+// end ends the attempt of the call.
+func (c *rushCall) end(kind route.Kind, report outcome.Report) {
+	e, now := c.entry, c.entry.rush.now
+	e.inflight[c.target.name]--
+	if c.permit != nil {
+		c.permit.Done(e.rush.time(), route.Result{
+			Kind:    kind,
+			Latency: now - c.sent,
+			Report:  report,
+			Length:  -1,
+		})
+		c.permit = nil
+	}
+	c.tried = append(c.tried, c.target.name)
+	c.target = nil
+	e.woken = true
+}
+
+// again places the call once more.
+func (c *rushCall) again() {
+	c.entry.rush.after(rushTrip, func() {
+		if !c.over {
+			c.entry.place(c)
+		}
+	})
+}
+
+func (c *rushCall) answer(report outcome.Report) {
+	r := c.entry.rush
+	c.end(route.Succeeded, report)
+	c.over = true
+	r.tally.Answered++
+	if r.now-c.arrived > rushAim {
+		return
+	}
+	r.tally.Timely++
+	if c.caller != "greedy" {
+		r.tally.FairTimely++
+	}
+}
+
+func (c *rushCall) refuse() {
+	r := c.entry.rush
+	c.over = true
+	r.tally.Refused++
+	r.tally.Waited += r.now - c.held
+}
+
+// cut ends the call at its deadline.
+func (c *rushCall) cut() {
+	if c.over {
+		return
+	}
+	c.over = true
+	c.entry.rush.tally.Cut++
+	if c.place != nil {
+		c.entry.line.Leave(c.place)
+	}
+	if t := c.target; t != nil {
+		c.end(route.Canceled, outcome.Report{})
+		t.remove(c)
+	}
+}
--- a/route/registered.go
+++ b/route/registered.go
@@ -629,7 +629,7 @@
 	defer s.mu.Unlock()
 	pace := 0.0
 	for _, x := range s.targets {
-		if x.operating() && !x.strange && !x.cold {
+		if x.operating() && !x.strange && x.unread == 0 && !x.cold {
 			pace += float64(x.Slots) / x.speedFactor(float64(x.Slots), s.meanSlowness(), x.currentDrag(now), false)
 		}
 	}
--- a/share/line.go
+++ b/share/line.go
@@ -20,6 +20,11 @@
 	// which the expected pace counts as much as the measured one.
 	paceMemory = 2 * time.Second
 	paceTrust  = 500 * time.Millisecond
+	// paceFloor is the least pace at which calls of any class are expected to leave, in calls a second.
+	paceFloor = 0.1
+	// paceDoubt is the factor by which a wait is taken to be longer than expected when it is judged whether a call will be
+	// late.
+	paceDoubt = 3
 	// returnFloor and returnCeiling bound when a refused call is told to come back.
 	returnFloor   = 100 * time.Millisecond
 	returnCeiling = 5 * time.Second
@@ -44,8 +49,8 @@
 //
 // Calls that can still be answered within their aim go first, those of a lower rank and then those with the earliest aim
 // before others. Calls of a caller that uses several times as much as the others go behind them, so that one that repeats
-// at once and often does not crowd out the rest. Calls that are late already take what is left. A call that cannot be
-// answered before its deadline is refused at once.
+// at once and often does not crowd out the rest. Calls that are late already take what is left. A call that is not expected
+// to be answered before its deadline is refused at once, also if that is so because those that arrive later go before it.
 //
 // A Line reads no clock and starts no goroutine. It is safe for concurrent use.
 type Line struct {
@@ -53,13 +58,17 @@
 	waiting *list.List // of *Place, in order of arrival
 	callers map[string]*use
 	swept   time.Time
-	// expected is the number of calls a second that the targets are expected to take from this entry. Granted is the
-	// number of calls that left for a target while calls waited, and watched the seconds in which calls waited, both as far
-	// as they are remembered at the time settled.
+	// expected is the number of calls a second that the targets are expected to take from this entry.
 	expected float64
-	granted  float64
-	watched  float64
-	settled  time.Time
+	// granted is the number of calls that left for a target while calls waited, behind how many of them were not timely,
+	// and watched the seconds in which calls waited. Fresh is the number of calls of callers that are not greedy, noted the
+	// seconds in which they were counted. All fade with paceMemory; settled is the time at which they are true.
+	granted float64
+	behind  float64
+	watched float64
+	fresh   float64
+	noted   float64
+	settled time.Time
 }
 
 // use is how much a caller has asked for lately, in seconds of work.
@@ -68,6 +77,15 @@
 	at   time.Time
 }
 
+// class says which of the waiting calls go first: those of a lower class.
+type class int
+
+const (
+	timely class = iota // can be answered within its aim
+	greedy              // the same, of a caller that uses several times as much as the others
+	late                // cannot be answered within its aim
+)
+
 // Place is the place of a call in a Line.
 type Place struct {
 	Call
@@ -108,6 +126,10 @@
 	u.work = u.current(now) + c.Work.Seconds()
 	u.at = now
 	l.sweep(now)
+	l.settle(now)
+	if !l.greedy(now, c.Caller) {
+		l.fresh++
+	}
 }
 
 func (u *use) current(now time.Time) float64 {
@@ -147,7 +169,7 @@
 	return own > greedyUse*(sum-own)/float64(len(l.callers)-1)
 }
 
-// Join lets a call wait, or refuses it if it cannot be answered before its deadline.
+// Join lets a call wait, or refuses it if it is not expected to be answered before its deadline.
 func (l *Line) Join(now time.Time, c Call) (*Place, *Refusal) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -157,33 +179,55 @@
 		greedy: l.greedy(now, c.Caller),
 	}
 	l.settle(now)
-	if refusal := l.hopeless(now, p, l.before(now, p)); refusal != nil {
-		return nil, refusal
-	}
 	p.element = l.waiting.PushBack(p)
+	if slices.Contains(l.hopeless(now), p) {
+		l.remove(p)
+		return nil, l.refusal(p)
+	}
 	return p, nil
 }
 
-// before returns the number of waiting calls that go before a new one. The caller holds the lock.
-func (l *Line) before(now time.Time, p *Place) int {
-	n := 0
-	for e := l.waiting.Front(); e != nil; e = e.Next() {
-		if !p.goesBefore(now, e.Value.(*Place)) {
-			n++
+// hopeless returns the waiting calls that are not expected to be answered before their deadline. The caller holds the lock.
+func (l *Line) hopeless(now time.Time) []*Place {
+	var list, overtaken []*Place
+	first, last := l.pace(timely), l.pace(late)
+	ahead := 0
+	// behind counts the calls that have what the timely ones leave. A greedy caller's calls do not count for those of others.
+	behind := map[bool]int{}
+	follow := func(p *Place) {
+		n := behind[p.greedy]
+		// Also the first one waits for a turn that the timely calls leave.
+		wait := float64(ahead)/first + float64(max(n, 1))/last
+		if !p.fits(now, seconds(wait), p.Deadline) {
+			list = append(list, p)
+			return
 		}
+		behind[p.greedy] = n + 1
 	}
-	return n
-}
-
-// hopeless returns why a call with so many others before it cannot be answered in time, nil if it may be.
-func (l *Line) hopeless(now time.Time, p *Place, before int) *Refusal {
-	wait := time.Duration(0)
-	if pace := l.pace(); pace > 0 {
-		wait = seconds(float64(before) / pace)
+	for _, p := range l.ordered(now) {
+		switch {
+		case p.class(now) != timely:
+			follow(p)
+		case p.fits(now, seconds(paceDoubt*float64(ahead)/first), p.Aim):
+			ahead++
+		default:
+			// It is late before it is its turn, and then goes behind those that are late already.
+			overtaken = append(overtaken, p)
+		}
 	}
-	if !now.Add(wait + p.Work).After(p.Deadline) {
-		return nil
+	for _, p := range overtaken {
+		follow(p)
 	}
+	return list
+}
+
+// fits tells whether the call is answered before the end if it waits for so long.
+func (p *Place) fits(now time.Time, wait time.Duration, end time.Time) bool {
+	return !now.Add(wait + p.Work).After(end)
+}
+
+// refusal returns why a call is refused that cannot be answered in time. The caller holds the lock.
+func (l *Line) refusal(p *Place) *Refusal {
 	reason := outcome.Deadline
 	if p.greedy {
 		reason = outcome.Share
@@ -196,11 +240,7 @@
 
 // retryAfter estimates when the calls that wait now will have left. The caller holds the lock.
 func (l *Line) retryAfter() time.Duration {
-	pace := l.pace()
-	if pace <= 0 {
-		return returnFloor
-	}
-	return min(max(seconds(float64(l.waiting.Len()+1)/pace), returnFloor), returnCeiling)
+	return min(max(seconds(float64(l.waiting.Len()+1)/l.pace(timely)), returnFloor), returnCeiling)
 }
 
 // Expect sets the number of calls a second that the targets are expected to take from this entry, for the time until the
@@ -211,10 +251,15 @@
 	l.expected = pace
 }
 
-// pace returns the calls a second that leave for a target while calls wait; zero if nothing is known. The caller holds the
-// lock.
-func (l *Line) pace() float64 {
-	return (l.expected*paceTrust.Seconds() + l.granted) / (paceTrust.Seconds() + l.watched)
+// pace returns the calls a second of a class that are expected to leave for a target while calls wait. Calls that are late or
+// of a greedy caller have what the others leave. The caller holds the lock.
+func (l *Line) pace(class class) float64 {
+	all := (l.expected*paceTrust.Seconds() + l.granted) / (paceTrust.Seconds() + l.watched)
+	if class != timely {
+		left := max(all-l.fresh/max(l.noted, paceTrust.Seconds()), 0)
+		all = (left*paceTrust.Seconds() + l.behind) / (paceTrust.Seconds() + l.watched)
+	}
+	return max(all, paceFloor)
 }
 
 // settle brings the measured pace up to now. The caller holds the lock.
@@ -223,21 +268,24 @@
 	l.settled = now
 	fade := math.Exp(-d / paceMemory.Seconds())
 	l.granted *= fade
+	l.behind *= fade
 	l.watched *= fade
+	l.fresh *= fade
+	l.noted = l.noted*fade + (1-fade)*paceMemory.Seconds()
 	if l.waiting.Len() > 0 {
 		l.watched += (1 - fade) * paceMemory.Seconds()
 	}
 }
 
-// class returns the class of a call; a lower one goes first.
-func (p *Place) class(now time.Time) int {
+// class returns the class of a call.
+func (p *Place) class(now time.Time) class {
 	switch {
-	case now.Add(p.Work).After(p.Aim):
-		return 2
+	case !p.fits(now, 0, p.Aim):
+		return late
 	case p.greedy:
-		return 1
+		return greedy
 	}
-	return 0
+	return timely
 }
 
 func (p *Place) goesBefore(now time.Time, other *Place) bool {
@@ -286,6 +334,9 @@
 		return false
 	}
 	l.granted++
+	if p.class(now) != timely {
+		l.behind++
+	}
 	close(p.Done)
 	return true
 }
@@ -314,13 +365,8 @@
 	if l.waiting.Len() == 0 {
 		return
 	}
-	before := 0
-	for _, p := range l.ordered(now) {
-		if refusal := l.hopeless(now, p, before); refusal != nil {
-			l.refuse(p, refusal)
-			continue
-		}
-		before++
+	for _, p := range l.hopeless(now) {
+		l.refuse(p, l.refusal(p))
 	}
 }
 
--- a/share/line_test.go
+++ b/share/line_test.go
@@ -56,6 +56,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			l := NewLine()
+			l.Expect(20)
 			for _, c := range test.calls {
 				l.Note(start, c)
 			}
@@ -103,6 +104,52 @@
 	assert.Equal(t, l.Len(), 0)
 }
 
+// Guards against calls that are held back although those that arrive later will always go before them. Load: 20 calls a
+// second where 10 leave, all alike, of callers that use the same.
+func TestLineRefusesOvertaken(t *testing.T) {
+	l := NewLine()
+	l.Expect(10)
+	joined := map[*Place]time.Time{}
+	refused, held, longest := 0, time.Duration(0), time.Duration(0)
+	count := func(since, now time.Time) {
+		if now.Sub(start) > 2*time.Second {
+			refused++
+			held += now.Sub(since)
+			longest = max(longest, now.Sub(since))
+		}
+	}
+	for now := start; now.Before(start.Add(20 * time.Second)); now = now.Add(10 * ms) {
+		elapsed := now.Sub(start)
+		if elapsed%(50*ms) == 0 {
+			c := at(fmt.Sprint(elapsed%(500*ms)), 0, elapsed+400*ms, elapsed+1600*ms)
+			l.Note(now, c)
+			if p, refusal := l.Join(now, c); refusal == nil {
+				joined[p] = now
+			} else {
+				count(now, now)
+			}
+		}
+		if waiting := l.Waiting(now); elapsed%(100*ms) == 0 && len(waiting) > 0 {
+			l.Grant(now, waiting[0])
+		}
+		l.Expire(now)
+		for p, since := range joined {
+			select {
+			case <-p.Done:
+				delete(joined, p)
+				if p.Refusal() != nil {
+					count(since, now)
+				}
+			default:
+			}
+		}
+	}
+	average := held / time.Duration(refused)
+	t.Logf("%d refused after %v on average, %v at most", refused, average, longest)
+	assert.Assert(t, refused > 150, "%d calls refused of 360, of which half cannot be served", refused)
+	assert.Assert(t, average <= 50*ms, "refused after %v on average", average)
+}
+
 // Guards against a pace that is taken from the time in which nothing waited, when calls leave as they come.
 func TestLinePace(t *testing.T) {
 	l := NewLine()
