Forecast arrivals by the median of short spans, so that a herd is not taken for a load that goes on

Cause (TestOverload, 60 requests at one moment at two workers with 2 slots): the rate of arrivals was taken over at least 0.5 s, so 60 requests at once counted as 120 a second that would go on to come, and all but 4 were refused although 16 could be answered before their deadline.

Ruled out: longer memories of the rate (5, 10 and 20 s: 6 requests answered, and refusals after 40 to 132 ms on average in TestRushRefusals, which allows 50 ms).

Change: arrivals are counted in spans of 200 ms; the forecast is the median of the last ten.

--- a/bench/rush.go
+++ b/bench/rush.go
@@ -121,17 +121,16 @@
 }
 
 type rushCall struct {
-	entry    *rushEntry
-	caller   string
-	arrived  time.Duration
-	place    *share.Place
-	permit   *route.Permit
-	target   *rushTarget
-	sent     time.Duration
-	held     time.Duration // since when the call waits for a target
-	tried    []string
-	over     bool
-	slowness float64
+	entry   *rushEntry
+	caller  string
+	arrived time.Duration
+	place   *share.Place
+	permit  *route.Permit
+	target  *rushTarget
+	sent    time.Duration
+	held    time.Duration // since when the call waits for a target
+	tried   []string
+	over    bool
 }
 
 // RunRush simulates one configuration.
--- a/share/line.go
+++ b/share/line.go
@@ -61,14 +61,14 @@
 	// expected is the number of calls a second that the targets are expected to take from this entry.
 	expected float64
 	// granted is the number of calls that left for a target while calls waited, behind how many of them were not timely,
-	// and watched the seconds in which calls waited. Fresh is the number of calls of callers that are not greedy, noted the
-	// seconds in which they were counted. All fade with paceMemory; settled is the time at which they are true.
+	// and watched the seconds in which calls waited; they fade with paceMemory and are true at the time
+	// settled.
 	granted float64
 	behind  float64
 	watched float64
-	fresh   float64
-	noted   float64
 	settled time.Time
+	// fresh counts the calls of callers that are not greedy.
+	fresh arrivals
 }
 
 // use is how much a caller has asked for lately, in seconds of work.
@@ -126,9 +126,8 @@
 	u.work = u.current(now) + c.Work.Seconds()
 	u.at = now
 	l.sweep(now)
-	l.settle(now)
 	if !l.greedy(now, c.Caller) {
-		l.fresh++
+		l.fresh.note(now)
 	}
 }
 
@@ -182,7 +181,7 @@
 	p.element = l.waiting.PushBack(p)
 	if slices.Contains(l.hopeless(now), p) {
 		l.remove(p)
-		return nil, l.refusal(p)
+		return nil, l.refusal(now, p)
 	}
 	return p, nil
 }
@@ -190,7 +189,7 @@
 // hopeless returns the waiting calls that are not expected to be answered before their deadline. The caller holds the lock.
 func (l *Line) hopeless(now time.Time) []*Place {
 	var list, overtaken []*Place
-	first, last := l.pace(timely), l.pace(late)
+	first, last := l.pace(now, timely), l.pace(now, late)
 	ahead := 0
 	// behind counts the calls that have what the timely ones leave. A greedy caller's calls do not count for those of others.
 	behind := map[bool]int{}
@@ -227,20 +226,20 @@
 }
 
 // refusal returns why a call is refused that cannot be answered in time. The caller holds the lock.
-func (l *Line) refusal(p *Place) *Refusal {
+func (l *Line) refusal(now time.Time, p *Place) *Refusal {
 	reason := outcome.Deadline
 	if p.greedy {
 		reason = outcome.Share
 	}
 	return &Refusal{
 		Reason:     reason,
-		RetryAfter: l.retryAfter(),
+		RetryAfter: l.retryAfter(now),
 	}
 }
 
 // retryAfter estimates when the calls that wait now will have left. The caller holds the lock.
-func (l *Line) retryAfter() time.Duration {
-	return min(max(seconds(float64(l.waiting.Len()+1)/l.pace(timely)), returnFloor), returnCeiling)
+func (l *Line) retryAfter(now time.Time) time.Duration {
+	return min(max(seconds(float64(l.waiting.Len()+1)/l.pace(now, timely)), returnFloor), returnCeiling)
 }
 
 // Expect sets the number of calls a second that the targets are expected to take from this entry, for the time until the
@@ -253,10 +252,10 @@
 
 // pace returns the calls a second of a class that are expected to leave for a target while calls wait. Calls that are late or
 // of a greedy caller have what the others leave. The caller holds the lock.
-func (l *Line) pace(class class) float64 {
+func (l *Line) pace(now time.Time, class class) float64 {
 	all := (l.expected*paceTrust.Seconds() + l.granted) / (paceTrust.Seconds() + l.watched)
 	if class != timely {
-		left := max(all-l.fresh/max(l.noted, paceTrust.Seconds()), 0)
+		left := max(all-l.fresh.rate(now), 0)
 		all = (left*paceTrust.Seconds() + l.behind) / (paceTrust.Seconds() + l.watched)
 	}
 	return max(all, paceFloor)
@@ -270,8 +269,6 @@
 	l.granted *= fade
 	l.behind *= fade
 	l.watched *= fade
-	l.fresh *= fade
-	l.noted = l.noted*fade + (1-fade)*paceMemory.Seconds()
 	if l.waiting.Len() > 0 {
 		l.watched += (1 - fade) * paceMemory.Seconds()
 	}
@@ -366,7 +363,7 @@
 		return
 	}
 	for _, p := range l.hopeless(now) {
-		l.refuse(p, l.refusal(p))
+		l.refuse(p, l.refusal(now, p))
 	}
 }
 
--- a/share/line_test.go
+++ b/share/line_test.go
@@ -150,6 +150,22 @@
 	assert.Assert(t, average <= 50*ms, "refused after %v on average", average)
 }
 
+// Guards against refusals of calls that can be served, if late, when many come at once and then none: as many wait as leave
+// before their deadline.
+func TestLineHerd(t *testing.T) {
+	l := NewLine()
+	l.Expect(20)
+	waiting := 0
+	for i := range 60 {
+		c := at(fmt.Sprint(i), 0, 300*ms, 1100*ms)
+		l.Note(start, c)
+		if _, refusal := l.Join(start, c); refusal == nil {
+			waiting++
+		}
+	}
+	assert.Assert(t, waiting >= 18 && waiting <= 22, "%d of 60 wait, 20 leave before their deadline", waiting)
+}
+
 // Guards against a pace that is taken from the time in which nothing waited, when calls leave as they come.
 func TestLinePace(t *testing.T) {
 	l := NewLine()
