--- a/bench/ownership.go
+++ b/bench/ownership.go
@@ -103,7 +103,7 @@
 			switch event := event.(type) {
 			case route.Fell:
 				e.table.SetFallen(s.time(), event.Target, event.Instance)
-				e.table.SetFalls(event.Target, event.Former, event.Falls)
+				e.table.SetFalls(s.time(), event.Target, event.Former, event.Falls)
 			case route.Warmed:
 				e.table.SetWarm(s.time(), event.Target, event.Instance, event.Falls)
 			}
--- a/entry/view.go
+++ b/entry/view.go
@@ -145,7 +145,7 @@
 		warm, fallen := e.fleet.Known(name)
 		e.table.SetWarm(now, name, warm.Instance, warm.Falls)
 		for _, f := range fallen {
-			e.table.SetFalls(name, f.Instance, f.Falls)
+			e.table.SetFalls(now, name, f.Instance, f.Falls)
 		}
 	}
 	e.view.Store(next)
--- a/route/service.go
+++ b/route/service.go
@@ -23,6 +23,9 @@
 	// coldChanceOnce is the same for a call that is not idempotent. It is lower because a lease that ends leaves such a
 	// call in an unknown outcome, and not zero because a service may have no other calls to warm its targets.
 	coldChanceOnce = 0.1
+	// fallPause is how long the owner of a target that fell cold sends it nothing: other entries hear of it within about
+	// 50 ms, and the calls that they sent before that have to end.
+	fallPause = 200 * time.Millisecond
 	// leaseCalls is how much of a lease must be left, in usual latencies, for a call to a cold target. A call that the
 	// end of the lease cuts off is work in vain.
 	leaseCalls = 3.0
@@ -285,6 +288,9 @@
 // own asks for ownership of a cold target. After a gap between leases the cold start is timed anew, because another
 // owner may have seen the target fall in between.
 func (t *target) own(now time.Time) (time.Time, bool) {
+	if now.Sub(t.fell) < fallPause {
+		return time.Time{}, false
+	}
 	until, owned := (*t.service.table.owner.Load())(now, t.Name)
 	if !owned || float64(until.Sub(now)) <= leaseCalls*t.service.latency {
 		return time.Time{}, false
--- a/route/table.go
+++ b/route/table.go
@@ -223,14 +223,14 @@
 
 // SetFalls records the fact that this instance of the target was warm and is not any more, because it has fallen cold
 // again or has ended. Falls is how often it has fallen with this. Such a fact never becomes false.
-func (t *Table) SetFalls(name, instance string, falls int) {
+func (t *Table) SetFalls(now time.Time, name, instance string, falls int) {
 	x := t.view.Load().targets[name]
 	if x == nil || instance == "" {
 		return
 	}
 	x.service.mu.Lock()
 	defer x.service.mu.Unlock()
-	x.setFalls(instance, falls)
+	x.setFalls(now, instance, falls)
 }
 
 // Status is the state of a target as this entry sees it.
--- a/route/target.go
+++ b/route/target.go
@@ -52,8 +52,10 @@
 	// instance is the last process start seen, alive at the time seen.
 	instance string
 	seen     time.Time
-	// falls is how often the instance has fallen cold again since its start, as far as that is known.
+	// falls is how often the instance has fallen cold again since its start, as far as that is known, fell when this entry
+	// learned of the last time.
 	falls int
+	fell  time.Time
 	// warm holds the last instances known to be warm, with their falls then, past those known to be gone, and fallen
 	// those that fell, with their falls.
 	warm    [4]generation
@@ -149,13 +151,14 @@
 }
 
 // setFalls takes note that the instance has fallen cold again, or ended, after it was warm.
-func (t *target) setFalls(instance string, falls int) {
+func (t *target) setFalls(now time.Time, instance string, falls int) {
 	remember(&t.fallen, generation{
 		instance: instance,
 		falls:    falls,
 	})
 	if instance == t.instance && falls > t.falls {
 		t.falls = falls
+		t.fell = now
 		t.warming = time.Time{}
 	}
 }
@@ -176,6 +179,7 @@
 	}
 	t.instance = instance
 	t.falls = 0
+	t.fell = time.Time{}
 	for _, l := range t.fallen {
 		if l.instance == instance {
 			t.falls = max(t.falls, l.falls)
@@ -213,7 +217,7 @@
 		t.draining = sent
 	case outcome.PhaseCold:
 		if answered && t.isWarm() && sent.Sub(t.warmAt) > coldGrace {
-			t.setFalls(t.instance, t.falls+1)
+			t.setFalls(now, t.instance, t.falls+1)
 			e = Fell{
 				Target:   t.Name,
 				Instance: t.instance,
