Give the chains of the tests a budget of probes that does not limit the calls

Cause (TestChainRepeats, known red, its control had too few runs on a fast machine): each dropped answer closes a connection, and the check of a new one needs a probe. At the rate of this machine 359 calls were refused and 1528 not repeated for lack of probes (counters of the entry), so the calls did not reach the last level. With the race detector the calls came more slowly.

Ruled out: fewer callers at once (4 and 2: 1612 to 2482 runs at the last level, still below the 2200 that the fault must exceed).

Change: the services of the chains have 1000 probes a second. No bound is changed.

--- a/deployment/chain_test.go
+++ b/deployment/chain_test.go
@@ -22,6 +22,8 @@
 	chainLevels  = 12
 	chainTargets = 3
 	chainSeed    = 20261204
+	// chainProbes does not limit the calls: each dropped answer closes a connection, and the check of a new one is a probe.
+	chainProbes = 1000
 )
 
 // chain is a deployment in which each target of a level calls the service of the next level through an entry.
@@ -43,6 +45,7 @@
 			Name:     levelName(level),
 			Targets:  chainTargets,
 			Work:     2 * time.Millisecond,
+			Probes:   chainProbes,
 			Switches: switches,
 		})
 	}
--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -68,6 +68,8 @@
 	Switches standin.Switches
 	// Work is the usual time of a call as the settings have it.
 	Work time.Duration
+	// Probes is the number of load reads and connection checks per target and second; zero for the default of the settings.
+	Probes int
 }
 
 // Defaults fills in what was left out.
@@ -183,6 +185,7 @@
 		Connections: 200,
 		Targets:     targets,
 		Work:        setting.Duration(max(s.Work, time.Millisecond)),
+		Probes:      s.Probes,
 		Cold: setting.Cold{
 			Bear: max(switches.Bear, 1),
 			Time: setting.Duration(max(time.Duration(switches.Cold), time.Millisecond)),
