--- a/entry/call.go
+++ b/entry/call.go
@@ -82,6 +82,8 @@
 	if no != nil {
 		if c != nil {
 			e.traceRefused(c, no)
+		} else {
+			e.traceUnparsed(r, no)
 		}
 		e.refuse(w, no)
 	}
@@ -112,7 +114,7 @@
 	c := &call{
 		view:       v,
 		service:    s,
-		id:         q.ID,
+		id:         e.protocol.ID(r),
 		promise:    promised,
 		arrived:    now,
 		caller:     q.Caller,
--- a/entry/protocol.go
+++ b/entry/protocol.go
@@ -15,6 +15,8 @@
 // Protocol is how callers and targets speak with an entry. Own is the one of this project; a platform whose callers and
 // targets speak otherwise brings another.
 type Protocol interface {
+	// ID returns the id that the caller gave to the call; empty if callers give none.
+	ID(r *http.Request) string
 	// Parse reads what a request says of its call beside host, method, path and body. The settings are those in force.
 	Parse(settings *setting.Settings, r *http.Request) (Request, *Refusal)
 	// Answer fills in the header of the answer to a caller from the header of a target's answer.
@@ -27,8 +29,6 @@
 
 // Request is what a request says of its call.
 type Request struct {
-	// ID is the id under which targets get the call; empty if each attempt has an id of its own.
-	ID string
 	// Caller is who is calling.
 	Caller string
 	// Key is the idempotency key, empty if the caller has none and the call is to run at most once nevertheless.
@@ -57,6 +57,9 @@
 // Own is this project's protocol towards callers (docs/design.md, 2.3).
 type Own struct{}
 
+// ID implements Protocol.
+func (Own) ID(*http.Request) string { return "" }
+
 // Parse implements Protocol.
 func (Own) Parse(settings *setting.Settings, r *http.Request) (Request, *Refusal) {
 	q := Request{
--- a/entry/trace.go
+++ b/entry/trace.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -99,6 +100,19 @@
 	})
 }
 
+// traceUnparsed tells why a request was refused that names no service, or came before there were settings.
+func (e *Entry) traceUnparsed(r *http.Request, no *Refusal) {
+	e.calls.Info(msgRefused,
+		zap.String("reason", string(no.Reason)),
+		zap.Duration("retry", no.RetryAfter),
+		zap.String("text", no.Text),
+		zap.String("request", e.protocol.ID(r)),
+		zap.String("host", r.Host),
+		zap.String("path", r.URL.Path),
+		zap.Uint64("state", e.view.Load().version),
+	)
+}
+
 // traceAnswered tells of an answer of a target. Late answers and failures of targets are kept before others.
 func (e *Entry) traceAnswered(c *call, a *answer) {
 	level := zapcore.DebugLevel
