Do not count a report again that is older than the fall of a target

Cause (TestFallInPlace, the failure that was left; traced with the state of the table): while the owner of a fallen target sent nothing, the periodic look at cold targets got the last report of the pool, which may be a second old, and was from before the fall.

Change: the look at cold targets takes no report from the pool; reads pass on what they find themselves. TestFallAfterReport fails without it each time.

--- a/entry/background.go
+++ b/entry/background.go
@@ -114,9 +114,10 @@
 		e.tasks.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
-			// A failed probe shows in the target's use and is repeated.
-			if report, err := p.Probe(ctx); err == nil {
-				e.notify(e.table.Observe(e.timers.Now(), s.Target, report))
+			// The pool passes on what a load read tells. A report that the probe returns without a read is from before: it
+			// must not count again, because the target may have fallen cold since. A failed probe is repeated.
+			if _, err := p.Probe(ctx); err != nil {
+				e.log.Debug("probe of a cold target failed", zap.String("target", s.Target), zap.Error(err))
 			}
 		})
 	}
--- a/entry/cold_test.go
+++ b/entry/cold_test.go
@@ -142,6 +142,40 @@
 	}
 }
 
+// Guards against a target that is taken to be warm again because of a report from before its fall: a probe of a target that
+// answered within the last second returns what it said then.
+func TestFallAfterReport(t *testing.T) {
+	t.Parallel()
+	d := start(t, deployment.Options{
+		Services: []deployment.Service{
+			{
+				Name:    "stock",
+				Targets: 1,
+				Switches: standin.Switches{
+					Slots: 4,
+					Bear:  1,
+					Cold:  standin.Duration(10 * time.Millisecond),
+				},
+			},
+		},
+	})
+	e, target := d.Entries[0], d.Targets["stock-1"].Target
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if send(context.Background(), e, get("/stock/1")).outcome() != "answered" || e.Status().Phases[0].Use != "warm" {
+			return poll.Continue("the target is not warm")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+	target.Fall(time.Minute)
+	e.Fell("stock-1", e.Status().Phases[0].Instance, 1)
+	time.Sleep(300 * time.Millisecond) // The owner sends nothing for 200 ms after a fall.
+	for range 5 {
+		e.ProbeCold()
+		time.Sleep(30 * time.Millisecond)
+	}
+	assert.Equal(t, e.Status().Phases[0].Use, "cold")
+}
+
 // Guards against an answer of a cold target that is lost because the end of its own attempt passes for a caller that went
 // away. The deadline is longer than a lease, so that the attempt has a deadline of its own.
 func TestColdAnswered(t *testing.T) {
