Tell calls that came back from new ones, and leave a free slot to calls that can be in time

Of the slots, 40% went to calls that were late in any case, while calls that could have been in time were refused or waited at another entry.

Ruled out: exact values of the time left (callers give 85% to 100% of a time of their own, so no value is frequent).

Change: share.Patience learns how much time callers give a call while none is refused, and tells from what is left how long a caller has waited. Such a call keeps its aim. A slot that has become free is left to calls that can be in time for 60 ms, which is two tries of the waiting calls of any entry.

--- a/bench/rush.go
+++ b/bench/rush.go
@@ -20,6 +20,8 @@
 	// Entries and Targets are numbers of processes in one failure domain.
 	Entries int
 	Targets int
+	// Slots is the number of slots of each target; zero for rushSlots.
+	Slots int
 	// Load is the offered load as a fraction of the capacity of all slots at the average slowness.
 	Load float64
 	// Lost is the part of the targets that vanishes in the middle third of the run.
@@ -28,16 +30,23 @@
 	Dragged int
 	// Greedy is additional load of one caller, as a fraction of the capacity.
 	Greedy float64
-	Policy Policy
-	Seed   uint64
-	Length time.Duration
+	// Returns is how often a caller comes back with a call that was refused.
+	Returns int
+	Policy  Policy
+	Seed    uint64
+	Length  time.Duration
 
 	// Blind entries read no loads before a placement.
 	Blind bool
-	// Unordered entries let calls wait in the order of their arrival, and refuse none before its deadline.
+	// Unordered entries let calls wait in the order of their arrival, and refuse none before its deadline. They are eager
+	// as well.
 	Unordered bool
 	// Hasty entries let no call wait for a faster target while a slower one has room.
 	Hasty bool
+	// Forgetful entries take calls that come back for new ones.
+	Forgetful bool
+	// Eager entries let calls that will be late take a slot as soon as it is free.
+	Eager bool
 }
 
 const (
@@ -45,6 +54,8 @@
 	rushWork     = 120 * time.Millisecond
 	rushAim      = 400 * time.Millisecond
 	rushDeadline = 1600 * time.Millisecond
+	// rushPatience is the least part of rushDeadline that callers give a call.
+	rushPatience = 0.85
 	// rushSigma is the standard deviation of the logarithm of the work of calls.
 	rushSigma = 0.5
 	// A host is slow for spells of rushSpell on average, rushBusy of the time, by rushSlow.
@@ -64,8 +75,9 @@
 	rushPause = 2 * time.Millisecond
 	rushDepth = 8
 	rushRead  = 20 * time.Millisecond
-	// rushCallers is the number of callers that are not greedy.
-	rushCallers = 40
+	// rushCallers is the number of callers that are not greedy, greedyCaller the name of the one that is.
+	rushCallers  = 40
+	greedyCaller = "greedy"
 )
 
 // Tally is what a Rush measured.
@@ -74,10 +86,12 @@
 	// Timely calls were answered within their aim, Answered ones within their deadline.
 	Timely   int
 	Answered int
-	// Refused calls were refused, after waiting for Waited in sum. Cut calls ended at their deadline.
-	Refused int
-	Waited  time.Duration
-	Cut     int
+	// Refused calls were refused in the end. Refusals counts each time that a call was, after Waited in sum. Cut calls ended
+	// at their deadline.
+	Refused  int
+	Refusals int
+	Waited   time.Duration
+	Cut      int
 	// Reads is the number of load reads.
 	Reads int
 	// Fair and FairTimely count the calls of callers that are not greedy.
@@ -114,6 +128,7 @@
 	rush     *rush
 	table    *route.Table
 	line     *share.Line
+	patience *share.Patience
 	inflight map[string]int
 	waiting  []*rushCall
 	placing  bool
@@ -121,21 +136,30 @@
 }
 
 type rushCall struct {
-	entry   *rushEntry
-	caller  string
-	arrived time.Duration
-	place   *share.Place
-	permit  *route.Permit
-	target  *rushTarget
-	sent    time.Duration
-	held    time.Duration // since when the call waits for a target
-	tried   []string
-	over    bool
+	entry  *rushEntry
+	caller string
+	// arrived is when the call came to the entry, first when the caller made it for the first time, and waited how much of
+	// the time between the entry knows of.
+	arrived  time.Duration
+	first    time.Duration
+	waited   time.Duration
+	deadline time.Duration
+	returns  int
+	place    *share.Place
+	permit   *route.Permit
+	target   *rushTarget
+	sent     time.Duration
+	held     time.Duration // since when the call waits for a target
+	tried    []string
+	over     bool
 }
 
 // RunRush simulates one configuration.
 func RunRush(c Rush) *Tally {
 	c.Entries, c.Targets = max(c.Entries, 1), max(c.Targets, 1)
+	if c.Slots == 0 {
+		c.Slots = rushSlots
+	}
 	r := &rush{
 		Rush:  c,
 		rand:  rand.New(rand.NewPCG(c.Seed, 4)),
@@ -157,7 +181,7 @@
 			Name:     t.name,
 			Service:  serviceName,
 			Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 80),
-			Slots:    rushSlots,
+			Slots:    c.Slots,
 			Instance: t.name,
 		})
 		t.disturb()
@@ -171,6 +195,7 @@
 				Started: start,
 			}),
 			line:     share.NewLine(),
+			patience: share.NewPatience(),
 			inflight: map[string]int{},
 		}
 		e.table.SetTargets(start, specs)
@@ -178,9 +203,9 @@
 		r.entries = append(r.entries, e)
 	}
 	slowness := 1 + rushBusy*(rushSlow-1)
-	capacity := float64(c.Targets*rushSlots) / (rushWork.Seconds() * slowness)
+	capacity := float64(c.Targets*c.Slots) / (rushWork.Seconds() * slowness)
 	r.arrivals(c.Load*capacity, func() string { return fmt.Sprint("caller", r.rand.IntN(rushCallers)) })
-	r.arrivals(c.Greedy*capacity, func() string { return "greedy" })
+	r.arrivals(c.Greedy*capacity, func() string { return greedyCaller })
 	if c.Lost > 0 {
 		r.after(c.Length/3, func() { r.lose(true) })
 		r.after(2*c.Length/3, func() { r.lose(false) })
@@ -195,7 +220,17 @@
 		return
 	}
 	r.after(time.Duration(r.rand.ExpFloat64()/rate*float64(time.Second)), func() {
-		r.entries[r.rand.IntN(len(r.entries))].arrive(caller())
+		r.tally.Offered++
+		c := &rushCall{
+			caller:   caller(),
+			first:    r.now,
+			deadline: r.now + time.Duration((rushPatience+(1-rushPatience)*r.rand.Float64())*float64(rushDeadline)),
+		}
+		if c.caller != greedyCaller {
+			r.tally.Fair++
+		}
+		r.arrive(c)
+		r.after(c.deadline-r.now, c.cut)
 		r.arrivals(rate, caller)
 	})
 }
@@ -232,7 +267,7 @@
 		Instance: t.name,
 		Phase:    outcome.PhaseWarm,
 		Active:   len(t.running),
-		Slots:    rushSlots,
+		Slots:    t.rush.Slots,
 		Queued:   len(t.queue),
 		Slowness: t.slowness,
 	}
@@ -244,7 +279,7 @@
 	case t.gone:
 		c.end(route.Unsent, outcome.Report{})
 		c.again()
-	case len(t.running) < rushSlots:
+	case len(t.running) < t.rush.Slots:
 		t.run(c)
 	default:
 		t.queue = append(t.queue, c)
@@ -255,7 +290,7 @@
 	r := t.rush
 	t.running = append(t.running, c)
 	work := float64(rushWork) * math.Exp(r.rand.NormFloat64()*rushSigma-rushSigma*rushSigma/2) * t.slowness * t.drag
-	if float64(len(t.running)) >= rushKnee*rushSlots {
+	if float64(len(t.running)) >= rushKnee*float64(t.rush.Slots) {
 		work *= rushFull
 	}
 	r.after(time.Duration(work), func() {
@@ -277,25 +312,20 @@
 	is := func(other *rushCall) bool { return other == c }
 	t.running = slices.DeleteFunc(t.running, is)
 	t.queue = slices.DeleteFunc(t.queue, is)
-	for len(t.queue) > 0 && len(t.running) < rushSlots {
+	for len(t.queue) > 0 && len(t.running) < t.rush.Slots {
 		next := t.queue[0]
 		t.queue = t.queue[1:]
 		t.run(next)
 	}
 }
 
-func (e *rushEntry) arrive(caller string) {
-	r := e.rush
-	c := &rushCall{
-		entry:   e,
-		caller:  caller,
-		arrived: r.now,
+// arrive brings the call to any of the entries.
+func (r *rush) arrive(c *rushCall) {
+	e := r.entries[r.rand.IntN(len(r.entries))]
+	c.entry, c.arrived = e, r.now
+	if !r.Forgetful {
+		c.waited = e.patience.Waited(r.time(), c.deadline-r.now)
 	}
-	r.tally.Offered++
-	if caller != "greedy" {
-		r.tally.Fair++
-	}
-	r.after(rushDeadline, c.cut)
 	if r.Policy == Route {
 		e.line.Note(r.time(), e.waits(c))
 	}
@@ -340,15 +370,17 @@
 }
 
 func (e *rushEntry) query(c *rushCall) route.Query {
-	age := e.rush.now - c.arrived
 	q := route.Query{
 		Tried:      c.tried,
 		Idempotent: true,
 		Again:      len(c.tried) > 0,
 		Kind:       serviceName,
 		Aim:        rushAim,
-		Left:       rushAim - age,
-		Until:      rushDeadline - age,
+		Left:       c.aim() - e.rush.now,
+		Until:      c.deadline - e.rush.now,
+	}
+	if (e.rush.Eager || e.rush.Unordered) && q.Left <= e.table.Work(serviceName, q) {
+		q.Aim, q.Left = 0, 0
 	}
 	if e.rush.Hasty {
 		q.Aim, q.Left, q.Until = 0, 0, 0
@@ -357,11 +389,10 @@
 }
 
 func (e *rushEntry) waits(c *rushCall) share.Call {
-	arrived := start.Add(c.arrived)
 	return share.Call{
 		Caller:   c.caller,
-		Aim:      arrived.Add(rushAim),
-		Deadline: arrived.Add(rushDeadline),
+		Aim:      start.Add(c.aim()),
+		Deadline: start.Add(c.deadline),
 		Work:     e.table.Work(serviceName, e.query(c)),
 	}
 }
@@ -418,7 +449,7 @@
 		e.line.Expect(e.table.Pace(r.time(), serviceName, e.query(c)))
 		p, refusal := e.line.Join(r.time(), e.waits(c))
 		if refusal != nil {
-			c.refuse()
+			c.refuse(refusal)
 			return
 		}
 		c.place = p
@@ -439,9 +470,9 @@
 	e.line.Expire(e.rush.time())
 	var list []*rushCall
 	byPlace := map[*share.Place]*rushCall{}
-	for _, c := range e.waiting {
-		if c.place.Refusal() != nil {
-			c.refuse()
+	for _, c := range slices.Clone(e.waiting) {
+		if refusal := c.place.Refusal(); refusal != nil {
+			c.refuse(refusal)
 			continue
 		}
 		byPlace[c.place] = c
@@ -517,22 +548,40 @@
 	c.end(route.Succeeded, report)
 	c.over = true
 	r.tally.Answered++
-	if r.now-c.arrived > rushAim {
+	if r.now-c.first > rushAim {
 		return
 	}
 	r.tally.Timely++
-	if c.caller != "greedy" {
+	if c.caller != greedyCaller {
 		r.tally.FairTimely++
 	}
 }
 
-func (c *rushCall) refuse() {
-	r := c.entry.rush
-	c.over = true
-	r.tally.Refused++
+// refuse ends the call, unless its caller comes back with it.
+func (c *rushCall) refuse(refusal *share.Refusal) {
+	e, r := c.entry, c.entry.rush
+	r.tally.Refusals++
 	r.tally.Waited += r.now - c.held
+	e.patience.Refused(r.time())
+	e.waiting = slices.DeleteFunc(e.waiting, func(other *rushCall) bool { return other == c })
+	c.place = nil
+	if c.returns == r.Returns {
+		c.over = true
+		r.tally.Refused++
+		return
+	}
+	c.returns++
+	// Callers wait for up to a third of the time that they have.
+	r.after(min(refusal.RetryAfter, (c.deadline-r.now)/3), func() {
+		if !c.over {
+			r.arrive(c)
+		}
+	})
 }
 
+// aim returns until when an answer is of full use, as far as the entry knows.
+func (c *rushCall) aim() time.Duration { return c.arrived - c.waited + rushAim }
+
 // cut ends the call at its deadline.
 func (c *rushCall) cut() {
 	if c.over {
--- a/bench/rush_test.go
+++ b/bench/rush_test.go
@@ -28,6 +28,7 @@
 		sum.Timely += r.Timely
 		sum.Answered += r.Answered
 		sum.Refused += r.Refused
+		sum.Refusals += r.Refusals
 		sum.Waited += r.Waited
 		sum.Cut += r.Cut
 		sum.Reads += r.Reads
@@ -90,13 +91,45 @@
 		c := smallest()
 		c.Load, c.Lost = load, 0.5
 		r := rushes(t, fmt.Sprintf("load %v", load), c)
-		held := r.Waited / time.Duration(max(r.Refused, 1))
+		held := r.Waited / time.Duration(max(r.Refusals, 1))
 		t.Logf("refused after %v on average", held)
 		assert.Check(t, r.Refused > 0 && held <= rushAim/8, "load %v: refused after %v on average", load, held)
 		assert.Check(t, float64(r.Cut) <= 0.01*float64(r.Offered), "load %v: %d calls cut at their deadline", load, r.Cut)
 	}
 }
 
+// Guards against calls that come back after a refusal, and are late in any case, in the place of calls that can be in time:
+// two thirds of the targets are lost, and refused callers come back twice. Each control lacks one of the two mechanisms: that
+// calls which came back are known, and that a free slot is left to calls of any entry which can be in time.
+func TestRushReturns(t *testing.T) {
+	t.Parallel()
+	const least, margin = 0.02, 0.02
+	for _, targets := range []int{9, 18} {
+		c := Rush{
+			Entries: 6,
+			Targets: targets,
+			Slots:   2,
+			Load:    0.6,
+			Lost:    0.67,
+			Returns: 2,
+			Policy:  Route,
+			Length:  24 * time.Second,
+		}
+		have := rushes(t, fmt.Sprintf("%d targets", targets), c)
+		without := map[string]func(c *Rush){
+			"memory of callers":    func(c *Rush) { c.Forgetful = true },
+			"turn for timely ones": func(c *Rush) { c.Eager = true },
+		}
+		for name, off := range without {
+			control := c
+			off(&control)
+			other := rushes(t, "without "+name, control)
+			assert.Check(t, have.InTime() >= other.InTime()+least, "%d targets, without %s", targets, name)
+			assert.Check(t, have.Served() >= other.Served()-margin, "%d targets, without %s", targets, name)
+		}
+	}
+}
+
 // Guards callers from one that asks for far more than the others. The negative control does not tell them apart.
 func TestRushGreedy(t *testing.T) {
 	t.Parallel()
--- a/entry/call.go
+++ b/entry/call.go
@@ -24,9 +24,11 @@
 	id string
 	// promise is what the caller of the route is owed.
 	promise promise
-	// arrived is when the head of the call had been read, admitted when its turn came.
+	// arrived is when the head of the call had been read, admitted when its turn came. Waited is for how long its caller is
+	// taken to have waited before, because the call was refused and came back.
 	arrived  time.Time
 	admitted time.Time
+	waited   time.Duration
 	caller   string
 	key      string
 	request  *http.Request
@@ -125,6 +127,9 @@
 		repeat:     q.Repeat,
 		relayed:    relayed,
 	}
+	if q.Timeout > 0 && promised.patience != nil {
+		c.waited = promised.patience.Waited(now, q.Timeout)
+	}
 	c.tried = c.first[:0]
 	if !c.idempotent && c.key == "" && !relayed && promised.keyed {
 		return nil, notRun(outcome.Key, 0, "a call with method "+r.Method+" needs the header "+headerKey)
@@ -198,6 +203,9 @@
 	if c.view.registered {
 		permit, refused := e.place(ctx, c)
 		if refused != nil {
+			if c.promise.patience != nil {
+				c.promise.patience.Refused(e.timers.Now())
+			}
 			return nil, notRun(refused.Reason, refused.RetryAfter, "no target was free in time")
 		}
 		c.permit = permit
--- a/entry/line.go
+++ b/entry/line.go
@@ -102,11 +102,14 @@
 	return w.permit, nil
 }
 
+// aim returns until when an answer is of full use to the caller of a route that has an aim.
+func (c *call) aim() time.Time { return c.arrived.Add(c.promise.aim - c.waited) }
+
 // waits describes the call to the line.
 func (c *call) waits(now time.Time, work time.Duration) share.Call {
 	aim := c.deadline
 	if c.promise.aim > 0 {
-		aim = c.arrived.Add(c.promise.aim)
+		aim = c.aim()
 	}
 	return share.Call{
 		Caller:   c.caller,
--- a/entry/routed.go
+++ b/entry/routed.go
@@ -8,6 +8,7 @@
 	"skylarkbeam/fleet"
 	"skylarkbeam/route"
 	"skylarkbeam/setting"
+	"skylarkbeam/share"
 )
 
 // maxAttempts is the number of targets that may run a call without a route.
@@ -27,6 +28,8 @@
 	// aim is the time within which an answer is of full use; zero if the settings do not say.
 	aim  time.Duration
 	rank int
+	// patience tells for how long a caller has waited before the call; nil if that is not looked at.
+	patience *share.Patience
 }
 
 // routed is a route of the settings with the state of its spread.
@@ -89,9 +92,13 @@
 				deadline:   time.Duration(spec.Deadline),
 				aim:        time.Duration(spec.Aim),
 				rank:       spec.Rank,
+				patience:   share.NewPatience(),
 			},
 			spread: newSpread(spec),
 		}
+		if have := old.promises[name]; have != nil {
+			r.promise.patience = have.promise.patience
+		}
 		if have := old.promises[name]; have != nil && equalParts(have.spread.parts, r.spread.parts) {
 			r.spread = have.spread
 		}
--- a/entry/run.go
+++ b/entry/run.go
@@ -157,7 +157,7 @@
 		Size:       len(c.body),
 	}
 	if c.promise.aim > 0 {
-		q.Left = c.arrived.Add(c.promise.aim).Sub(now)
+		q.Left = c.aim().Sub(now)
 	}
 	return q
 }
--- a/entry/trace.go
+++ b/entry/trace.go
@@ -35,6 +35,7 @@
 		zap.String("route", c.promise.route),
 		zap.String("service", c.service.name),
 		zap.Duration("elapsed", now.Sub(c.arrived)),
+		zap.Duration("before", c.waited),
 		zap.Duration("left", c.deadline.Sub(now)),
 		zap.Uint64("state", c.view.version),
 	)...)
@@ -116,7 +117,7 @@
 // traceAnswered tells of an answer of a target. Late answers and failures of targets are kept before others.
 func (e *Entry) traceAnswered(c *call, a *answer) {
 	level := zapcore.DebugLevel
-	late := c.promise.aim > 0 && e.timers.Now().Sub(c.arrived) > c.promise.aim
+	late := c.promise.aim > 0 && e.timers.Now().After(c.aim())
 	if late {
 		e.counters.late.Inc()
 	}
--- a/route/registered.go
+++ b/route/registered.go
@@ -76,6 +76,9 @@
 	lastWorks  = 3
 	// workSpread is the standard deviation of the logarithm of the time of calls, relative to the expected time.
 	workSpread = 0.35
+	// lateTurn is how long a slot that has become free is left to calls of any entry that can be in time, before one that
+	// will be late takes it. Entries with waiting calls read the load of targets every 30 ms.
+	lateTurn = 60 * time.Millisecond
 	// slope is what an answer that takes as long as its aim costs more than one at once, if both are in time.
 	slope = 0.05
 )
@@ -92,6 +95,9 @@
 	// drag is how much slower than expected the target has been at the time dragged.
 	drag    float64
 	dragged time.Time
+	// full says that the last report showed no free slot, and freed is the time of the first one after that which did.
+	full  bool
+	freed time.Time
 	// strange says that another instance answers at the address.
 	strange bool
 	// unread is the number of load reads in a row that got no answer in time, not counting the one that may be missed.
@@ -235,6 +241,15 @@
 	return list
 }
 
+// noteRoom takes note of whether a report shows a free slot.
+func (t *target) noteRoom(now time.Time) {
+	full := !t.room(float64(t.inflight) + t.others)
+	if t.full && !full {
+		t.freed = now
+	}
+	t.full = full
+}
+
 // room tells whether one more call finds a free slot beside so many others.
 func (t *target) room(load float64) bool { return load <= float64(t.Slots)-0.5 }
 
@@ -299,7 +314,11 @@
 // than the call would. A slot that is busy with a late answer for a second serves four calls in that time otherwise.
 func (s *service) waits(now time.Time, t *target, q Query, load float64) bool {
 	expected, work := t.expected(now, q, load), s.work(q)
-	if q.Aim > 0 && work < float64(q.Left) && expected > float64(q.Left) {
+	if q.Aim > 0 && work < float64(q.Left) {
+		if expected > float64(q.Left) {
+			return true
+		}
+	} else if q.Aim > 0 && now.Sub(t.freed) < lateTurn {
 		return true
 	}
 	if q.Until <= 0 {
--- a/route/registered_test.go
+++ b/route/registered_test.go
@@ -370,3 +370,36 @@
 	reports(table, epoch.Add(2*surveyAge), "a3", 0, 1)
 	assert.Equal(t, survey(epoch.Add(2*surveyAge)), 0)
 }
+
+// Guards against a call that will be late in a slot that has just become free, which a call of another entry that can be in
+// time needs, and against a late call that waits although nobody else wants the slot.
+func TestLateTurn(t *testing.T) {
+	table := registeredTable(registeredSpecs("a", 1)...)
+	now := epoch
+	learn(t, table, now, "a0", 100*time.Millisecond)
+	tests := []struct {
+		age   time.Duration // of the call
+		after time.Duration // since the slot became free
+		want  bool
+	}{
+		{0, 0, true},
+		{registeredAim, 0, false},
+		{registeredAim, lateTurn / 2, false},
+		{registeredAim, lateTurn, true},
+	}
+	for _, test := range tests {
+		now = now.Add(time.Minute)
+		reports(table, now, "a0", registeredSlots, 1)
+		now = now.Add(time.Millisecond)
+		reports(table, now, "a0", registeredSlots-1, 1)
+		now = now.Add(test.after)
+		reports(table, now, "a0", registeredSlots-1, 1)
+		p, _ := table.Pick(now, "stock", calls(test.age))
+		assert.Equal(t, p != nil, test.want, "call of age %s, %s after the slot became free", test.age, test.after)
+		if p != nil {
+			p.Done(now, Result{
+				Kind: Canceled,
+			})
+		}
+	}
+}
--- a/route/target.go
+++ b/route/target.go
@@ -277,6 +277,7 @@
 	if t.reported.IsZero() {
 		t.usual = t.others
 	}
+	t.noteRoom(now)
 	t.usual += (t.others - t.usual) * usualWeight
 	s := t.service
 	s.usual += (t.others/slots - s.usual) * latencyMean
