Count all windows that have begun for the budget of repeats

The burst that had earned it leaves the window while the repeat is still in it, so a window that begins after the burst had more than its share.

Change: the budget looks at all windows that have begun. TestBudgetAfterBurst fails without it.

--- a/route/budget.go
+++ b/route/budget.go
@@ -15,8 +15,8 @@
 // that would fail.
 const hedgeReserve = 3.0
 
-// budgetSteps is the number of steps into which the window of a budget is divided. The oldest step lies in the window in part:
-// its repeats count in full and its first attempts not at all, so the budget is never too generous.
+// budgetSteps is the number of steps into which the window of a budget is divided. Steps that lie in a window in part count
+// with all of their repeats and none of their first attempts, so the budget is never too generous.
 const budgetSteps = 20
 
 // slackPart is the part of the slack that is used. The rest allows for entries that do not know of each other yet.
@@ -54,7 +54,8 @@
 type budget struct {
 	epoch  time.Time
 	tokens float64
-	steps  [budgetSteps + 1]budgetStep
+	// steps are those of the last two windows.
+	steps [2*budgetSteps + 1]budgetStep
 }
 
 // budgetStep counts what happened in one step of the window.
@@ -106,18 +107,39 @@
 	return 1 + int64(now.Sub(b.epoch)/(rule.window/budgetSteps))
 }
 
-// left returns the repeats that the window still allows.
+// left returns the repeats that are still allowed. The window that ends now may have no more than the share of its own first
+// attempts and the slack. A window that has begun later may go by those of the window before it, or half a window before it,
+// as well, because it does not know its own yet. It counts already now: first attempts of a burst leave the window that ends
+// now before repeats do that were made at the end of the burst.
 func (b *budget) left(now time.Time, rule budgetRule) float64 {
-	oldest := b.number(now, rule) - budgetSteps
-	left := rule.slack
-	for i := range b.steps {
-		s := &b.steps[i]
-		if s.number >= oldest {
-			left -= s.repeats
-		}
-		if s.number > oldest {
-			left += rule.share * s.first
+	last := b.number(now, rule)
+	// first and repeats are the sums over the steps before the one with the index, the first of which is the oldest.
+	var first, repeats [2*budgetSteps + 2]float64
+	oldest := last - 2*budgetSteps
+	for i := range 2*budgetSteps + 1 {
+		number := oldest + int64(i)
+		first[i+1], repeats[i+1] = first[i], repeats[i]
+		if s := &b.steps[max(number, 0)%int64(len(b.steps))]; number > 0 && s.number == number {
+			first[i+1] += s.first
+			repeats[i+1] += s.repeats
 		}
 	}
-	return left
+	// between is the number of first attempts in the steps from one index to before another.
+	between := func(from, to int) float64 {
+		return first[min(max(to, 0), len(first)-1)] - first[min(max(from, 0), len(first)-1)]
+	}
+	left := func(most float64, begin int) float64 {
+		return rule.share*most + rule.slack - (repeats[len(repeats)-1] - repeats[begin])
+	}
+	least := left(between(budgetSteps+1, 2*budgetSteps+1), budgetSteps)
+	// The window begins within the step with the index.
+	for begin := budgetSteps + 1; begin <= 2*budgetSteps; begin++ {
+		most := max(
+			between(begin+1, begin+budgetSteps),
+			between(begin-budgetSteps+1, begin),
+			between(begin-budgetSteps/2+1, begin+budgetSteps/2),
+		)
+		least = min(least, left(most, begin))
+	}
+	return least
 }
--- a/route/budget_test.go
+++ b/route/budget_test.go
@@ -64,6 +64,55 @@
 	assert.Assert(t, used > 0.8, "only %g of the budget can be used", used)
 }
 
+// Guards against repeats that are allowed by the first attempts of a burst and are still in a window that has none of the
+// burst. Load: bursts at random times, and failures that call for repeats in other spells, which end as they come.
+func TestBudgetAfterBurst(t *testing.T) {
+	const (
+		window = 10 * time.Second
+		step   = 50 * time.Millisecond
+		share  = 0.2
+		slack  = 20.0
+	)
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 11))
+		table := New(Options{
+			Entries: 1,
+			Started: epoch.Add(-time.Minute),
+		})
+		table.SetTargets(epoch, specs(1))
+		table.SetRepeats(share)
+		table.SetBudget(window, slack)
+		s := table.view.Load().services["stock"]
+		var first, repeats []float64 // sums before each step
+		sum, spent := 0.0, 0.0
+		rate, failing := 20.0, false
+		for now := epoch; now.Before(epoch.Add(2 * time.Minute)); now = now.Add(step) {
+			first, repeats = append(first, sum), append(repeats, spent)
+			if random.Float64() < step.Seconds()/3 {
+				rate = []float64{5, 20, 200}[random.IntN(3)]
+			}
+			if random.Float64() < step.Seconds()/2 {
+				failing = !failing
+			}
+			for range int(rate*step.Seconds() + random.Float64()) {
+				s.budget.earn(now, table.budgetRule(now))
+				sum++
+			}
+			for failing && table.Spend(now, "stock") {
+				spent++
+			}
+		}
+		n := int(window / step)
+		for begin := n; begin+n < len(first); begin++ {
+			in := func(from int) float64 { return first[from+n] - first[from] }
+			limit := share*max(in(begin), in(begin-n), in(begin-n/2)) + slack
+			have := repeats[begin+n] - repeats[begin]
+			assert.Assert(t, have <= limit, "seed %d: %g repeats in the window from %s, allowed %g", seed, have, time.Duration(begin)*step, limit)
+		}
+		assert.Assert(t, spent > 0.3*share*sum, "seed %d: only %g repeats of %g first attempts", seed, spent, sum)
+	}
+}
+
 // Guards against an entry that uses its part of the slack again after a restart.
 func TestBudgetAfterStart(t *testing.T) {
 	table := New(Options{
