--- a/link/link.go
+++ b/link/link.go
@@ -21,13 +21,15 @@
 )
 
 const (
-	// bulkShare is the part of the bandwidth that large bodies may use in each direction.
+	// bulkShare is the part of the bandwidth that large bodies may use in each direction. The rest is for small messages, and
+	// for what targets send before the first read.
 	bulkShare = 0.7
-	// partTime is the time for which a part of a body occupies the link.
+	// partTime is the time for which a part of a body occupies the link, and a small message waits. A load read takes as long.
 	partTime = 2 * time.Millisecond
-	// largestPart is the size in bytes of a part from which on a link is too fast to need pacing.
+	// largestPart is the size in bytes of a part from which on a link is too fast to need pacing: at 256 Mbit/s, a usual
+	// download of 90 kB takes 3 ms.
 	largestPart = 64 << 10
-	// smallBody is the size in bytes up to which a body is not delayed.
+	// smallBody is the size in bytes up to which a body is not delayed; it is that of the buffers of connections.
 	smallBody = 4 << 10
 )
 
