Let a waiting call leave its line only by itself

The call's own goroutine then waited for the end of its place for ever, past its deadline and after its caller had left. The same happened if the task saw first that a caller had left.

Change: the task passes over such calls. TestPassOver fails without the change (0 of 2 calls can leave).

--- a/entry/call_test.go
+++ b/entry/call_test.go
@@ -394,3 +394,18 @@
 	}
 	return n
 }
+
+// Guards against calls that wait for ever: the task that places waiting calls took those out of the line which had just joined
+// it, or whose caller had left, and their own goroutines waited for the end of their place.
+func TestPassOver(t *testing.T) {
+	t.Parallel()
+	d := start(t, deployment.Options{
+		Services: []deployment.Service{
+			{
+				Name:    "tides",
+				Targets: 1,
+			},
+		},
+	})
+	assert.Equal(t, d.Entries[0].PassOver(200*time.Millisecond), 2)
+}
--- a/entry/export_test.go
+++ b/entry/export_test.go
@@ -1,5 +1,12 @@
 package entry
 
+import (
+	"context"
+	"time"
+
+	"skylarkbeam/share"
+)
+
 // Fell tells the entry that a target has fallen cold, as another entry does.
 func (e *Entry) Fell(target, instance string, falls int) {
 	e.table.SetFalls(e.timers.Now(), target, instance, falls)
@@ -20,3 +27,31 @@
 		n++
 	}
 }
+
+// PassOver lets the task that places waiting calls look at one that has just joined the line, and at one whose caller has left.
+// It returns how many of the two can leave the line by themselves afterwards.
+func (e *Entry) PassOver(d time.Duration) int {
+	l := newLine("tides")
+	now := e.timers.Now()
+	left, cancel := context.WithCancel(context.Background())
+	cancel()
+	var places []*share.Place
+	for range 2 {
+		p, _ := l.Join(now, share.Call{
+			Aim:      now.Add(time.Minute),
+			Deadline: now.Add(time.Minute),
+		})
+		places = append(places, p)
+	}
+	e.wait(l, places[1], &waiter{
+		ctx: left,
+	})
+	time.Sleep(d)
+	n := 0
+	for _, p := range places {
+		if l.Leave(p) {
+			n++
+		}
+	}
+	return n
+}
--- a/entry/line.go
+++ b/entry/line.go
@@ -189,8 +189,8 @@
 		for i, p := range places[:min(len(places), placeDepth)] {
 			w := l.waiterAt(p)
 			if w == nil || w.ctx.Err() != nil {
-				l.Leave(p)
-				l.forget(p)
+				// It has just joined the line, or it is about to leave. Only its own goroutine takes it out, because that
+				// waits for the end of its place otherwise.
 				continue
 			}
 			if i == 0 {
