Repeat a call at the same target only if its connection breaks at once

The repeat there is meant for a kept connection that the target has closed.

Ruled out: no repeat at the same target at all. A kept connection that is reset at once says nothing about the target (TestBrokenLate, first row).

Change: a connection that breaks more than 100 ms after the call was sent ends the attempt as unknown, and the entry chooses another target.

Figures: TestBrokenLate fails before (two runs at the crashed target).

--- a/target/repeat_test.go
+++ b/target/repeat_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -91,3 +92,69 @@
 		})
 	}
 }
+
+// Guards against a second run at a target that has crashed while it ran the call, which should go to another target, and
+// against a call that is lost because its kept connection had been reset.
+func TestBrokenLate(t *testing.T) {
+	tests := []struct {
+		name string
+		work time.Duration // until the connection breaks
+		runs int
+	}{
+		{
+			name: "reset at once",
+			runs: 2,
+		},
+		{
+			name: "crashed in the middle",
+			work: 2 * staleTime,
+			runs: 1,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var runs atomic.Int32
+			ln, err := net.Listen("tcp", loopback.String())
+			assert.NilError(t, err)
+			server := &http.Server{
+				Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
+					if r.URL.Path == "/call" && runs.Add(1) == 1 {
+						time.Sleep(tt.work)
+						panic(http.ErrAbortHandler)
+					}
+				}),
+			}
+			go server.Serve(ln)
+			defer server.Close()
+			pool := New(Options{
+				Name:    "worker",
+				Address: ln.Addr().(*net.TCPAddr).AddrPort(),
+				Silence: time.Minute,
+				Timers:  timer.New(),
+			})
+			defer pool.Close()
+			call := &Call{
+				Method:     http.MethodGet,
+				Path:       "/open",
+				Idempotent: true,
+				Timeout:    2 * time.Second,
+			}
+			o, ok := pool.Send(context.Background(), call).(*outcome.Answered)
+			assert.Assert(t, ok)
+			assert.NilError(t, drain(o))
+			call.Path = "/call"
+			switch o := pool.Send(context.Background(), call).(type) {
+			case *outcome.Answered:
+				assert.NilError(t, drain(o))
+				assert.Equal(t, tt.runs, 2)
+			case *outcome.Unknown:
+				assert.Equal(t, o.Reason, outcome.Broken)
+				assert.Equal(t, tt.runs, 1)
+			default:
+				t.Fatalf("outcome %+v", o)
+			}
+			assert.Equal(t, int(runs.Load()), tt.runs)
+		})
+	}
+}
--- a/target/send.go
+++ b/target/send.go
@@ -13,11 +13,15 @@
 	"skylarkbeam/outcome"
 )
 
+// staleTime is how soon after a call the reset of a kept connection arrives that the target has closed: the way to the target
+// and back, with room for a busy machine. A connection that breaks later has carried the call.
+const staleTime = 100 * time.Millisecond
+
 // Send sends a call and returns when the head of its answer has arrived or the call is given up. It never returns nil.
 //
 // Send writes a call a second time by itself in two cases, in both only if the first attempt was on a reused connection
 // and the call has no stream: when nothing of the first attempt was written, and when an idempotent call got no answer
-// on it. If the first attempt may have run, the second is marked as a repeat, and the outcome is never NotRun.
+// on it because the connection was silent or was reset at once. If the first attempt may have run, the second is marked as a repeat, and the outcome is never NotRun.
 //
 // A new connection for a call with an expected instance is confirmed by a load read or, if the probe budget allows none,
 // by the answer to another request that was written after the connection was open.
@@ -65,7 +69,7 @@
 		p.opts.OnRetry(o.Reason)
 		return p.sendFresh(ctx, call, deadline, nil)
 	case *outcome.Unknown:
-		if !call.Idempotent || call.Repeat || (o.Reason != outcome.Silent && o.Reason != outcome.Broken) {
+		if !call.Idempotent || call.Repeat || !p.stale(o.Reason, p.opts.Timers.Now().Sub(now)) {
 			return first
 		}
 		if p.opts.MayRetry != nil && !p.opts.MayRetry() {
@@ -85,6 +89,11 @@
 	return first
 }
 
+// stale tells whether a call that ended without an answer shows that its kept connection was dead, not the target.
+func (p *Pool) stale(reason outcome.Reason, elapsed time.Duration) bool {
+	return reason == outcome.Silent || reason == outcome.Broken && elapsed < staleTime
+}
+
 // fits tells whether c may carry call without another look at the target's instance.
 func (p *Pool) fits(c *conn, call *Call) bool {
 	return call.Instance == "" || c.instance == call.Instance || p.unchecked()
