Leave out a target that misses two load reads at once, as before

Change: a second miss makes a target absent at once again. Only reads that were under way then do not count as further ones, so that the target counts in the pace until a read sent afterwards fails, and is read again after 100 ms instead of up to 1 s.

--- a/route/registered.go
+++ b/route/registered.go
@@ -100,11 +100,11 @@
 	freed time.Time
 	// strange says that another instance answers at the address.
 	strange bool
-	// unread is the number of load reads in a row that got no answer in time, not counting the one that may be missed.
-	// Missed is when the last load read ended without an answer, zero if the target has answered since. Lost is when the
-	// first that counts ended, and absent until when the target gets no calls for that.
+	// unread is the number of load reads in a row that got no answer in time, not counting the one that may be missed and
+	// those that were under way when the target became absent. Lost is when it did, and absent until when it gets no calls
+	// for that.
 	unread int
-	missed time.Time
+	missed bool
 	lost   time.Time
 	absent time.Time
 }
@@ -132,7 +132,7 @@
 			Away:   now.Sub(t.lost),
 		}
 	}
-	t.unread, t.missed = 0, time.Time{}
+	t.unread, t.missed = 0, false
 	t.strange = r.Instance != t.Instance
 	if t.strange {
 		return e
@@ -625,13 +625,12 @@
 	}
 	x.service.mu.Lock()
 	defer x.service.mu.Unlock()
-	if sent.Before(x.missed) {
-		// It ran beside the one before. A pause of the machine of this entry ends both.
+	if !x.missed && now.Sub(x.reported) < absentGrace {
+		x.missed = true
 		return nil
 	}
-	first := x.missed.IsZero()
-	x.missed = now
-	if first && now.Sub(x.reported) < absentGrace {
+	if x.unread > 0 && sent.Before(x.lost) {
+		// It ran beside the one that made the target absent and says nothing new: a pause of the machine ends both.
 		return nil
 	}
 	x.absent = now.Add(min(absentFloor<<min(x.unread, 10), absentLimit))
