--- a/link/link.go
+++ b/link/link.go
@@ -35,9 +35,8 @@
 
 // Link shares the bandwidth of a network link between large bodies. It is safe for concurrent use.
 type Link struct {
-	in   *rate.Limiter
-	out  *rate.Limiter
-	part int
+	in  *rate.Limiter
+	out *rate.Limiter
 }
 
 // New returns a Link for a bandwidth in bytes a second in each direction. It is nil if the bandwidth is zero, which means that
@@ -48,9 +47,8 @@
 		return nil
 	}
 	return &Link{
-		in:   rate.NewLimiter(rate.Limit(bulkShare*bandwidth), part),
-		out:  rate.NewLimiter(rate.Limit(bulkShare*bandwidth), part),
-		part: part,
+		in:  rate.NewLimiter(rate.Limit(bulkShare*bandwidth), part),
+		out: rate.NewLimiter(rate.Limit(bulkShare*bandwidth), part),
 	}
 }
 
@@ -65,7 +63,6 @@
 			limiter: l.in,
 			ctx:     ctx,
 		},
-		part: l.part,
 	}
 }
 
@@ -79,8 +76,7 @@
 			limiter: l.out,
 			ctx:     ctx,
 		},
-		part: l.part,
-		to:   w,
+		to: w,
 	}
 }
 
@@ -91,6 +87,9 @@
 	passed  int
 }
 
+// part returns the size in bytes of a part, which is what may pass at once.
+func (p *pace) part() int { return p.limiter.Burst() }
+
 // wait waits until n bytes, no more than a part, may pass. It ignores the deadline of the context until it is reached.
 func (p *pace) wait(n int) error {
 	p.passed += n
@@ -114,7 +113,6 @@
 type body struct {
 	io.ReadCloser
 	pace
-	part int
 	// unpaid is the length of the last read, which delays the next one.
 	unpaid int
 }
@@ -126,22 +124,21 @@
 			return 0, err
 		}
 	}
-	n, err := b.ReadCloser.Read(p[:min(len(p), b.part)])
+	n, err := b.ReadCloser.Read(p[:min(len(p), b.part())])
 	b.unpaid = n
 	return n, err
 }
 
 type writer struct {
 	pace
-	part int
-	to   io.Writer
+	to io.Writer
 }
 
 // Write implements io.Writer.
 func (w *writer) Write(p []byte) (int, error) {
 	written := 0
 	for len(p) > 0 {
-		next := p[:min(len(p), w.part)]
+		next := p[:min(len(p), w.part())]
 		if err := w.wait(len(next)); err != nil {
 			return written, err
 		}
