--- a/cmd/knownred/main.go
+++ b/cmd/knownred/main.go
@@ -16,10 +16,17 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"regexp"
 	"sort"
 	"strings"
 )
 
+// maxMessages bounds the lines of a failed test that are repeated at the end.
+const maxMessages = 40
+
+// fromTest matches a line that a test printed by itself.
+var fromTest = regexp.MustCompile(`^\s*\w+_test\.go:\d+: `)
+
 func main() {
 	file := flag.String("file", "KNOWN-RED.txt", "list of tests that are known to fail")
 	flag.Parse()
@@ -156,6 +163,7 @@
 	}
 	sort.Strings(names)
 	unlisted, passed, tests := 0, 0, 0
+	var failed []string
 	packageFailedWithoutTest := r.failed
 	for _, name := range names {
 		_, test, isTest := strings.Cut(name, " ")
@@ -176,6 +184,7 @@
 			continue
 		}
 		unlisted++
+		failed = append(failed, name)
 		fmt.Printf("--- FAIL: %s\n%s", name, strings.Join(r.output[name], ""))
 	}
 	for _, name := range names {
@@ -185,6 +194,9 @@
 			packageFailedWithoutTest = true
 		}
 	}
+	for _, name := range failed {
+		fmt.Printf("--- FAIL: %s\n%s", name, strings.Join(messages(r.output[name]), ""))
+	}
 	fmt.Printf("%d passed, %d failed\n", passed, unlisted)
 	if unlisted > 0 || packageFailedWithoutTest || tests == 0 {
 		status = 1
@@ -192,6 +204,18 @@
 	return status
 }
 
+// messages returns the lines that a test itself printed, without those of the programs that it ran. They are repeated at the
+// end, because the output of failed programs is long and a CI shows only its end.
+func messages(output []string) []string {
+	var list []string
+	for _, line := range output {
+		if fromTest.MatchString(line) {
+			list = append(list, line)
+		}
+	}
+	return list[:min(len(list), maxMessages)]
+}
+
 // printUnfinished prints the output of the tests of a package that have no result: the process ended while they ran.
 func (r *testRun) printUnfinished(pkg string) {
 	for name, lines := range r.output {
