Log why a connection to a target or another entry cannot be opened

Cause: the error of a failed connection was dropped; attempts and load reads said only 'dial'. It hid in the trace of TestOverload that connections failed by a limit that had passed before they began.

Change: the pool tells the error to its owner, which logs it at level debug with the target. Calls that were canceled say nothing.

--- a/entry/relay.go
+++ b/entry/relay.go
@@ -104,12 +104,13 @@
 	}
 	r = &relay{
 		Pool: target.New(target.Options{
-			Name:        m.Name,
-			Address:     m.Control,
-			Connections: relayConnections,
-			Timers:      e.timers,
-			Silence:     time.Second,
-			OnRetry:     e.counters.Retried,
+			Name:         m.Name,
+			Address:      m.Control,
+			Connections:  relayConnections,
+			Timers:       e.timers,
+			Silence:      time.Second,
+			OnRetry:      e.counters.Retried,
+			OnDialFailed: func(err error) { e.traceDialFailed("entry", m.Name, err) },
 		}),
 		address: m.Control,
 	}
--- a/entry/trace.go
+++ b/entry/trace.go
@@ -133,3 +133,8 @@
 		}
 	})
 }
+
+// traceDialFailed tells why there is no connection to a target or to another entry.
+func (e *Entry) traceDialFailed(kind, name string, err error) {
+	e.calls.Debug("no connection", zap.String(kind, name), zap.String("error", err.Error()))
+}
--- a/target/options.go
+++ b/target/options.go
@@ -61,6 +61,9 @@
 	MayRetry func() bool
 	// OnRetry is called when Send sends a call again by itself.
 	OnRetry func(outcome.Reason)
+	// OnDialFailed is told why a connection could not be opened, unless the call was canceled. Outcomes say only that it could
+	// not.
+	OnDialFailed func(error)
 	// Dial opens a connection; TCP by default.
 	Dial func(context.Context, netip.AddrPort) (net.Conn, error)
 
@@ -98,6 +101,9 @@
 	if o.OnRetry == nil {
 		o.OnRetry = func(outcome.Reason) {}
 	}
+	if o.OnDialFailed == nil {
+		o.OnDialFailed = func(error) {}
+	}
 	o.host = o.Address.String()
 	if o.Dial == nil {
 		o.Dial = dialTCP
--- a/target/retry_test.go
+++ b/target/retry_test.go
@@ -1,10 +1,17 @@
 package target
 
 import (
+	"context"
 	"fmt"
+	"net"
+	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
+	"skylarkbeam/outcome"
 	"skylarkbeam/standin"
 	"skylarkbeam/timer"
 )
@@ -25,3 +32,36 @@
 		})
 	}
 }
+
+// Guards against a connection that cannot be opened without a word why, and against such words for callers that went away.
+func TestDialFailed(t *testing.T) {
+	ln, err := net.Listen("tcp", loopback.String())
+	assert.NilError(t, err)
+	address := ln.Addr().(*net.TCPAddr).AddrPort()
+	assert.NilError(t, ln.Close())
+	var told []error
+	pool := New(Options{
+		Name:         "worker",
+		Address:      address,
+		Timers:       timer.New(),
+		OnDialFailed: func(err error) { told = append(told, err) },
+	})
+	defer pool.Close()
+	call := &Call{
+		Method:     http.MethodGet,
+		Path:       "/",
+		Idempotent: true,
+		Timeout:    time.Second,
+	}
+	canceled, cancel := context.WithCancel(context.Background())
+	cancel()
+	o, ok := pool.Send(canceled, call).(*outcome.NotRun)
+	assert.Assert(t, ok)
+	assert.Equal(t, o.Reason, outcome.Canceled)
+	assert.Equal(t, len(told), 0)
+	o, ok = pool.Send(context.Background(), call).(*outcome.NotRun)
+	assert.Assert(t, ok)
+	assert.Equal(t, o.Reason, outcome.Dial)
+	assert.Equal(t, len(told), 1)
+	assert.ErrorIs(t, told[0], syscall.ECONNREFUSED)
+}
--- a/target/send.go
+++ b/target/send.go
@@ -268,7 +268,11 @@
 	}
 	c, err := p.dial(ctx, deadline)
 	if err != nil {
-		return nil, givenUp(ctx, outcome.Dial)
+		reason := givenUp(ctx, outcome.Dial)
+		if reason == outcome.Dial {
+			p.opts.OnDialFailed(err)
+		}
+		return nil, reason
 	}
 	return c, ""
 }
