--- a/fleet/follower_test.go
+++ b/fleet/follower_test.go
@@ -215,7 +215,7 @@
 			Store:   store(i),
 			Timers:  timer.New(),
 			Name:    string(rune('a' + i)),
-			Domain:  "cairns",
+			Domain:  []string{"cairns", "townsville", "mackay"}[i*3/n],
 			Control: control,
 			Tables:  []string{"op", "servers"},
 			Members: "entries",
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -110,8 +110,9 @@
 	}, true
 }
 
-// readerNames returns the entries that follow the store, as far as this entry knows: those with the highest hashes among
-// the entries that are heard and reach the store. The caller holds the lock.
+// readerNames returns the entries that follow the store, as far as this entry knows: those with the lowest hashes among
+// the entries that are heard and reach the store, and first one in each failure domain, because the others follow it and
+// bytes between domains have a price. The caller holds the lock.
 func (f *Follower) readerNames(now time.Time) []string {
 	var attached, all []string
 	add := func(name string, detached bool) {
@@ -134,7 +135,22 @@
 	slices.SortFunc(all, func(a, b string) int {
 		return cmp.Compare(xxhash.Sum64String("reader\x00"+a), xxhash.Sum64String("reader\x00"+b))
 	})
-	return all[:min(len(all), readers)]
+	domains := map[string]bool{}
+	var first, rest []string
+	for _, name := range all {
+		domain := f.own.Domain
+		if m := f.members[name]; m != nil {
+			domain = m.record.Domain
+		}
+		if domains[domain] {
+			rest = append(rest, name)
+		} else {
+			domains[domain] = true
+			first = append(first, name)
+		}
+	}
+	list := append(first, rest...)
+	return list[:min(len(list), readers)]
 }
 
 // reached takes note of the result of a call to the store.
--- a/fleet/upstream_test.go
+++ b/fleet/upstream_test.go
@@ -53,6 +53,26 @@
 	})
 }
 
+// Guards against rows that are passed on between failure domains, where bytes have a price, although each domain could have
+// a reader.
+func TestReaderDomains(t *testing.T) {
+	simulation.Run(t, func(t *testing.T) {
+		store := newTables("op", "servers", "entries")
+		_, list := followers(t, 12, func(int) Store { return store })
+		time.Sleep(5 * time.Second)
+		for _, f := range list {
+			to, ok := f.reader()
+			if !ok {
+				continue
+			}
+			f.mu.RLock()
+			domain := f.members[to.name].record.Domain
+			f.mu.RUnlock()
+			assert.Equal(t, domain, f.own.Domain, "%s follows %s", f.opt.Name, to.name)
+		}
+	})
+}
+
 // Guards against an entry that the store turns away and that does not learn of changes within the 2 s in which a desired
 // state has to be in force, whichever entries these are. The control shows that it learns nothing without its peers.
 func TestTurnedAway(t *testing.T) {
