Bound the greetings between failure domains by domain, not by entry

Each entry greets two members in other domains in a round and tells them of its whole domain, so these bytes grow with the square of the number of entries.

Change: the entries of a domain send twelve greetings to other domains in a round together. With up to six entries in a domain nothing changes.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strings"
@@ -29,6 +30,9 @@
 	// have a price.
 	greetNear = 5
 	greetFar  = 2
+	// greetFarSum is the number of members in other failure domains that all entries of a domain greet together in a round. Each
+	// greeting tells of the whole domain, and near ones pass it on within a round.
+	greetFarSum = 12
 	// lagTime is how long an entry that learns of a newer table from a peer waits for its own request to bring it. It is
 	// longer than the pauses after which the reader and this entry ask again.
 	lagTime = 500 * time.Millisecond
@@ -424,7 +428,7 @@
 // some returns a part of the members, at random, and the reader that this entry follows. The caller holds the lock.
 func (f *Follower) some(list []address) []address {
 	var part []address
-	near, far := 0, 0
+	near, far, farLimit := 0, 0, f.farLimit()
 	for _, to := range list { // The order of a map is random.
 		m := f.members[to.name]
 		switch {
@@ -433,7 +437,7 @@
 		case m.record.Domain == f.own.Domain && near < greetNear:
 			near++
 			part = append(part, to)
-		case m.record.Domain != f.own.Domain && far < greetFar:
+		case m.record.Domain != f.own.Domain && far < farLimit:
 			far++
 			part = append(part, to)
 		}
@@ -441,6 +445,18 @@
 	return part
 }
 
+// farLimit returns the number of members in other failure domains to greet in this round: the part of this entry in
+// greetFarSum, with the fraction decided at random, and at most greetFar. The caller holds the lock.
+func (f *Follower) farLimit() int {
+	entries := 1
+	for _, m := range f.members {
+		if m.record.Domain == f.own.Domain && f.now().Sub(m.heard) < ownerSilence {
+			entries++
+		}
+	}
+	return min(int(greetFarSum/float64(entries)+rand.Float64()), greetFar)
+}
+
 // followed tells whether this entry takes rows from the member. The caller holds the lock.
 func (f *Follower) followed(name string) bool {
 	for _, w := range f.watches {
--- a/fleet/follower_test.go
+++ b/fleet/follower_test.go
@@ -165,6 +165,8 @@
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*Follower
 	cut   map[netip.AddrPort]bool
+	// far is the number of greetings between failure domains.
+	far int
 }
 
 func (w *wire) find(to netip.AddrPort) (*Follower, error) {
@@ -181,6 +183,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if g.Record.Domain != p.own.Domain {
+		w.mu.Lock()
+		w.far++
+		w.mu.Unlock()
+	}
 	p.hear(g, p.now())
 	return p.greeting(g.Record.Domain), nil
 }
@@ -264,3 +271,34 @@
 		assert.Assert(t, f.State().Version > newer.Version, "an older row does not change the version")
 	})
 }
+
+// Guards against greetings between failure domains that grow with the number of entries, because bytes there have a price,
+// and against so few of them that entries take each other for lost.
+func TestFarGreetings(t *testing.T) {
+	const entries, seconds = 60, 30
+	simulation.Run(t, func(t *testing.T) {
+		store := newTables("op", "servers", "entries")
+		w, list := followers(t, entries, func(int) Store { return store })
+		time.Sleep(10 * time.Second)
+		w.mu.Lock()
+		w.far = 0
+		w.mu.Unlock()
+		oldest := time.Duration(0)
+		for range seconds * 10 {
+			time.Sleep(100 * time.Millisecond)
+			for _, f := range list {
+				f.mu.RLock()
+				assert.Equal(t, len(f.members), entries-1)
+				for _, m := range f.members {
+					oldest = max(oldest, f.now().Sub(m.heard))
+				}
+				f.mu.RUnlock()
+			}
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		t.Logf("%d greetings in %d s, the oldest news was %s old", w.far, seconds, oldest)
+		assert.Assert(t, w.far <= 3*greetFarSum*seconds*5/4, "%d greetings between domains in %d s", w.far, seconds)
+		assert.Assert(t, oldest < readerSilence, "the oldest news was %s old", oldest)
+	})
+}
