--- a/entry/view_test.go
+++ b/entry/view_test.go
@@ -20,12 +20,12 @@
 // countedFleet is a fleet whose state never changes and that counts how often its members are listed.
 type countedFleet struct {
 	entry.Fleet
-	state  *fleet.State
+	state  atomic.Pointer[fleet.State]
 	listed atomic.Int32
 	done   chan struct{}
 }
 
-func (f *countedFleet) State() *fleet.State                                       { return f.state }
+func (f *countedFleet) State() *fleet.State                                       { return f.state.Load() }
 func (f *countedFleet) Changed() <-chan struct{}                                  { return nil }
 func (f *countedFleet) Contact(time.Time) bool                                    { return true }
 func (f *countedFleet) SetLimits(time.Duration, bool)                             {}
@@ -49,41 +49,47 @@
 	return make([]fleet.Member, 3)
 }
 
+// countedEntry returns an entry in a fleet with a service of so many targets.
+func countedEntry(tb testing.TB, targets int) (*countedFleet, *entry.Entry) {
+	state := &fleet.State{
+		Version: 1,
+		Parsed: &setting.Settings{
+			Services: map[string]setting.Service{"stock": {}},
+		},
+	}
+	for i := range targets {
+		name := fmt.Sprint("stock-", i)
+		state.Registered = append(state.Registered, fleet.Registered{
+			Name:     name,
+			Service:  "stock",
+			Address:  netip.MustParseAddrPort("127.0.0.1:1"),
+			Slots:    1,
+			Instance: name,
+		})
+	}
+	f := &countedFleet{
+		done: make(chan struct{}),
+	}
+	f.state.Store(state)
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	e, err := entry.Assemble(entry.Options{
+		Name:    "entry-1",
+		Caller:  loopback,
+		Control: loopback,
+		Logger:  zap.NewNop(),
+		Join:    func(entry.JoinOptions) entry.Fleet { return f },
+	})
+	assert.NilError(tb, err)
+	e.Start()
+	tb.Cleanup(e.Close)
+	return f, e
+}
+
 // Guards against a view whose derivation lists all entries once for each target. With 300 entries and 3000 targets that
 // took the processors of all entries before the first call.
 func TestViewSize(t *testing.T) {
 	listed := func(targets int) int32 {
-		state := &fleet.State{
-			Version: 1,
-			Parsed: &setting.Settings{
-				Services: map[string]setting.Service{"stock": {}},
-			},
-		}
-		for i := range targets {
-			name := fmt.Sprint("stock-", i)
-			state.Registered = append(state.Registered, fleet.Registered{
-				Name:     name,
-				Service:  "stock",
-				Address:  netip.MustParseAddrPort("127.0.0.1:1"),
-				Slots:    1,
-				Instance: name,
-			})
-		}
-		f := &countedFleet{
-			state: state,
-			done:  make(chan struct{}),
-		}
-		loopback := netip.MustParseAddrPort("127.0.0.1:0")
-		e, err := entry.Assemble(entry.Options{
-			Name:    "entry-1",
-			Caller:  loopback,
-			Control: loopback,
-			Logger:  zap.NewNop(),
-			Join:    func(entry.JoinOptions) entry.Fleet { return f },
-		})
-		assert.NilError(t, err)
-		e.Start()
-		defer e.Close()
+		f, e := countedEntry(t, targets)
 		e.Refresh()
 		n := f.listed.Load()
 		assert.Equal(t, len(e.Status().Phases), targets)
@@ -91,3 +97,17 @@
 	}
 	assert.Equal(t, listed(10), listed(1000))
 }
+
+func BenchmarkView(b *testing.B) {
+	for _, n := range []int{300, 1000, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f, e := countedEntry(b, n)
+			for b.Loop() {
+				next := *f.state.Load()
+				next.Version++
+				f.state.Store(&next)
+				e.Refresh()
+			}
+		})
+	}
+}
--- a/route/registered.go
+++ b/route/registered.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"skylarkbeam/outcome"
 )
 
@@ -273,7 +271,7 @@
 // turned sorts targets by the hash of their names and begins at a part of index/count of the list.
 func turned(list []*target, index, count int) []*target {
 	slices.SortFunc(list, func(a, b *target) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.Name, b.Name))
 	})
 	if len(list) == 0 {
 		return list
--- a/route/target.go
+++ b/route/target.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"skylarkbeam/outcome"
 )
 
@@ -44,6 +46,8 @@
 type target struct {
 	Target
 	service *service
+	// hash is that of the name.
+	hash uint64
 
 	inflight int
 	// started is the sum of the start times of the calls in flight, for their mean age.
@@ -93,6 +97,7 @@
 	return &target{
 		Target:  spec,
 		service: s,
+		hash:    xxhash.Sum64String(spec.Name),
 		limit:   float64(max(spec.Slots, 1)),
 	}
 }
