Name the deadline as the reason when a waiting call reaches it

Cause: found by a golden test of the lines of each kind of decision: a call that waits for a target until its deadline was refused with the reason canceled, as if its caller had left, and without the time at which capacity is expected.

Ruled out: the forecast of the line, which refuses such calls earlier; it is asked every 30 ms, and the deadline may come in between.

Change: the end of a deadline is the reason deadline, with the time to come back. TestLines compares the lines of nine requests and of what the entry believes with a golden file; it fails before.

--- a/entry/line.go
+++ b/entry/line.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"skylarkbeam/outcome"
 	"skylarkbeam/route"
 	"skylarkbeam/share"
@@ -90,6 +92,9 @@
 	case <-ctx.Done():
 		if l.Leave(p) {
 			l.forget(p)
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				return nil, e.unplaced(c, outcome.Deadline)
+			}
 			return nil, &share.Refusal{
 				Reason: outcome.Canceled,
 			}
