--- a/caller/server.go
+++ b/caller/server.go
@@ -65,9 +65,9 @@
 	listeners map[net.Listener]struct{}
 	conns     map[*conn]struct{}
 	closing   bool
-	// deaf says that the listeners are closed, also one that comes later.
-	deaf  bool
-	empty chan struct{} // closed once closing and without connections; nil before Shutdown
+	// closed says that the listeners are closed, also one that comes later.
+	closed bool
+	empty  chan struct{} // closed once closing and without connections; nil before Shutdown
 }
 
 // NewServer returns a Server that does not listen yet.
@@ -92,9 +92,9 @@
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
 	s.listeners[l] = struct{}{}
-	deaf := s.deaf
+	closed := s.closed
 	s.mu.Unlock()
-	if deaf {
+	if closed {
 		// Serve was started beside Close and came second.
 		l.Close()
 	}
@@ -182,7 +182,7 @@
 func (s *Server) closeListeners() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.deaf = true
+	s.closed = true
 	for l := range s.listeners {
 		l.Close()
 	}
--- a/cmd/skylarkbeam/flood_test.go
+++ b/cmd/skylarkbeam/flood_test.go
@@ -123,7 +123,8 @@
 	// The caller's class has a deadline of 800 ms; its share is far above what it asks for.
 	assert.Equal(t, small.answered, small.sent)
 	assert.Assert(t, atEntries > 0 && atEntries < 800*time.Millisecond)
-	assert.Assert(t, longest(small) < 800*time.Millisecond+longest(delay), "%s, the delay of this process is %s", longest(small), longest(delay))
+	assert.Assert(t, longest(small) < 800*time.Millisecond+longest(delay), "%s, the delay of this process is %s", longest(small),
+		longest(delay))
 	assert.Assert(t, plain.answered < plain.sent)
 }
 
--- a/target/send.go
+++ b/target/send.go
@@ -21,7 +21,8 @@
 //
 // Send writes a call a second time by itself in two cases, in both only if the first attempt was on a reused connection
 // and the call has no stream: when nothing of the first attempt was written, and when an idempotent call got no answer
-// on it because the connection was silent or was reset at once. If the first attempt may have run, the second is marked as a repeat, and the outcome is never NotRun.
+// on it because the connection was silent or was reset at once. If the first attempt may have run, the second is marked as
+// a repeat, and the outcome is never NotRun.
 //
 // A new connection for a call with an expected instance is confirmed by a load read or, if the probe budget allows none,
 // by the answer to another request that was written after the connection was open.
