--- a/setting/large_test.go
+++ b/setting/large_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -97,19 +98,9 @@
 	assert.NilError(t, err)
 	assert.ErrorContains(t, folder.Validate(), "20.json: has 1099511627776 bytes, more than the 31457280 that a file may have")
 
-	classes := map[string]any{}
-	for i := range 2 {
-		part := map[string]any{}
-		for j := range 150_000 {
-			part[fmt.Sprintf("a-class-with-a-name-of-%d-and-%d", i, j)] = map[string]any{"share": 0, "deadline": "1s"}
-		}
-		classes[fmt.Sprintf("3%d.json", i)] = part
-	}
 	files := map[string][]byte{}
-	for name, part := range classes {
-		files[name], err = json.Marshal(map[string]any{"classes": part})
-		assert.NilError(t, err)
-		assert.Assert(t, len(files[name]) < MaxFile)
+	for _, name := range []string{"one", "two"} {
+		files[name+".json"] = []byte(fmt.Sprintf(`{"services":{%q:{"path":"/%s"}}}`, name, strings.Repeat("x", MaxSettings/2)))
 	}
 	folder, err = LoadDir(writeFiles(t, files))
 	assert.NilError(t, err)
