--- a/target/repeat_test.go
+++ b/target/repeat_test.go
@@ -15,6 +15,38 @@
 	"skylarkbeam/timer"
 )
 
+// reused returns a pool with one connection, on which a call was answered, and an idempotent call that goes on it next. The
+// target answers that call, or breaks its connection, as answers says.
+func reused(t *testing.T, opts Options, answers func(r *http.Request) bool) (*Pool, *Call) {
+	t.Helper()
+	ln, err := net.Listen("tcp", loopback.String())
+	assert.NilError(t, err)
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
+			if r.URL.Path == "/call" && !answers(r) {
+				panic(http.ErrAbortHandler)
+			}
+		}),
+	}
+	go server.Serve(ln)
+	t.Cleanup(func() { server.Close() })
+	opts.Name, opts.Address, opts.Timers = "worker", ln.Addr().(*net.TCPAddr).AddrPort(), timer.New()
+	pool := New(opts)
+	t.Cleanup(pool.Close)
+	call := &Call{
+		Method:     http.MethodGet,
+		Path:       "/open",
+		Idempotent: true,
+		Timeout:    2 * time.Second,
+	}
+	o, ok := pool.Send(context.Background(), call).(*outcome.Answered)
+	assert.Assert(t, ok)
+	assert.NilError(t, drain(o))
+	call.Path = "/call"
+	return pool, call
+}
+
 // Guards against a repeat within Send that does not say that it is one, against one of a call that descends from a repeat,
 // and against a mark that the caller's header carries past the entry.
 func TestRepeatMark(t *testing.T) {
@@ -37,42 +69,12 @@
 		t.Run(tt.name, func(t *testing.T) {
 			var mu sync.Mutex
 			var marks []string
-			ln, err := net.Listen("tcp", loopback.String())
-			assert.NilError(t, err)
-			server := &http.Server{
-				Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-					w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
-					if r.URL.Path == "/open" {
-						return
-					}
-					mu.Lock()
-					marks = append(marks, r.Header.Get(HeaderRepeat))
-					first := len(marks) == 1
-					mu.Unlock()
-					if first {
-						panic(http.ErrAbortHandler)
-					}
-				}),
-			}
-			go server.Serve(ln)
-			defer server.Close()
-			pool := New(Options{
-				Name:    "worker",
-				Address: ln.Addr().(*net.TCPAddr).AddrPort(),
-				Timers:  timer.New(),
+			pool, call := reused(t, Options{}, func(r *http.Request) bool {
+				mu.Lock()
+				defer mu.Unlock()
+				marks = append(marks, r.Header.Get(HeaderRepeat))
+				return len(marks) > 1
 			})
-			defer pool.Close()
-			call := &Call{
-				Method:     http.MethodGet,
-				Path:       "/open",
-				Idempotent: true,
-				Timeout:    2 * time.Second,
-			}
-			// The repeat is for reused connections only.
-			o, ok := pool.Send(context.Background(), call).(*outcome.Answered)
-			assert.Assert(t, ok)
-			assert.NilError(t, drain(o))
-			call.Path = "/call"
 			call.Repeat = tt.repeat
 			call.Header = http.Header{
 				HeaderRepeat: {"caller"},
@@ -114,36 +116,15 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			var runs atomic.Int32
-			ln, err := net.Listen("tcp", loopback.String())
-			assert.NilError(t, err)
-			server := &http.Server{
-				Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-					w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
-					if r.URL.Path == "/call" && runs.Add(1) == 1 {
-						time.Sleep(tt.work)
-						panic(http.ErrAbortHandler)
-					}
-				}),
-			}
-			go server.Serve(ln)
-			defer server.Close()
-			pool := New(Options{
-				Name:    "worker",
-				Address: ln.Addr().(*net.TCPAddr).AddrPort(),
+			pool, call := reused(t, Options{
 				Silence: time.Minute,
-				Timers:  timer.New(),
+			}, func(*http.Request) bool {
+				if runs.Add(1) > 1 {
+					return true
+				}
+				time.Sleep(tt.work)
+				return false
 			})
-			defer pool.Close()
-			call := &Call{
-				Method:     http.MethodGet,
-				Path:       "/open",
-				Idempotent: true,
-				Timeout:    2 * time.Second,
-			}
-			o, ok := pool.Send(context.Background(), call).(*outcome.Answered)
-			assert.Assert(t, ok)
-			assert.NilError(t, drain(o))
-			call.Path = "/call"
 			switch o := pool.Send(context.Background(), call).(type) {
 			case *outcome.Answered:
 				assert.NilError(t, drain(o))
