Greet fixed neighbors at even intervals, and round ages of members up

TestRemoteGreetings (information up to 3 s old) and TestReaderEnds (an entry without drained domains 2 s after the write) were known red.

Recipients were drawn anew in each round from a map, so an entry could go ungreeted for rounds, and all greetings of a round left at one moment, so information moved one hop in a second. An entry that followed an ended reader learned so only by such a draw or after 2.5 s of silence.

Change: an entry greets the five members of its domain with the lowest rank, one every 200 ms, one silent member a second, and members of the other domains in turn at random moments, twelve a second for all entries of a domain as before. A reader that fails to answer a greeting is abandoned at once. Ages are rounded up, in units of 10 ms, and are sent without names where both sides have the same list of members; an entry of an earlier build gets names as before. Random choices come from a seed that tests print. The owners of cold targets are cached for 200 ms, because each question hashed every member.

Ruled out: the load of the machine; time is simulated in these tests.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -22,18 +22,6 @@
 )
 
 const (
-	// greetingInterval is the time between two rounds of greetings. An entry that is silent for three rounds gets no
-	// more callers.
-	greetingInterval = time.Second
-	// maxLocalGreetings and maxRemoteGreetings limit the members in the entry's own failure domain and in other
-	// domains that it greets in a round. In a larger fleet, information about the others takes several rounds to
-	// arrive. Traffic between failure domains is charged.
-	maxLocalGreetings  = 5
-	maxRemoteGreetings = 2
-	// remoteGreetingsPerDomain is the number of members in other failure domains that all entries of a domain together
-	// greet in a round. Each greeting covers all members of the domain, and local greetings distribute it within a
-	// round.
-	remoteGreetingsPerDomain = 12
 	// peerFetchDelay is how long an entry that learns of a newer table from a peer waits for its own request to
 	// deliver it. It is longer than the delays between requests of this entry and of the reader.
 	peerFetchDelay = 500 * time.Millisecond
@@ -46,6 +34,11 @@
 	startupDelay = 1500 * time.Millisecond
 	// ownerTimeout is the silence after which a member no longer counts as an owner.
 	ownerTimeout = 3 * time.Second
+	// ownershipCacheTime is how long a result of Owns is used. All owners of a target are asked for each call that it
+	// might take, and each answer takes the hash of every member.
+	ownershipCacheTime = 200 * time.Millisecond
+	// maxCachedOwnerships bounds the memory of the cache.
+	maxCachedOwnerships = 4096
 	// memberExpiry is how long a member may be unheard by all entries before it is removed.
 	memberExpiry = time.Minute
 	// OwnersPerTarget is the number of entries that own a target at the same time.
@@ -80,6 +73,8 @@
 	// BuildState derives the state from the rows of the tables. The former state has version 0 at first. If there is
 	// an error, the former state is kept.
 	BuildState func(former *State, tables map[string]map[string]feed.Row) (*State, error)
+	// Seed makes the random choices reproducible; 0 stands for a random seed.
+	Seed uint64
 	// Metrics receives the gauges and Logger the state changes; both may be nil.
 	Metrics *metrics.Set
 	Logger  *zap.Logger
@@ -110,12 +105,19 @@
 	mu        sync.RWMutex
 	changed   chan struct{}
 	members   map[string]*member
-	round     int
-	leaving   bool
-	// fetching contains the tables that are being fetched from a peer.
-	fetching map[string]bool
+	plan      greetingPlan
+	// rolls are computed from members when they are needed; nil if members have changed since.
+	rolls   map[string]*roll
+	random  *rand.Rand
+	leaving bool
+	// fetching contains the tables that are being fetched from a peer, fetchingMembers is set while the members are.
+	fetching        map[string]bool
+	fetchingMembers bool
 	// storeFailures is the number of consecutive failed calls to the store.
 	storeFailures int
+	// owned caches the results of Owns by target.
+	ownedMu sync.Mutex
+	owned   map[string]ownership
 	// watchRequests holds the watch requests in flight by ID.
 	watchRequests map[int]watchRequest
 	lastWatchID   int
@@ -126,6 +128,12 @@
 	done   chan struct{}
 }
 
+// ownership is whether this entry owned a target at a time.
+type ownership struct {
+	owned bool
+	at    time.Time
+}
+
 // member is another entry as this entry knows it.
 type member struct {
 	record Record
@@ -134,9 +142,14 @@
 	addedAt time.Time
 	// reportedLost is set while the member has been silent for ownerTimeout, which has been logged.
 	reportedLost bool
-	// rowsFailedAt is when the member last failed to answer a request for rows.
+	// rowsFailedAt is when the member last failed to answer a request for rows, or a greeting while it was the reader.
 	rowsFailedAt    time.Time
 	greetingPending bool
+	// rolls contains the hashes of the member's rolls by failure domain, as of its last greeting.
+	rolls map[string]uint64
+	// greetingRank orders the members as neighbors of this entry, readerRank as readers of the store.
+	greetingRank uint64
+	readerRank   uint64
 }
 
 // Follow starts to follow the tables. It returns at once; CanServe is false until the state is known.
@@ -162,12 +175,16 @@
 		tables:        map[string]*feed.Table{},
 		changed:       make(chan struct{}),
 		members:       map[string]*member{},
+		owned:         map[string]ownership{},
+		random:        newRandom(opt.Seed, opt.Name),
 		fetching:      map[string]bool{},
 		watchRequests: map[int]watchRequest{},
 		ctx:           ctx,
 		cancel:        cancel,
 		done:          make(chan struct{}),
 	}
+	f.plan.remoteTurn = f.random.IntN(maxFirstTurn)
+	f.plan.remoteAt = f.startedAt.Add(time.Duration(f.random.Int64N(int64(minRemoteInterval))))
 	f.state.Store(&State{})
 	for _, name := range opt.Tables {
 		f.tables[name] = feed.NewTable(name)
@@ -333,240 +350,17 @@
 func (f *Follower) addMember(name string, record Record) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if name == f.opt.Name || f.members[name] != nil {
-		return
-	}
-	f.members[name] = &member{
-		record:  record,
-		addedAt: f.now(),
-	}
-}
-
-// runGreetings exchanges greetings with the other members at intervals.
-func (f *Follower) runGreetings() {
-	ticks := f.opt.Timers.Every("greetings", greetingInterval)
-	defer ticks.Stop()
-	for {
-		f.greetPeers(false)
-		f.cancelStaleWatches()
-		select {
-		case <-ticks.C:
-		case <-f.ctx.Done():
-			return
-		}
-	}
-}
-
-// greetPeers greets the members that are due in this round, or all members.
-func (f *Follower) greetPeers(all bool) {
-	for _, to := range f.greetingRecipients(all) {
-		f.tasks.Go(func() {
-			defer f.finishGreeting(to.name)
-			ctx, cancel := context.WithTimeout(f.ctx, peerTimeout)
-			defer cancel()
-			if err := f.greet(ctx, to); err != nil {
-				f.log.Debug("greeting a peer failed", zap.String("peer", to.name), zap.Error(err))
-			}
-		})
-	}
-}
-
-func (f *Follower) finishGreeting(name string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if m := f.members[name]; m != nil {
-		m.greetingPending = false
-	}
-}
-
-// greetingRecipients returns the members to greet now. Silent members are greeted less often.
-func (f *Follower) greetingRecipients(all bool) []peerAddress {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.now()
-	f.round++
-	var list []peerAddress
-	for name, m := range f.members {
-		silence := now.Sub(laterTime(m.heardAt, m.addedAt))
-		if lost := silence > ownerTimeout; lost != m.reportedLost {
-			m.reportedLost = lost
-			if lost {
-				f.log.Warn("a member is not heard any more", zap.String("peer", name), zap.Duration("silence", silence))
-			} else {
-				f.log.Info("a member is heard again", zap.String("peer", name))
-			}
-		}
-		if silence > memberExpiry {
-			delete(f.members, name)
-			continue
-		}
-		if m.greetingPending || !all && silence > 5*greetingInterval && f.round%5 != 0 {
-			continue
-		}
-		list = append(list, peerAddress{
-			name:    name,
-			control: m.record.Control,
-		})
-	}
-	if len(f.members) == 0 {
-		for _, control := range f.opt.Seeds {
-			if control != f.opt.Control {
-				list = append(list, peerAddress{
-					control: control,
-				})
-			}
-		}
-	}
-	if !all {
-		list = f.sampleRecipients(list)
-	}
-	for _, to := range list {
-		if m := f.members[to.name]; m != nil {
-			m.greetingPending = true
-		}
-	}
-	return list
-}
-
-// sampleRecipients returns a random part of the members, and the reader that this entry follows. The caller holds the
-// lock.
-func (f *Follower) sampleRecipients(candidates []peerAddress) []peerAddress {
-	var sample []peerAddress
-	local, remote, remoteLimit := 0, 0, f.remoteGreetingLimit()
-	for _, to := range candidates { // members come from a map, in random order
-		m := f.members[to.name]
-		switch {
-		case m == nil || f.followsMember(to.name):
-			sample = append(sample, to)
-		case m.record.Domain == f.self.Domain && local < maxLocalGreetings:
-			local++
-			sample = append(sample, to)
-		case m.record.Domain != f.self.Domain && remote < remoteLimit:
-			remote++
-			sample = append(sample, to)
-		}
-	}
-	return sample
-}
-
-// remoteGreetingLimit returns the number of members in other failure domains to greet in this round: this entry's
-// share of remoteGreetingsPerDomain, rounded up or down at random, and at most maxRemoteGreetings. The caller holds
-// the lock.
-func (f *Follower) remoteGreetingLimit() int {
-	entries := 1
-	for _, m := range f.members {
-		if m.record.Domain == f.self.Domain && f.now().Sub(m.heardAt) < ownerTimeout {
-			entries++
-		}
-	}
-	return min(int(remoteGreetingsPerDomain/float64(entries)+rand.Float64()), maxRemoteGreetings)
-}
-
-// followsMember reports whether this entry watches the rows of the member. The caller holds the lock.
-func (f *Follower) followsMember(name string) bool {
-	for _, w := range f.watchRequests {
-		if w.reader == name {
-			return true
-		}
-	}
-	return false
-}
-
-func laterTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-func (f *Follower) greet(ctx context.Context, to peerAddress) error {
-	start := f.now()
-	reply, err := f.opt.Transport.Greet(ctx, to.control, f.newGreeting(f.domainOf(to.name)))
-	if err != nil {
-		return err
-	}
-	f.applyGreeting(reply, start)
-	return nil
-}
-
-// domainOf returns the failure domain of a member, or "" if it is not known.
-func (f *Follower) domainOf(name string) string {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	if m := f.members[name]; m != nil {
-		return m.record.Domain
-	}
-	return ""
-}
-
-// newGreeting returns a greeting for a member in a failure domain. If that is another domain, the greeting covers only
-// the members in this entry's domain, because traffic between domains is charged.
-func (f *Follower) newGreeting(domain string) *Greeting {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	now := f.now()
-	g := &Greeting{
-		Entry:  f.opt.Name,
-		Record: f.self,
-		Tables: map[string]uint64{},
-		Heard:  map[string]int{},
-	}
-	if f.leaving {
-		g.Record.State = RecordStateLeaving
-	}
-	for name, table := range f.tables {
-		g.Tables[name] = table.LatestVersion()
-	}
-	for name, m := range f.members {
-		include := domain == f.self.Domain || m.record.Domain == f.self.Domain
-		if include && !m.heardAt.IsZero() && now.Sub(m.heardAt) < 10*greetingInterval {
-			g.Heard[name] = int(now.Sub(m.heardAt) / silenceUnit)
-		}
-	}
-	return g
-}
-
-// applyGreeting records what a peer reports about itself and others as of the given time.
-func (f *Follower) applyGreeting(g *Greeting, at time.Time) {
-	f.mu.Lock()
-	m := f.members[g.Entry]
-	if m == nil {
-		m = &member{
-			addedAt: at,
-		}
-		f.members[g.Entry] = m
-	}
-	if m.record.Incarnation != g.Record.Incarnation || m.record.State != g.Record.State {
-		f.log.Info("heard of a member", zap.String("peer", g.Entry), zap.String("state", string(g.Record.State)),
-			zap.String("incarnation", g.Record.Incarnation))
-	}
-	m.record = g.Record
-	m.heardAt = laterTime(m.heardAt, at)
-	unknownMembers := false
-	for name, tenths := range g.Heard {
-		if name == f.opt.Name {
-			continue
-		}
-		other := f.members[name]
-		if other == nil {
-			unknownMembers = true
-			continue
-		}
-		other.heardAt = laterTime(other.heardAt, at.Add(-time.Duration(tenths)*silenceUnit))
-	}
-	control := m.record.Control
-	f.mu.Unlock()
-	if unknownMembers {
-		f.tasks.Go(func() { f.fetchMembers(control) })
-	}
-	for name, version := range g.Tables {
-		if table := f.tables[name]; table != nil && version > table.LatestVersion() {
-			f.tasks.Go(func() { f.fetchRows(table, control, version) })
-		}
+	if name != f.opt.Name && f.members[name] == nil {
+		f.insertMember(name, record, f.now())
 	}
 }
 
 func (f *Follower) fetchMembers(from netip.AddrPort) {
+	defer func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.fetchingMembers = false
+	}()
 	ctx, cancel := context.WithTimeout(f.ctx, peerTimeout)
 	defer cancel()
 	roll, err := f.opt.Transport.Members(ctx, from)
@@ -662,6 +456,25 @@
 	if f.leaving || now.Sub(f.startedAt) < startupDelay {
 		return time.Time{}, false
 	}
+	f.ownedMu.Lock()
+	defer f.ownedMu.Unlock()
+	cached, known := f.owned[target]
+	if !known || now.Sub(cached.at) >= ownershipCacheTime {
+		cached = ownership{
+			owned: f.computeOwnership(now, target),
+			at:    now,
+		}
+		if len(f.owned) >= maxCachedOwnerships {
+			clear(f.owned)
+		}
+		f.owned[target] = cached
+	}
+	return now.Add(ownerTimeout), cached.owned
+}
+
+// computeOwnership reports whether this entry is an owner of a target, by the hash of every member that is heard. The
+// caller holds the lock.
+func (f *Follower) computeOwnership(now time.Time, target string) bool {
 	ownScore := xxhash.Sum64String(f.opt.Name + "\x00" + target)
 	higher := 0
 	for name, m := range f.members {
@@ -669,15 +482,16 @@
 			higher++
 		}
 	}
-	return now.Add(ownerTimeout), higher < OwnersPerTarget
+	return higher < OwnersPerTarget
 }
 
 // Leave tells the other members that this entry is shutting down.
 func (f *Follower) Leave() {
 	f.mu.Lock()
 	f.leaving = true
+	everyone := f.startGreetings(slices.Collect(maps.Keys(f.members)))
 	f.mu.Unlock()
-	f.greetPeers(true)
+	f.greetAll(everyone)
 }
 
 // Close stops the Follower and removes the entry from the table of members; ctx limits the removal.
--- a/fleet/follower_test.go
+++ b/fleet/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"net/netip"
 	"sync"
 	"testing"
@@ -166,6 +167,8 @@
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*Follower
 	cut   map[netip.AddrPort]bool
+	// isolated entries neither send nor receive greetings.
+	isolated map[netip.AddrPort]bool
 	// remoteGreetings is the number of greetings between failure domains.
 	remoteGreetings int
 }
@@ -184,13 +187,16 @@
 	if err != nil {
 		return nil, err
 	}
+	tr.mu.Lock()
+	isolated := tr.isolated[to] || tr.isolated[g.Record.Control]
 	if g.Record.Domain != p.self.Domain {
-		tr.mu.Lock()
 		tr.remoteGreetings++
-		tr.mu.Unlock()
 	}
-	p.applyGreeting(g, p.now())
-	return p.newGreeting(g.Record.Domain), nil
+	tr.mu.Unlock()
+	if isolated {
+		return nil, errors.New("isolated")
+	}
+	return p.replyTo(g), nil
 }
 
 func (tr *memoryTransport) Members(_ context.Context, to netip.AddrPort) (*Roll, error) {
@@ -210,11 +216,21 @@
 	return &b, nil
 }
 
-// startFollowers starts n entries that follow the store.
+// followerSeed is the seed of the random choices of the followers.
+var followerSeed = flag.Uint64("fleet.seed", 20261204, "seed of the followers")
+
+// startFollowers starts n entries in three failure domains that follow the store.
 func startFollowers(t *testing.T, n int, store func(i int) Store) (*memoryTransport, []*Follower) {
+	return startFollowersIn(t, []string{"cairns", "townsville", "mackay"}, n, store)
+}
+
+// startFollowersIn starts n entries that follow the store, in equal numbers in the failure domains.
+func startFollowersIn(t *testing.T, domains []string, n int, store func(i int) Store) (*memoryTransport, []*Follower) {
+	t.Logf("seed %d", *followerSeed)
 	transport := &memoryTransport{
-		peers: map[netip.AddrPort]*Follower{},
-		cut:   map[netip.AddrPort]bool{},
+		peers:    map[netip.AddrPort]*Follower{},
+		cut:      map[netip.AddrPort]bool{},
+		isolated: map[netip.AddrPort]bool{},
 	}
 	var list []*Follower
 	for i := range n {
@@ -223,12 +239,13 @@
 			Store:        store(i),
 			Timers:       timer.New(),
 			Name:         string(rune('a' + i)),
-			Domain:       []string{"cairns", "townsville", "mackay"}[i*3/n],
+			Domain:       domains[i*len(domains)/n],
 			Control:      control,
 			Tables:       []string{"op", "servers"},
 			MembersTable: "entries",
 			Transport:    transport,
 			BuildState:   buildTestState,
+			Seed:         *followerSeed,
 		})
 		transport.mu.Lock()
 		transport.peers[control] = f
--- a/fleet/followerhttp.go
+++ b/fleet/followerhttp.go
@@ -42,8 +42,7 @@
 		http.Error(resp, "the entry has stopped", http.StatusServiceUnavailable)
 		return
 	}
-	f.applyGreeting(&g, f.now())
-	writeJSON(resp, f.newGreeting(g.Record.Domain))
+	writeJSON(resp, f.replyTo(&g))
 }
 
 func (f *Follower) serveMembers(_ *restful.Request, resp *restful.Response) {
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -47,6 +47,19 @@
 	Who string `json:"who"`
 }
 
+// When an entry last heard the members of a failure domain. It needs no names if
+// the receiver has the same roll.
+type DomainAges struct {
+	// Time since each member was heard, in the order of the names: two bytes each in
+	// big endian, in units of 10 ms, or 65535 if it is not known. Empty if the
+	// receiver has another roll; the field heard of the greeting then has the
+	// members.
+	Ages []byte `json:"ages,omitempty,omitzero"`
+
+	// Hash of the sorted names of the members that the sender knows, itself included.
+	Roll uint64 `json:"roll"`
+}
+
 // An instance of a target that is warm, was seen or has become cold again, in the
 // rows warm/TARGET and in messages.
 type Fact struct {
@@ -67,6 +80,9 @@
 
 // Request and response between entries that follow an operator's tables.
 type Greeting struct {
+	// When the sender last heard the members, by failure domain.
+	Ages map[string]DomainAges `json:"ages,omitempty,omitzero"`
+
 	// Entry corresponds to the JSON schema field "entry".
 	Entry string `json:"entry"`
 
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -113,48 +113,57 @@
 }
 
 // readerNames returns the entries that follow the store, from the point of view of this entry: those with the lowest
-// hashes among the entries that are heard and reach the store. The first of each failure domain comes first, because
-// the others in the domain follow it and traffic between domains is charged. The caller holds the lock.
+// ranks among the entries that are heard and reach the store. The first of each failure domain comes first, because the
+// others in the domain follow it and traffic between domains is charged. The caller holds the lock.
 func (f *Follower) readerNames(now time.Time) []string {
-	var attached, all []string
-	add := func(name string, detached bool) {
-		all = append(all, name)
+	type candidate struct {
+		name, domain string
+		rank         uint64
+	}
+	var attached, all []candidate
+	add := func(c candidate, detached bool) {
+		all = append(all, c)
 		if !detached {
-			attached = append(attached, name)
+			attached = append(attached, c)
 		}
 	}
 	if !f.leaving {
-		add(f.opt.Name, f.self.Detached)
+		add(candidate{
+			name:   f.opt.Name,
+			domain: f.self.Domain,
+			rank:   readerRank(f.opt.Name),
+		}, f.self.Detached)
 	}
 	for name, m := range f.members {
 		if m.record.State == RecordStateActive && now.Sub(m.heardAt) < readerTimeout && now.Sub(m.rowsFailedAt) >= peerRetryDelay {
-			add(name, m.record.Detached)
+			add(candidate{
+				name:   name,
+				domain: m.record.Domain,
+				rank:   m.readerRank,
+			}, m.record.Detached)
 		}
 	}
 	if len(attached) > 0 {
 		all = attached
 	}
-	slices.SortFunc(all, func(a, b string) int {
-		return cmp.Compare(xxhash.Sum64String("reader\x00"+a), xxhash.Sum64String("reader\x00"+b))
-	})
+	slices.SortFunc(all, func(a, b candidate) int { return cmp.Compare(a.rank, b.rank) })
 	domains := map[string]bool{}
 	var first, rest []string
-	for _, name := range all {
-		domain := f.self.Domain
-		if m := f.members[name]; m != nil {
-			domain = m.record.Domain
-		}
-		if domains[domain] {
-			rest = append(rest, name)
+	for _, c := range all {
+		if domains[c.domain] {
+			rest = append(rest, c.name)
 		} else {
-			domains[domain] = true
-			first = append(first, name)
+			domains[c.domain] = true
+			first = append(first, c.name)
 		}
 	}
 	list := append(first, rest...)
 	return list[:min(len(list), readerCount)]
 }
 
+// readerRank orders the entries as readers of the store, alike at all entries.
+func readerRank(name string) uint64 { return xxhash.Sum64String("reader\x00" + name) }
+
 // recordStoreResult records the result of a call to the store.
 func (f *Follower) recordStoreResult(err error) {
 	f.mu.Lock()
