Find members through the seeds, and watch the store only as a reader

Change: a starting entry greets its seeds until one answers, at most for a second, and joins through the table only if none does. Only readers write themselves to the table, and read it once a minute, so that groups that started apart meet. The first watch begins when the readers are known; greetings tell of changes until then. The list of members is compressed, and fetched by one request at a time.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -106,6 +106,11 @@
 	changed   chan struct{}
 	members   map[string]*member
 	plan      greetingPlan
+	// joined is set once other members are known or the table of members has been read, which was last at membersReadAt.
+	// published is set once this entry is in that table.
+	joined        bool
+	membersReadAt time.Time
+	published     atomic.Bool
 	// rolls are computed from members when they are needed; nil if members have changed since.
 	rolls   map[string]*roll
 	random  *rand.Rand
@@ -313,48 +318,6 @@
 // continues with the last known state, because targets refuse work that is not meant for them.
 func (f *Follower) CanServe(time.Time) bool { return f.state.Load().ParsedSettings != nil }
 
-// join writes this entry to the table of members and reads that table.
-func (f *Follower) join() {
-	for f.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(f.ctx, tableTimeout)
-		err := f.opt.Store.Put(ctx, f.opt.MembersTable, f.opt.Name, encode(f.self))
-		if err == nil {
-			err = f.readMembers(ctx)
-		}
-		cancel()
-		if err == nil {
-			return
-		}
-		f.log.Debug("joining the fleet failed", zap.Error(err))
-		f.sleep(f.ctx, time.Second)
-	}
-}
-
-func (f *Follower) readMembers(ctx context.Context) error {
-	batch, err := f.opt.Store.Read(ctx, f.opt.MembersTable)
-	if err != nil {
-		return errors.Wrap(err, "read the members")
-	}
-	for _, row := range batch.Rows {
-		var record Record
-		if err := decodeRecord(row.Value, &record); err != nil {
-			f.log.Warn("malformed member record", zap.String("entry", row.Key), zap.Error(err))
-			continue
-		}
-		f.addMember(row.Key, record)
-	}
-	return nil
-}
-
-// addMember adds a member if it is not known yet.
-func (f *Follower) addMember(name string, record Record) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if name != f.opt.Name && f.members[name] == nil {
-		f.insertMember(name, record, f.now())
-	}
-}
-
 func (f *Follower) fetchMembers(from netip.AddrPort) {
 	defer func() {
 		f.mu.Lock()
@@ -494,9 +457,12 @@
 	f.greetAll(everyone)
 }
 
-// Close stops the Follower and removes the entry from the table of members; ctx limits the removal.
+// Close stops the Follower and removes the entry from the table of members if it is there; ctx limits the removal.
 func (f *Follower) Close(ctx context.Context) error {
 	f.stop()
+	if !f.published.Load() {
+		return nil
+	}
 	return errors.Wrap(f.opt.Store.Remove(ctx, f.opt.MembersTable, f.opt.Name), "leave the fleet")
 }
 
--- a/fleet/follower_test.go
+++ b/fleet/follower_test.go
@@ -132,6 +132,7 @@
 
 func (s *memoryStore) Put(_ context.Context, table, key string, value []byte) error {
 	s.mu.Lock()
+	s.calls++
 	down := s.down
 	s.mu.Unlock()
 	if down {
@@ -226,38 +227,48 @@
 
 // startFollowersIn starts n entries that follow the store, in equal numbers in the failure domains.
 func startFollowersIn(t *testing.T, domains []string, n int, store func(i int) Store) (*memoryTransport, []*Follower) {
+	transport := newMemoryTransport(t)
+	var list []*Follower
+	for i := range n {
+		list = append(list, transport.start(t, i, domains[i*len(domains)/n], store(i), nil))
+	}
+	return transport, list
+}
+
+func newMemoryTransport(t *testing.T) *memoryTransport {
 	t.Logf("seed %d", *followerSeed)
-	transport := &memoryTransport{
+	return &memoryTransport{
 		peers:    map[netip.AddrPort]*Follower{},
 		cut:      map[netip.AddrPort]bool{},
 		isolated: map[netip.AddrPort]bool{},
 	}
-	var list []*Follower
-	for i := range n {
-		control := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 81)
-		f := Follow(FollowerOptions{
-			Store:        store(i),
-			Timers:       timer.New(),
-			Name:         string(rune('a' + i)),
-			Domain:       domains[i*len(domains)/n],
-			Control:      control,
-			Tables:       []string{"op", "servers"},
-			MembersTable: "entries",
-			Transport:    transport,
-			BuildState:   buildTestState,
-			Seed:         *followerSeed,
-		})
-		transport.mu.Lock()
-		transport.peers[control] = f
-		transport.mu.Unlock()
-		list = append(list, f)
-	}
-	t.Cleanup(func() {
-		for _, f := range list {
-			f.stop()
-		}
+}
+
+// testControl returns the control address of an entry.
+func testControl(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 81)
+}
+
+// start starts an entry, which stops at the end of the test.
+func (tr *memoryTransport) start(t *testing.T, i int, domain string, store Store, seeds []netip.AddrPort) *Follower {
+	f := Follow(FollowerOptions{
+		Store:        store,
+		Timers:       timer.New(),
+		Name:         string(rune('a' + i)),
+		Domain:       domain,
+		Control:      testControl(i),
+		Tables:       []string{"op", "servers"},
+		MembersTable: "entries",
+		Seeds:        seeds,
+		Transport:    tr,
+		BuildState:   buildTestState,
+		Seed:         *followerSeed,
 	})
-	return transport, list
+	tr.mu.Lock()
+	tr.peers[testControl(i)] = f
+	tr.mu.Unlock()
+	t.Cleanup(f.stop)
+	return f
 }
 
 // Guards against a new state with the version of the former one, which entries would not install. It can come
--- a/fleet/followerhttp.go
+++ b/fleet/followerhttp.go
@@ -46,7 +46,7 @@
 }
 
 func (f *Follower) serveMembers(_ *restful.Request, resp *restful.Response) {
-	writeJSON(resp, f.memberList())
+	writeCompressed(resp, f.memberList())
 }
 
 func (f *Follower) serveRows(req *restful.Request, resp *restful.Response) {
--- a/fleet/greeting.go
+++ b/fleet/greeting.go
@@ -75,6 +75,7 @@
 		f.greetAll(due)
 		if newRound {
 			f.cancelStaleWatches()
+			f.publishIfReader()
 		}
 		select {
 		case <-ticks.C:
@@ -140,7 +141,7 @@
 		f.plan.remoteAt = now.Add(f.remoteDelay(now))
 	}
 	if len(f.members) == 0 {
-		return f.seedAddresses(newRound), newRound
+		return f.seedAddresses(), newRound
 	}
 	return f.startGreetings(names), newRound
 }
@@ -163,11 +164,8 @@
 	return list
 }
 
-// seedAddresses returns the addresses to greet while no member is known, once per round. The caller holds the lock.
-func (f *Follower) seedAddresses(newRound bool) []peerAddress {
-	if !newRound {
-		return nil
-	}
+// seedAddresses returns the addresses of the seeds, of which nothing else is known.
+func (f *Follower) seedAddresses() []peerAddress {
 	var list []peerAddress
 	for _, control := range f.opt.Seeds {
 		if control != f.opt.Control {
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -57,6 +57,7 @@
 	f := u.follower
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	f.awaitSettled(ctx)
 	if to, ok := f.reader(); ok {
 		defer f.trackWatch(to.name, cancel)()
 		ctx, cancel := context.WithTimeout(ctx, peerWatchTimeout+peerTimeout)
@@ -89,7 +90,7 @@
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	now := f.now()
-	if now.Sub(f.startedAt) < startupDelay {
+	if !f.settled(now) {
 		return peerAddress{}, false
 	}
 	names := f.readerNames(now)
@@ -112,6 +113,11 @@
 	}, true
 }
 
+// isReader reports whether this entry follows the store directly. The caller holds the lock.
+func (f *Follower) isReader(now time.Time) bool {
+	return slices.Contains(f.readerNames(now), f.opt.Name)
+}
+
 // readerNames returns the entries that follow the store, from the point of view of this entry: those with the lowest
 // ranks among the entries that are heard and reach the store. The first of each failure domain comes first, because the
 // others in the domain follow it and traffic between domains is charged. The caller holds the lock.
