Hedge by the expected latency until enough calls are measured

An entry hedged only once it had measured 50 calls of the service; at two calls a second for each of 189 entries that takes 25 s after each start of a process.

Change: until then an attempt counts as slow after three times its own expected latency. TestHangs and TestHedgeDelayUnmeasured; with the fallback off, the request of TestHangs ends with 502 at the time of its route.

--- a/bench/selector.go
+++ b/bench/selector.go
@@ -108,7 +108,10 @@
 	}))
 }
 
-func (s tableSelector) hedgeAfter() (time.Duration, bool) { return s.HedgeDelay(serviceName) }
+func (s tableSelector) hedgeAfter() (time.Duration, bool) {
+	return s.HedgeDelay(serviceName, route.Estimate{})
+}
+
 func (s tableSelector) capacity(now time.Time, demand float64) (window, total float64) {
 	return s.Capacity(now, serviceName, demand)
 }
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -14,7 +14,7 @@
 func (e *Entry) attemptWithHedge(ctx context.Context, c *call, permit *route.Permit) outcome.Outcome {
 	c.tried = append(c.tried, permit.Target)
 	retry := c.unknownReason != ""
-	delay, ok := e.table.HedgeDelay(c.service.name)
+	delay, ok := e.table.HedgeDelay(c.service.name, permit.Estimate)
 	if !c.idempotent || c.isRetry || !ok || c.policy.attempts < 2 {
 		return e.attempt(ctx, c, permit, retry)
 	}
--- a/route/registered_test.go
+++ b/route/registered_test.go
@@ -451,3 +451,30 @@
 		}
 	}
 }
+
+// Guards against a call that waits until its deadline for a target that never answers, because the entry has too few
+// calls to have measured how long they take. Load: an entry that has just started, with two calls a second.
+func TestHedgeDelayUnmeasured(t *testing.T) {
+	const serviceTime = 100 * time.Millisecond
+	table := registeredTable(registeredTargets("a", 2)...)
+	observeLoad(table, epoch, "a0", 0, 1)
+	observeLoad(table, epoch, "a1", 0, 4)
+	for calls := range minLatencySamples + 1 {
+		p, reason := table.Pick(epoch, "stock", queryAged(0))
+		assert.Assert(t, p != nil, "%v", reason)
+		expected := p.Estimate.ExpectedLatency
+		delay, ok := table.HedgeDelay("stock", p.Estimate)
+		assert.Assert(t, ok)
+		if calls < minLatencySamples {
+			assert.Equal(t, delay, unmeasuredHedgeFactor*expected, "after %d calls", calls)
+			assert.Assert(t, delay < registeredDeadline)
+		} else {
+			assert.Assert(t, delay < 2*serviceTime, "the 95th percentile, not %s", delay)
+		}
+		p.Done(epoch, succeededAfter(serviceTime))
+	}
+	_, ok := table.HedgeDelay("stock", Estimate{})
+	assert.Assert(t, ok, "measured")
+	_, ok = registeredTable(registeredTargets("a", 2)...).HedgeDelay("stock", Estimate{})
+	assert.Assert(t, !ok, "neither measured nor expected")
+}
--- a/route/table.go
+++ b/route/table.go
@@ -444,16 +444,25 @@
 	return s.inflight
 }
 
-// HedgeDelay returns the time after which an attempt counts as slow: the 95th percentile of the latency of the service.
-// It returns false until enough calls have been measured.
-func (t *Table) HedgeDelay(service string) (time.Duration, bool) {
+// unmeasuredHedgeFactor is the latency, relative to the expected one, above which an attempt counts as slow while too
+// few calls have been measured. With the usual deviation of latencies, one call in a thousand takes as long.
+const unmeasuredHedgeFactor = 3
+
+// HedgeDelay returns the time after which an attempt counts as slow: the 95th percentile of the latency of the service,
+// or a multiple of the expected latency of the attempt until enough calls have been measured. It returns false if
+// neither is known. The estimate answers targets that never answer at entries with few calls: at two calls a second,
+// measuring takes 25 s after each start, and a call that hung in this time was lost.
+func (t *Table) HedgeDelay(service string, attempt Estimate) (time.Duration, bool) {
 	s := t.view.Load().services[service]
 	if s == nil {
 		return 0, false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.latencies.quantile(0.95)
+	if delay, ok := s.latencies.quantile(0.95); ok {
+		return delay, true
+	}
+	return unmeasuredHedgeFactor * max(attempt.ExpectedLatency, minExpectedLatency), attempt.ExpectedLatency > 0
 }
 
 // Capacity returns the number of calls that this entry should have in flight at the targets of the service, and the
