--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -232,6 +232,82 @@
 	}
 }
 
+// Guards against a caller that holds a connection with bytes that do not end: in a head, or after the body that it has
+// declared. They come as fast as the connection takes them, or byte by byte.
+func TestEndlessRequest(t *testing.T) {
+	tests := map[string]struct {
+		start  string
+		repeat string
+		want   []int
+	}{
+		"request line": {
+			repeat: "G",
+			// A line that the limit cuts may be malformed before it is too long.
+			want: []int{http.StatusRequestHeaderFieldsTooLarge},
+		},
+		"header": {
+			start:  "GET / HTTP/1.1\r\nHost: a.example\r\nX-Long: ",
+			repeat: "x",
+			want:   []int{http.StatusRequestHeaderFieldsTooLarge},
+		},
+		"headers": {
+			start:  "GET / HTTP/1.1\r\nHost: a.example\r\n",
+			repeat: "X-Next: y\r\n",
+			want:   []int{http.StatusRequestHeaderFieldsTooLarge},
+		},
+		"beyond the body": {
+			start:  "POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\nbody",
+			repeat: "more\r\n",
+			want:   []int{http.StatusOK, http.StatusBadRequest},
+		},
+	}
+	for name, test := range tests {
+		for _, drip := range []time.Duration{0, 2 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s drip=%s", name, drip), func(t *testing.T) {
+				t.Parallel()
+				_, c := start(t, Limits{
+					MaxHeaderBytes:    4096,
+					ReadHeaderTimeout: 300 * time.Millisecond,
+					IdleTimeout:       5 * time.Second,
+				}, func(w http.ResponseWriter, r *http.Request) {
+					body, err := io.ReadAll(r.Body)
+					assert.Check(t, err)
+					assert.Check(t, string(body) == "body", "%q", body)
+				})
+				began := time.Now()
+				closed := make(chan struct{})
+				go func() {
+					defer close(closed)
+					_, err := io.WriteString(c, test.start)
+					for i := 0; err == nil; i++ {
+						block := strings.Repeat(test.repeat, 100)
+						if drip > 0 {
+							time.Sleep(drip)
+							block = test.repeat[i%len(test.repeat):][:1]
+						}
+						_, err = io.WriteString(c, block)
+					}
+				}()
+				br := bufio.NewReader(c)
+				for _, want := range test.want {
+					resp, err := http.ReadResponse(br, nil)
+					if err != nil {
+						break // The connection was reset behind the response, with bytes of ours unread.
+					}
+					if drip > 0 && len(test.want) == 1 {
+						want = http.StatusRequestTimeout
+					}
+					cutLine := name == "request line" && drip == 0 && resp.StatusCode == http.StatusBadRequest
+					assert.Check(t, resp.StatusCode == want || cutLine, "status %d, not %d", resp.StatusCode, want)
+					io.Copy(io.Discard, resp.Body)
+				}
+				<-closed
+				assert.Assert(t, time.Since(began) < 3*time.Second, "closed after %s", time.Since(began))
+			})
+		}
+	}
+}
+
 // Guards against an answer that breaks off and looks whole.
 func TestBrokenAnswer(t *testing.T) {
 	tests := map[string]http.HandlerFunc{
--- a/target/conn.go
+++ b/target/conn.go
@@ -20,8 +20,12 @@
 var (
 	errHeadTooLarge = errors.New("response head is too large")
 	errWriteRefused = errors.New("request may no longer be written")
+	errNoResponse   = errors.New("target sends bytes that are no response")
 )
 
+// statusLinePrefix begins each response.
+const statusLinePrefix = "HTTP/"
+
 // conn is a connection to the target. It is used by one call at a time or is in the idle list.
 type conn struct {
 	nc            net.Conn
@@ -184,6 +188,9 @@
 	c.headBytesLeft = maxHeadBytes
 	defer func() { c.headBytesLeft = -1 }()
 	for {
+		if err := c.awaitStatusLine(); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(c.br, &c.req)
 		if err != nil {
 			return nil, err
@@ -197,6 +204,37 @@
 	}
 }
 
+// awaitStatusLine waits for the beginning of a response. It fails at the first byte that does not belong to one, because
+// a target in trouble may send such bytes slowly and without an end of the line.
+func (c *conn) awaitStatusLine() error {
+	for n := 1; n <= len(statusLinePrefix); n++ {
+		b, err := c.br.Peek(n)
+		if err != nil {
+			return err
+		}
+		if string(b) != statusLinePrefix[:n] {
+			return errNoResponse
+		}
+	}
+	return nil
+}
+
+// discardBody reads a short body to its end, so that the connection can be reused. It reports whether it got there
+// within discardTimeout.
+func (c *conn) discardBody(resp *http.Response) bool {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return resp.Body == http.NoBody
+	}
+	limit := c.timers.Now().Add(discardTimeout)
+	if limit.Before(c.deadline) {
+		if err := c.nc.SetReadDeadline(limit); err != nil {
+			return false
+		}
+	}
+	_, err := io.CopyN(io.Discard, resp.Body, maxDiscardBytes)
+	return err == io.EOF && c.nc.SetReadDeadline(c.deadline) == nil
+}
+
 // refusalReason returns why the prepared request may not be written now, or an empty reason if it may.
 func (c *conn) refusalReason() outcome.Reason {
 	now := c.timers.Now()
--- a/target/options.go
+++ b/target/options.go
@@ -23,11 +23,13 @@
 	// maxConfirmationWait bounds how long a call waits for another call to confirm its connection. It covers the usual
 	// processing time of a call; after a longer wait another target would already have responded.
 	maxConfirmationWait = 50 * time.Millisecond
-	// maxHeadBytes bounds the head of a response, including informational responses. It equals the default limit of
-	// net/http servers.
-	maxHeadBytes = 1 << 20
+	// maxHeadBytes bounds the head of a response, including informational responses. Targets in trouble may send heads
+	// without end, many of them at once.
+	maxHeadBytes = 256 << 10
 	// maxDiscardBytes bounds the body of a load read, and of a refusal that is read to its end to keep the connection.
 	maxDiscardBytes = 16 << 10
+	// discardTimeout bounds how long such a body is waited for. A new connection takes less time.
+	discardTimeout = 20 * time.Millisecond
 	// bufferBytes holds a typical head with a small body. Larger bodies bypass the buffers.
 	bufferBytes = 4 << 10
 )
--- a/target/probe.go
+++ b/target/probe.go
@@ -183,6 +183,9 @@
 	if err != nil {
 		return outcome.Report{}, err
 	}
+	if len(data) == maxDiscardBytes {
+		return outcome.Report{}, errors.New("response is too long")
+	}
 	if resp.StatusCode != http.StatusOK {
 		return outcome.Report{}, fmt.Errorf("status %d", resp.StatusCode)
 	}
--- a/target/send.go
+++ b/target/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"os"
 	"slices"
@@ -306,7 +305,7 @@
 		if head.InstanceMismatch {
 			reason = outcome.InstanceChanged
 		}
-		p.finish(c, stopWatch, !resp.Close && discardBody(resp))
+		p.finish(c, stopWatch, !resp.Close && c.discardBody(resp))
 		return &outcome.NotRun{
 			Reason:     reason,
 			RetryAfter: head.RetryAfter,
@@ -400,6 +399,9 @@
 	}
 	resp, head, err := p.readHead(c, id)
 	if err != nil {
+		if !p.opts.Timers.Now().Before(deadline) {
+			err = os.ErrDeadlineExceeded // The parser may report a line that the timeout has cut instead.
+		}
 		return fail(failureReason(err))
 	}
 	wantID := id
@@ -429,7 +431,7 @@
 		return nil, ResponseHead{}, err
 	}
 	head := p.opts.Protocol.ParseHead(resp)
-	if head.ID == id || head.ID == "" || head.ID != c.previousID || resp.Close || p.disabled.requestIDMatch || !discardBody(resp) {
+	if head.ID == id || head.ID == "" || head.ID != c.previousID || resp.Close || p.disabled.requestIDMatch || !c.discardBody(resp) {
 		return resp, head, nil
 	}
 	if resp, err = c.readResponse(); err != nil {
@@ -448,15 +450,6 @@
 	p.release(c)
 }
 
-// discardBody reads a short body to its end, so that the connection can be reused. It reports whether it got there.
-func discardBody(resp *http.Response) bool {
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		return resp.Body == http.NoBody
-	}
-	_, err := io.CopyN(io.Discard, resp.Body, maxDiscardBytes)
-	return err == io.EOF
-}
-
 func failureReason(err error) outcome.Reason {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return outcome.TimedOut
