Close idle connections to the table once a call on one was not answered

TestDrain/stop is known red: 3 of 2648 calls were refused with reason table after the cuts between an entry and the platform had ended. The cut is silent. Polls of the table notice on the connections that they use and dial anew, but a connection that was idle at the cut stays in the pool, and the next claim that needs a second connection waits on it for the whole timeout and is refused.

Not yet shown: runs of TestDrain/stop beside load.

--- a/store/client.go
+++ b/store/client.go
@@ -155,6 +155,9 @@
 		resp, _, err = c.post(ctx, path, body)
 	}
 	if err != nil {
+		// Connections tend to go silent together. One that has been idle since would delay another call until its
+		// timeout, even after the service is back.
+		c.httpClient.CloseIdleConnections()
 		return response, err
 	}
 	defer resp.Body.Close()
