Let calls that need the same load report share one read

Each call that arrives while none waits reads three targets itself, each read that finds no idle connection opens one, and a target takes 1 ms to accept a connection. After a restart all callers of an entry come back at once, to all 189 entries.

Change: a read of a target that is in flight is shared.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -74,7 +74,8 @@
 	hadContact atomic.Bool
 	inflight   atomic.Int64
 	// position is the position last passed to table.SetPosition.
-	position struct{ index, count int }
+	position  struct{ index, count int }
+	loadReads loadReads
 	// meanReadTime is the moving average of the duration of load reads, in nanoseconds.
 	meanReadTime atomic.Int64
 	done         chan struct{}
--- a/entry/load_reads.go
+++ b/entry/load_reads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -87,22 +88,60 @@
 	e.handleTargetEvent(e.table.LoadReadFailed(now, sent, name))
 }
 
+// loadReads are the load reads in flight. Calls that need the report of the same target at the same moment share one
+// read. Without that, the calls that arrive at once when an entry has restarted read the same few targets each on a
+// connection of its own. The entries of a fleet that all restarted opened so many that the targets reset them or let them
+// wait, and then took the targets for unreachable.
+type loadReads struct {
+	mu sync.Mutex
+	// waiting holds, for each target that is being read, the channels to be signaled at the end of the read.
+	waiting map[string][]chan<- struct{}
+}
+
+// join adds a channel, which may be nil, to the read of a target. It returns true if there was none in flight, so that
+// the caller must do it.
+func (r *loadReads) join(name string, done chan<- struct{}) (first bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	waiting, inFlight := r.waiting[name]
+	if r.waiting == nil {
+		r.waiting = map[string][]chan<- struct{}{}
+	}
+	r.waiting[name] = append(waiting, done)
+	return !inFlight
+}
+
+// end signals the end of the read of a target.
+func (r *loadReads) end(name string) {
+	r.mu.Lock()
+	waiting := r.waiting[name]
+	delete(r.waiting, name)
+	r.mu.Unlock()
+	for _, done := range waiting {
+		if done != nil {
+			done <- struct{}{}
+		}
+	}
+}
+
 // readLoad reads the load of a target in the background. It signals done, unless that is nil, when the read has
-// ended.
+// ended. done must have room for the signal.
 func (e *Entry) readLoad(name string, timeout time.Duration, done chan<- struct{}) {
+	if !e.loadReads.join(name, done) {
+		return
+	}
 	p := e.snapshot.Load().pools[name]
 	e.tasks.Go(func() {
-		if p != nil {
-			// Take the time before the timeout starts, so that a pause of this machine between the two does not make
-			// the read look later than it was.
-			sent := e.timers.Now()
-			ctx, cancel := context.WithTimeout(context.Background(), timeout)
-			defer cancel()
-			_, err := p.ReadLoad(ctx)
-			e.recordLoadRead(name, sent, err)
-		}
-		if done != nil {
-			done <- struct{}{}
+		defer e.loadReads.end(name)
+		if p == nil {
+			return
 		}
+		// Take the time before the timeout starts, so that a pause of this machine between the two does not make
+		// the read look later than it was.
+		sent := e.timers.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		_, err := p.ReadLoad(ctx)
+		e.recordLoadRead(name, sent, err)
 	})
 }
