Let requests wait a moment for the first settings of an entry

Change: for a second after its start an entry lets requests wait until its settings are in force. After that it refuses at once, as before.

--- a/entry/call.go
+++ b/entry/call.go
@@ -93,7 +93,7 @@
 
 // parseCall reads a call. It refuses calls that are invalid regardless of load.
 func (e *Entry) parseCall(now time.Time, r *http.Request, relayed bool) (*call, *Refusal) {
-	snap := e.snapshot.Load()
+	snap := e.awaitSettings(r.Context())
 	if snap.settings == nil {
 		return nil, notRunRefusal(outcome.Isolated, defaultRetryAfter, "this entry has no settings yet")
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -57,8 +57,10 @@
 	link     *link.Pacer
 	started  time.Time
 
-	snapshot  atomic.Pointer[snapshot]
-	refreshMu sync.Mutex
+	snapshot atomic.Pointer[snapshot]
+	// haveSettings is closed when the first snapshot is in force.
+	haveSettings chan struct{}
+	refreshMu    sync.Mutex
 
 	mu        sync.Mutex
 	budgets   map[string]*target.ProbeBudget
@@ -92,23 +94,24 @@
 		opts.Protocol = NativeProtocol{}
 	}
 	e := &Entry{
-		opts:      opts,
-		timers:    timers,
-		log:       log.With(zap.String("entry", opts.Name)),
-		callLog:   opts.Logger.With(zap.String("entry", opts.Name)),
-		journal:   j,
-		metrics:   metrics,
-		listeners: l,
-		protocol:  opts.Protocol,
-		fleet:     f,
-		peers:     peers,
-		claims:    claims,
-		table:     table,
-		link:      link.New(opts.Bandwidth),
-		started:   timers.Now(),
-		budgets:   map[string]*target.ProbeBudget{},
-		peerPools: map[string]*peerPool{},
-		done:      make(chan struct{}),
+		opts:         opts,
+		timers:       timers,
+		log:          log.With(zap.String("entry", opts.Name)),
+		callLog:      opts.Logger.With(zap.String("entry", opts.Name)),
+		journal:      j,
+		metrics:      metrics,
+		listeners:    l,
+		protocol:     opts.Protocol,
+		fleet:        f,
+		peers:        peers,
+		claims:       claims,
+		table:        table,
+		link:         link.New(opts.Bandwidth),
+		started:      timers.Now(),
+		budgets:      map[string]*target.ProbeBudget{},
+		peerPools:    map[string]*peerPool{},
+		done:         make(chan struct{}),
+		haveSettings: make(chan struct{}),
 	}
 	e.snapshot.Store(&snapshot{})
 	table.SetLeaseFunc(f.Owns)
--- a/entry/snapshot.go
+++ b/entry/snapshot.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -120,7 +121,7 @@
 	e.table.SetEntries(next.entries)
 	if next.registered {
 		unused := e.applyRegisteredTargets(now, state, old, next)
-		e.snapshot.Store(next)
+		e.storeSnapshot(next)
 		closePools(unused)
 		return
 	}
@@ -132,7 +133,7 @@
 			e.table.SetColdTransitions(now, name, f.Instance, f.Falls)
 		}
 	}
-	e.snapshot.Store(next)
+	e.storeSnapshot(next)
 	for name, p := range old.pools {
 		if next.pools[name] != p {
 			p.Close()
@@ -143,6 +144,34 @@
 	}
 }
 
+// settingsWait is how long after the start of the entry calls wait for its first settings, which usually takes less than
+// 200 ms. Callers that are refused come back only after a second.
+const settingsWait = time.Second
+
+// awaitSettings returns the current snapshot. Right after the start of the entry it waits for the first one.
+func (e *Entry) awaitSettings(ctx context.Context) *snapshot {
+	snap := e.snapshot.Load()
+	wait := settingsWait - e.timers.Now().Sub(e.started)
+	if snap.settings != nil || wait <= 0 {
+		return snap
+	}
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	select {
+	case <-e.haveSettings:
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+	return e.snapshot.Load()
+}
+
+// storeSnapshot puts a snapshot in force.
+func (e *Entry) storeSnapshot(next *snapshot) {
+	if e.snapshot.Swap(next).settings == nil {
+		close(e.haveSettings)
+	}
+}
+
 func closePools(pools []*pool) {
 	for _, p := range pools {
 		p.Close()
