Check the platform's files with the check command

check read only folders of settings and said of a machine's settings file that it is not a directory.

--- a/cmd/skylarkbeam/command_test.go
+++ b/cmd/skylarkbeam/command_test.go
@@ -47,6 +47,15 @@
 			status: 1,
 			golden: "empty.golden",
 		},
+		{
+			args:   "check ../../platform/testdata/settings.toml ../../deploy/system.toml",
+			golden: "valid.golden",
+		},
+		{
+			args:   "check testdata/machine.toml testdata/deploy.toml testdata/other.toml",
+			status: 1,
+			golden: "files.golden",
+		},
 		{
 			args:   "show ../../examples/beaconwatch",
 			golden: "beaconwatch.golden",
@@ -77,7 +86,7 @@
 	wrong := map[string]string{
 		"":            "no command given",
 		"chek a":      `unknown command "chek"`,
-		"check":       "need one folder of settings, not 0 arguments",
+		"check":       "need a folder of settings, or files",
 		"show a b":    "need one folder of settings, not 2 arguments",
 		"show -xml a": "flag provided but not defined: -xml",
 		"version 1":   "version takes no arguments",
