--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -44,6 +44,8 @@
 	region = "queensland"
 	// pollInterval is how often a state that is waited for is looked at.
 	pollInterval = 20 * time.Millisecond
+	// defaultServiceDeadline is the deadline of a service, which must not be below that of the callers.
+	defaultServiceDeadline = 2 * time.Second
 )
 
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
@@ -55,6 +57,8 @@
 	Services []Service
 	// Callers are the shares of the callers by name; the default is a caller "web" with a share of 0.2.
 	Callers map[string]float64
+	// Deadline is the deadline of the calls of all callers; the default is a second.
+	Deadline time.Duration
 	// Limits are the limits of the settings.
 	Limits setting.Limits
 	Logger *zap.Logger
@@ -82,6 +86,9 @@
 			"web": 0.2,
 		}
 	}
+	if o.Deadline <= 0 {
+		o.Deadline = time.Second
+	}
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
@@ -150,7 +157,7 @@
 	for name, share := range o.Callers {
 		s.Classes[name] = setting.Class{
 			Share:    share,
-			Deadline: setting.Duration(time.Second),
+			Deadline: setting.Duration(o.Deadline),
 		}
 		s.Callers[name] = setting.Caller{
 			Class: name,
@@ -183,6 +190,7 @@
 		Path:        "/" + s.Name,
 		Slots:       switches.Slots,
 		Connections: 200,
+		Deadline:    setting.Duration(max(d.opts.Deadline, defaultServiceDeadline)),
 		Targets:     targets,
 		Work:        setting.Duration(max(s.ServiceTime, time.Millisecond)),
 		Probes:      s.ProbesPerSecond,
--- a/entry/call_test.go
+++ b/entry/call_test.go
@@ -14,7 +14,6 @@
 
 	"skylarkbeam/deployment"
 	"skylarkbeam/entry"
-	"skylarkbeam/setting"
 	"skylarkbeam/standin"
 	"skylarkbeam/store"
 )
@@ -119,12 +118,13 @@
 func startFourSlotStock(t *testing.T) *deployment.Deployment {
 	return startStock(t, standin.Behavior{
 		Slots: 4,
-	})
+	}, time.Second)
 }
 
-// startStock starts a deployment with one service of three targets.
-func startStock(tb testing.TB, switches standin.Behavior) *deployment.Deployment {
+// startStock starts a deployment with one service of three targets. Calls have the given deadline.
+func startStock(tb testing.TB, switches standin.Behavior, deadline time.Duration) *deployment.Deployment {
 	return start(tb, deployment.Options{
+		Deadline: deadline,
 		Services: []deployment.Service{
 			{
 				Name:        "stock",
@@ -317,11 +317,11 @@
 
 // A large response that breaks during streaming must not look complete to the caller.
 func TestStreamedBreak(t *testing.T) {
-	d := startFourSlotStock(t)
+	// On a busy machine, a download of 4 MB takes longer than a second and is then cut at the default deadline.
+	d := startStock(t, standin.Behavior{
+		Slots: 4,
+	}, time.Minute)
 	e := d.Entries[0]
-	// On a busy machine, the download can take longer than the second that calls have by default, and is then cut at its
-	// deadline.
-	setDeadline(t, d, time.Minute)
 	q := get("/stock/manual?size=4000000")
 	r := send(context.Background(), e, q)
 	assert.NilError(t, r.err)
@@ -335,20 +335,6 @@
 	}
 }
 
-// setDeadline sets the deadline of all classes and services.
-func setDeadline(t *testing.T, d *deployment.Deployment, deadline time.Duration) {
-	t.Helper()
-	for name, class := range d.Settings.Classes {
-		class.Deadline = setting.Duration(deadline)
-		d.Settings.Classes[name] = class
-	}
-	for name, service := range d.Settings.Services {
-		service.Deadline = setting.Duration(deadline)
-		d.Settings.Services[name] = service
-	}
-	assert.NilError(t, d.Apply(t.Context()))
-}
-
 // A straggling target must not make reads slow while other targets are idle.
 func TestHedge(t *testing.T) {
 	d := startFourSlotStock(t)
--- a/entry/cold_test.go
+++ b/entry/cold_test.go
@@ -25,7 +25,7 @@
 		ColdConcurrency:   1,
 		ServiceTime:       standin.Duration(2 * time.Millisecond),
 		CancellationDelay: standin.Duration(20 * time.Millisecond),
-	})
+	}, time.Second)
 	e := d.Entries[0]
 	q := get("/stock/1")
 	for range 100 {
