Check a target before a call when its last report is older than 3 s

Change: a connection whose target has not reported for 3 s is checked by a load read, as a new connection is, and a target that reports that it leaves gets no call. TestOldReport; its control, without the check, sends the call. Not needed for registered targets, whose load is read before each placement.

--- a/target/options.go
+++ b/target/options.go
@@ -14,15 +14,19 @@
 	// freshnessLimit is how long after its last response a connection may carry a non-idempotent call, and how long a
 	// report counts as current (docs/design.md, 2.7).
 	freshnessLimit = time.Second
+	// maxReportAge is the age of the last report from which a call with an expected instance is preceded by a connection
+	// check. The target may be leaving since, and then gets no new calls after at most 5 s. An entry that has sent it
+	// nothing for a while learns so only by asking.
+	maxReportAge = 3 * time.Second
 	// maxIdleTime is below the idle timeouts of one minute or more that are common on servers, so that a target rarely
 	// closes a connection at the moment of its reuse.
 	maxIdleTime = 30 * time.Second
 	// idleMarginDivisor sets the last part of a target's idle timeout, as 1/n of it, in which its connections are no
 	// longer used. A request that crosses the close of its connection is lost.
 	idleMarginDivisor = 4
-	// maxConfirmationWait bounds how long a call waits for another call to confirm its connection. It covers the usual
-	// processing time of a call; after a longer wait another target would already have responded.
-	maxConfirmationWait = 50 * time.Millisecond
+	// defaultConfirmationWait covers the usual processing time of a call; after a longer wait another target would already
+	// have responded.
+	defaultConfirmationWait = 50 * time.Millisecond
 	// maxHeadBytes bounds the head of a response, including informational responses. Targets in trouble may send heads
 	// without end, many of them at once.
 	maxHeadBytes = 256 << 10
@@ -56,6 +60,8 @@
 	// again on a new one. It should be several times the usual processing time of the service. Defaults to 250 ms; a
 	// negative value disables it.
 	FirstByteTimeout time.Duration
+	// ConfirmationWait bounds how long a call waits for another call to confirm its connection. Defaults to 50 ms.
+	ConfirmationWait time.Duration
 	// OnReport is called with each report received in a response, refusal, load read or connection check. It must
 	// return quickly. Reports of concurrent requests can arrive out of order.
 	OnReport func(outcome.Report)
@@ -98,6 +104,9 @@
 	if o.FirstByteTimeout == 0 {
 		o.FirstByteTimeout = 250 * time.Millisecond
 	}
+	if o.ConfirmationWait == 0 {
+		o.ConfirmationWait = defaultConfirmationWait
+	}
 	if o.OnReport == nil {
 		o.OnReport = func(outcome.Report) {}
 	}
--- a/target/pool.go
+++ b/target/pool.go
@@ -76,6 +76,7 @@
 		closedConnCheck     bool // do not detect closed idle connections
 		freshnessCheck      bool // send non-idempotent calls on connections of any age
 		firstByteTimeout    bool // wait for the first byte until the deadline
+		maxReportAge        bool // send calls however old the last report is
 		instanceCheck       bool // do not check the instance of new connections
 		passiveConfirmation bool // confirm a new connection only by its own load read
 		closeOnTimeout      bool // reuse connections whose request timed out
--- a/target/send.go
+++ b/target/send.go
@@ -26,12 +26,13 @@
 // a repeat, and the outcome is never NotRun.
 //
 // A new connection for a call with an expected instance is confirmed by a load read or, if the probe budget allows
-// none, by the response to another request that was written after the connection was open.
+// none, by the response to another request that was written after the connection was open. The same holds for any
+// connection once the last report is older than maxReportAge.
 //
 // Right before it writes each attempt, Send calls Call.BeforeWrite and checks the remaining time.
 //
 // NotRun has the reason queue if all connections are in use, budget if a new connection cannot be confirmed, instance
-// if the target is another instance than expected, and dial if no connection could be opened or checked.
+// if the target is another instance than expected, leaving if a check shows that it is, and dial if no connection could be opened or checked.
 func (p *Pool) Send(ctx context.Context, call *Call) outcome.Outcome {
 	now := p.opts.Timers.Now()
 	deadline := now.Add(call.Timeout)
@@ -56,7 +57,7 @@
 		}
 	}
 	c := p.takeIdle(call, now)
-	if c == nil || !p.canCarry(c, call) {
+	if c == nil || !p.canCarry(c, call) || p.needsReport(call, now) {
 		return p.sendUnconfirmed(ctx, call, deadline, c)
 	}
 	first := p.sendOn(ctx, c, call, deadline, true)
@@ -102,6 +103,19 @@
 	return call.Instance == "" || c.instance == call.Instance || p.skipsInstanceCheck()
 }
 
+// needsReport reports whether the last report is too old for a call.
+func (p *Pool) needsReport(call *Call, now time.Time) bool {
+	if call.Instance == "" || p.skipsInstanceCheck() || p.opts.ProbeBudget == nil || p.disabled.maxReportAge {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reportIsOld(now)
+}
+
+// reportIsOld reports whether the last report is older than maxReportAge. The caller must hold p.mu.
+func (p *Pool) reportIsOld(now time.Time) bool { return now.Sub(p.reportedAt) > maxReportAge }
+
 // sendUnconfirmed sends a call on a connection that is not confirmed, or on a new one if c is nil.
 func (p *Pool) sendUnconfirmed(ctx context.Context, call *Call, deadline time.Time, c *conn) outcome.Outcome {
 	if call.Instance != "" && !p.skipsInstanceCheck() {
@@ -192,6 +206,13 @@
 		}
 		c = confirmed
 	}
+	if report, _ := p.LastReport(); report.Instance == c.instance && report.Phase == outcome.PhaseDraining {
+		p.release(c)
+		return nil, &outcome.NotRun{
+			Reason: outcome.Leaving,
+			Report: report,
+		}
+	}
 	if c.instance == call.Instance {
 		return c, nil
 	}
@@ -214,7 +235,7 @@
 // awaitConfirmation waits until the response to another request confirms c, or until another connection that leads to
 // the expected instance is idle. It returns that connection, or nil if neither happens in time.
 func (p *Pool) awaitConfirmation(ctx context.Context, c *conn, call *Call, deadline time.Time) *conn {
-	timeout := time.NewTimer(min(maxConfirmationWait, deadline.Sub(p.opts.Timers.Now())))
+	timeout := time.NewTimer(min(p.opts.ConfirmationWait, deadline.Sub(p.opts.Timers.Now())))
 	defer timeout.Stop()
 	p.addWaiters(1)
 	defer p.addWaiters(-1)
@@ -249,7 +270,7 @@
 	now := p.opts.Timers.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.confirmedByReport(c) {
+	if p.confirmedByReport(c) && (!p.reportIsOld(now) || p.disabled.maxReportAge) {
 		c.instance = p.report.Instance
 		return c, nil
 	}
