Pass on whole tables that were empty when they were read

The logs: entries that restart while the store turns them away take both tables from a peer, but no desired state comes into force, and they refuse all requests with reason isolated, 133 of them.

Cause: a replica counts as loaded only after a batch that is marked as the whole table. Changes were marked so if deletions since the requested version were no longer known, which is never so after a table that was read at version 0, while nothing had been written to the store.

Change: the changes after version 0 are the whole table. TestCompleteFromEmpty and TestStartWithoutStore fail on the old code.

--- a/feed/table.go
+++ b/feed/table.go
@@ -185,15 +185,16 @@
 	}
 }
 
-// ChangesSince returns the changes after a version, or the whole table if the deletions since that version are no
-// longer known.
+// ChangesSince returns the changes after a version, or the whole table if the version is 0 or the deletions since then are
+// no longer known. A replica that knows nothing asks for the changes after 0. All that there are make up the whole table,
+// and must be marked as such, or the replica would never count as loaded.
 func (t *Table) ChangesSince(after uint64) Batch {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	b := Batch{
 		Rows:    []Row{},
 		Version: t.completeVersion,
-		Whole:   after < t.tombstonesSince,
+		Whole:   after == 0 || after < t.tombstonesSince,
 	}
 	for _, row := range t.rows {
 		if b.Whole || row.Version > after {
--- a/feed/table_test.go
+++ b/feed/table_test.go
@@ -54,6 +54,18 @@
 	return have
 }
 
+// Guards against a replica without the whole table that a loaded one cannot complete: the table was empty, at version 0, when
+// the latter read it.
+func TestCompleteFromEmpty(t *testing.T) {
+	loaded, replica := NewTable("targets"), NewTable("targets")
+	loaded.Apply(wholeTable(0))
+	loaded.Apply(changes(2, row("a", 1), row("b", 2)))
+	loaded.Apply(changes(3, tombstone("b", 3)))
+	replica.Apply(loaded.ChangesSince(replica.CompleteVersion()))
+	assert.Assert(t, replica.Loaded())
+	assert.DeepEqual(t, versions(replica), map[string]uint64{"a": 1})
+}
+
 // Guards against rows that go back to an older version, deletions that an older row undoes, and rows that survive a
 // copy of the whole table that lacks them.
 func TestApply(t *testing.T) {
--- a/fleet/join_test.go
+++ b/fleet/join_test.go
@@ -118,3 +118,24 @@
 		}
 	})
 }
+
+// Guards against an entry that cannot serve because the store does not answer when it starts, although its peers know the
+// tables. They have read them while nothing had been written to the store.
+func TestStartWithoutStore(t *testing.T) {
+	simulation.Run(t, func(t *testing.T) {
+		store := newMemoryStore("op", "servers", "entries")
+		transport := newMemoryTransport(t)
+		seeds := []netip.AddrPort{testControl(0)}
+		for i := range 3 {
+			transport.start(t, i, qldDomains[i], store, seeds)
+		}
+		time.Sleep(time.Second)
+		store.set("op", "config", "x")
+		store.set("servers", "target", "y")
+		time.Sleep(time.Second)
+		store.setDown(true)
+		late := transport.start(t, 3, qldDomains[0], store, seeds)
+		time.Sleep(2 * time.Second)
+		assert.DeepEqual(t, late.State().DrainedDomains, []string{"x"})
+	})
+}
