Let a reader that loses the store hand its followers over at once

Traced by the logs of all entries: the three readers were cut off from the store at 1.0 s. Their watch, which had begun just before, ended after 2.7 s, its repeat after 0.9 s more, and the others learned by greetings 1.5 s later that their readers had lost the store.

Change: a reader that loses the store ends the watch requests of its followers. These greet all readers, to learn which of them reach the store, and follow another one. The watch of the desired state waits for one second instead of two, which makes 1.5 more calls a second for all entries together. A stopped entry answers no requests for rows, and an entry that joins through the table of members greets all that it finds there at once.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -26,9 +26,10 @@
 	// deliver it. It is longer than the delays between requests of this entry and of the reader.
 	peerFetchDelay = 500 * time.Millisecond
 	// stateWatchTimeout limits one watch request for the desired state. Its response shows that the store answers;
-	// when it fails, all other requests to the store are repeated. A request that the store has lost without an error
-	// must be noticed within 3 s of an outage, after which an entry must again know all acknowledged changes.
-	stateWatchTimeout = 2 * time.Second
+	// when it fails, all other requests to the store are repeated. A reader that is cut off from the store without an
+	// error must notice in time for its followers to learn of each change within 3 s from another reader: it takes one
+	// watch that has just begun, one repeat, and the time that the client of the store allows for each response.
+	stateWatchTimeout = time.Second
 	// startupDelay is how long a process waits after its start before it owns targets. By then it knows the other
 	// members.
 	startupDelay = 1500 * time.Millisecond
@@ -118,8 +119,11 @@
 	// fetching contains the tables that are being fetched from a peer, fetchingMembers is set while the members are.
 	fetching        map[string]bool
 	fetchingMembers bool
-	// storeFailures is the number of consecutive failed calls to the store.
-	storeFailures int
+	// storeFailures is the number of consecutive failed calls to the store. attachment is canceled when they make this
+	// entry detached, and then replaced.
+	storeFailures    int
+	attachment       context.Context
+	cancelAttachment context.CancelFunc
 	// owned caches the results of Owns by target.
 	ownedMu sync.Mutex
 	owned   map[string]ownership
@@ -188,6 +192,7 @@
 		cancel:        cancel,
 		done:          make(chan struct{}),
 	}
+	f.attachment, f.cancelAttachment = context.WithCancel(ctx)
 	f.plan.remoteTurn = f.random.IntN(maxFirstTurn)
 	f.plan.remoteAt = f.startedAt.Add(time.Duration(f.random.Int64N(int64(minRemoteInterval))))
 	f.state.Store(&State{})
@@ -450,9 +455,8 @@
 func (f *Follower) Leave() {
 	f.mu.Lock()
 	f.leaving = true
-	everyone := f.startGreetings(slices.Collect(maps.Keys(f.members)))
 	f.mu.Unlock()
-	f.greetAll(everyone)
+	f.greetEveryone()
 }
 
 // Close stops the Follower and removes the entry from the table of members if it is there; ctx limits the removal.
--- a/fleet/follower_test.go
+++ b/fleet/follower_test.go
@@ -27,6 +27,7 @@
 	compactedBefore uint64
 	down            bool
 	calls           int
+	writes          int
 }
 
 func newMemoryStore(names ...string) *memoryStore {
@@ -60,6 +61,12 @@
 	return s.calls
 }
 
+func (s *memoryStore) countWrites() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes
+}
+
 func (s *memoryStore) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -133,6 +140,7 @@
 func (s *memoryStore) Put(_ context.Context, table, key string, value []byte) error {
 	s.mu.Lock()
 	s.calls++
+	s.writes++
 	down := s.down
 	s.mu.Unlock()
 	if down {
@@ -213,7 +221,10 @@
 	if err != nil {
 		return nil, err
 	}
-	b := p.tables[table].Watch(ctx, after, wait)
+	if p.ctx.Err() != nil {
+		return nil, errors.New("stopped")
+	}
+	b := p.watchRows(ctx, p.tables[table], after, wait)
 	return &b, nil
 }
 
--- a/fleet/followerhttp.go
+++ b/fleet/followerhttp.go
@@ -56,6 +56,10 @@
 		http.Error(resp, "need the name of a table and a version", http.StatusBadRequest)
 		return
 	}
+	if f.ctx.Err() != nil {
+		http.Error(resp, "the entry has stopped", http.StatusServiceUnavailable)
+		return
+	}
 	if !table.Loaded() {
 		http.Error(resp, "the table is not known yet", http.StatusServiceUnavailable)
 		return
@@ -65,10 +69,7 @@
 		writeCompressed(resp, table.ChangesSince(after))
 		return
 	}
-	ctx, cancel := context.WithCancel(req.Request.Context())
-	defer cancel()
-	defer context.AfterFunc(f.ctx, cancel)()
-	writeCompressed(resp, table.Watch(ctx, after, min(wait, peerWatchTimeout)))
+	writeCompressed(resp, f.watchRows(req.Request.Context(), table, after, wait))
 }
 
 // minCompressBytes is the size from which on a response is compressed. A desired state with 1600 routes shrinks from
--- a/fleet/greeting.go
+++ b/fleet/greeting.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/binary"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -88,15 +89,26 @@
 // greetAll greets members in the background.
 func (f *Follower) greetAll(members []peerAddress) {
 	for _, to := range members {
-		f.tasks.Go(func() {
-			defer f.finishGreeting(to.name)
-			ctx, cancel := context.WithTimeout(f.ctx, peerTimeout)
-			defer cancel()
-			if err := f.greet(ctx, to); err != nil {
-				f.log.Debug("greeting a peer failed", zap.String("peer", to.name), zap.Error(err))
-				f.abandonReader(to, err)
-			}
-		})
+		f.tasks.Go(func() { f.greetOnce(to) })
+	}
+}
+
+// greetEveryone greets all members in the background.
+func (f *Follower) greetEveryone() {
+	f.mu.Lock()
+	everyone := f.startGreetings(slices.Collect(maps.Keys(f.members)))
+	f.mu.Unlock()
+	f.greetAll(everyone)
+}
+
+// greetOnce greets a member that startGreetings has returned.
+func (f *Follower) greetOnce(to peerAddress) {
+	defer f.finishGreeting(to.name)
+	ctx, cancel := context.WithTimeout(f.ctx, peerTimeout)
+	defer cancel()
+	if err := f.greet(ctx, to); err != nil {
+		f.log.Debug("greeting a peer failed", zap.String("peer", to.name), zap.Error(err))
+		f.abandonReader(to, err)
 	}
 }
 
--- a/fleet/join.go
+++ b/fleet/join.go
@@ -54,6 +54,8 @@
 	for f.ctx.Err() == nil {
 		err := f.publish()
 		if err == nil {
+			// Those in the table pass on that this entry has been heard.
+			f.greetEveryone()
 			return
 		}
 		f.log.Debug("joining the fleet failed", zap.Error(err))
--- a/fleet/join_test.go
+++ b/fleet/join_test.go
@@ -105,10 +105,10 @@
 		}
 		time.Sleep(5 * time.Second)
 		for _, f := range list {
-			before, published := store.count(), f.published.Load()
+			before, published := store.countWrites(), f.published.Load()
 			assert.NilError(t, f.Close(t.Context()))
 			if !published {
-				assert.Equal(t, store.count(), before)
+				assert.Equal(t, store.countWrites(), before)
 			}
 			batch, err := store.Read(t.Context(), "entries")
 			assert.NilError(t, err)
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -62,8 +63,12 @@
 		defer f.trackWatch(to.name, cancel)()
 		ctx, cancel := context.WithTimeout(ctx, peerWatchTimeout+peerTimeout)
 		defer cancel()
+		sentAt := f.now()
 		batch, err := f.opt.Transport.Rows(ctx, to.control, table, after, peerWatchTimeout)
 		if err == nil {
+			if len(batch.Rows) == 0 && f.now().Sub(sentAt) < peerWatchTimeout {
+				f.greetReaders()
+			}
 			return *batch, nil
 		}
 		f.recordPeerFailure(to, err)
@@ -85,6 +90,30 @@
 	return batch, err
 }
 
+// watchRows answers the watch request of an entry that follows this one. If this entry loses the store or stops meanwhile,
+// the response comes at once and without a change, so that the other can follow another reader.
+func (f *Follower) watchRows(ctx context.Context, table *feed.Table, after uint64, wait time.Duration) feed.Batch {
+	f.mu.RLock()
+	attachment := f.attachment
+	f.mu.RUnlock()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(attachment, cancel)()
+	return table.Watch(ctx, after, min(wait, peerWatchTimeout))
+}
+
+// greetReaders greets the entries that this one takes for readers, to learn which of them reach the store.
+func (f *Follower) greetReaders() {
+	f.mu.Lock()
+	due := f.startGreetings(f.readerNames(f.now()))
+	f.mu.Unlock()
+	var greetings sync.WaitGroup
+	for _, to := range due {
+		greetings.Go(func() { f.greetOnce(to) })
+	}
+	greetings.Wait()
+}
+
 // reader returns the member to follow; ok is false if this entry must call the store itself.
 func (f *Follower) reader() (to peerAddress, ok bool) {
 	f.mu.RLock()
@@ -190,6 +219,10 @@
 	detached := f.storeFailures >= detachAfterFailures
 	if detached != f.self.Detached {
 		f.self.Detached = detached
+		if detached {
+			f.cancelAttachment()
+			f.attachment, f.cancelAttachment = context.WithCancel(f.ctx)
+		}
 		f.log.Info("contact with the store changed", zap.Bool("detached", detached))
 	}
 }
--- a/fleet/upstream_test.go
+++ b/fleet/upstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -156,6 +157,61 @@
 	})
 }
 
+// silentStore is a store from which an entry can be cut off: calls then end without a response, as those of the client do.
+type silentStore struct {
+	Store
+	cut atomic.Bool
+}
+
+// silentStoreMargin is how long the client of the store waits for a response, beyond the time of a watch.
+const silentStoreMargin = 700 * time.Millisecond
+
+func (s *silentStore) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (feed.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+silentStoreMargin)
+	defer cancel()
+	b, err := s.Store.Watch(ctx, table, after, wait)
+	if s.cut.Load() {
+		<-ctx.Done()
+		return feed.Batch{}, ctx.Err()
+	}
+	return b, err
+}
+
+// Guards against a change that entries learn of later than 3 s after its acknowledgment because the readers are cut off from
+// the store without an error. Load: all three readers of 20 entries lose the store right before the change, at any time of
+// their watches.
+func TestReadersLoseStore(t *testing.T) {
+	const entries, bound = 20, 3 * time.Second
+	for at := 5 * time.Second; at < 7*time.Second; at += 200 * time.Millisecond {
+		t.Run(at.String(), func(t *testing.T) {
+			simulation.Run(t, func(t *testing.T) {
+				store := newMemoryStore("op", "servers", "entries")
+				var stores []*silentStore
+				_, list := startFollowersIn(t, qldDomains, entries, func(int) Store {
+					stores = append(stores, &silentStore{
+						Store: store,
+					})
+					return stores[len(stores)-1]
+				})
+				time.Sleep(at)
+				list[0].mu.RLock()
+				readers := list[0].readerNames(list[0].now())
+				list[0].mu.RUnlock()
+				for i, f := range list {
+					stores[i].cut.Store(slices.Contains(readers, f.opt.Name))
+				}
+				store.set("op", "config", "x")
+				time.Sleep(bound)
+				for _, f := range list {
+					if !slices.Contains(readers, f.opt.Name) {
+						assert.Check(t, slices.Contains(f.State().DrainedDomains, "x"), "%s has not learned of the change", f.opt.Name)
+					}
+				}
+			})
+		})
+	}
+}
+
 // Guards against a state that is lost when the store is down or has dropped its history, and against an entry that
 // does not recover afterwards.
 func TestStoreOutage(t *testing.T) {
