Spend load reads on targets that may have become free, and start groups of them early

Each round in which calls wait read the same full targets again. Besides, up to 1,051 reads a second got no response within 20 ms, nearly all of full targets: at the small size, with the reads logged, 75% of them were of targets with both slots in use, which answer others within 1.3 ms. They let a new connection wait for a slot, and each group of reads waited for those.

--- a/entry/load_reads.go
+++ b/entry/load_reads.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"skylarkbeam/route"
 	"skylarkbeam/target"
 )
 
@@ -22,6 +23,8 @@
 	// maxLoadReadTimeout bounds the timeout of a load read. It is the timeout for targets that did not respond the
 	// last time, for which no call waits.
 	maxLoadReadTimeout = 200 * time.Millisecond
+	// loadReadGroupsPerTimeout is the number of groups of load reads that begin within the timeout of the first.
+	loadReadGroupsPerTimeout = 4
 	// maxLoadReadRounds bounds the groups of targets whose load is read for one placement. Together they are the targets of
 	// an aperture.
 	maxLoadReadRounds = 4
@@ -31,38 +34,77 @@
 // in earlier responses is out of date after a few milliseconds. It reads one group of targets after the other until one of
 // them is idle. The load pattern that needs more than one or two groups is a burst, or the loss of a part of the targets:
 // most are busy or slow then, a call beside another one takes longer than its objective, and a few targets are still idle.
+//
+// The next group does not wait for all reads of the one before: a busy target answers at once on a connection that it
+// knows, but lets a new one wait for a slot.
 func (e *Entry) refreshLoads(ctx context.Context, c *call) {
-	for range maxLoadReadRounds {
-		now := e.timers.Now()
-		names, unresponsive := e.table.LoadReadCandidates(now, c.service.name, c.query(now))
-		for _, name := range unresponsive {
-			e.readLoad(name, maxLoadReadTimeout, nil)
-		}
-		if len(names) == 0 || e.readLoads(ctx, c, names) {
+	s := loadSurvey{
+		entry: e,
+		call:  c,
+		ended: make(chan struct{}, maxLoadReadRounds*route.MaxLoadReads),
+	}
+	for round := range maxLoadReadRounds {
+		started, idle := s.start()
+		if idle || !s.wait(ctx, started && round < maxLoadReadRounds-1) {
 			return
 		}
 	}
 }
 
-// readLoads reads the load of targets in parallel. It returns true as soon as the call can be placed, and false when
-// all reads have ended and it cannot.
-func (e *Entry) readLoads(ctx context.Context, c *call, names []string) bool {
-	done := make(chan struct{}, len(names))
-	for _, name := range names {
-		e.readLoad(name, e.loadReadTimeout(), done)
+// loadSurvey is the reading of loads for one placement.
+type loadSurvey struct {
+	entry *Entry
+	call  *call
+	// reading are the targets that are being read or have been, pending is the number of reads that have not ended.
+	reading []string
+	pending int
+	// ended gets a signal at the end of each read.
+	ended chan struct{}
+}
+
+// due returns the reads that are due.
+func (s *loadSurvey) due() route.LoadReads {
+	now := s.entry.timers.Now()
+	return s.entry.table.LoadReads(now, s.call.service.name, s.call.query(now), s.reading)
+}
+
+// start starts the next group of reads. idle means that the call can be placed without them.
+func (s *loadSurvey) start() (started, idle bool) {
+	reads := s.due()
+	for _, name := range reads.Unreachable {
+		s.entry.readLoad(name, maxLoadReadTimeout, nil)
+	}
+	for _, name := range reads.Targets {
+		s.entry.readLoad(name, s.entry.loadReadTimeout(), s.ended)
+	}
+	s.reading = append(s.reading, reads.Targets...)
+	s.pending += len(reads.Targets)
+	return len(reads.Targets) > 0, reads.Idle
+}
+
+// wait waits until an idle target is known or all reads have ended, and for a part of their timeout if more reads can
+// follow. It returns false if no other group is to be read.
+func (s *loadSurvey) wait(ctx context.Context, moreFollow bool) bool {
+	var next <-chan time.Time
+	if moreFollow {
+		timer := time.NewTimer(s.entry.loadReadTimeout() / loadReadGroupsPerTimeout)
+		defer timer.Stop()
+		next = timer.C
 	}
-	for range names {
+	for s.pending > 0 {
 		select {
-		case <-done:
-			now := e.timers.Now()
-			if more, _ := e.table.LoadReadCandidates(now, c.service.name, c.query(now)); len(more) == 0 {
-				return true
+		case <-s.ended:
+			s.pending--
+			if s.due().Idle {
+				return false
 			}
-		case <-ctx.Done():
+		case <-next:
 			return true
+		case <-ctx.Done():
+			return false
 		}
 	}
-	return false
+	return moreFollow
 }
 
 // loadReadTimeout returns the timeout for load reads before a placement. It is longer on a slow machine.
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -18,8 +18,8 @@
 	// firstByteTimeoutFactor is that time in multiples of the usual service time.
 	firstByteTimeoutFactor = 10
 	// loadReadBudgetWindow is the averaging window of the load read budget of registered targets. Load is read more
-	// often while calls wait.
-	loadReadBudgetWindow = 10 * time.Second
+	// often while calls wait, for which a burst of some seconds must not use up the budget.
+	loadReadBudgetWindow = 30 * time.Second
 	// extraLoadReaders is added to the average number of entries that read the load of one target.
 	extraLoadReaders = 2
 )
--- a/route/registered.go
+++ b/route/registered.go
@@ -28,8 +28,11 @@
 	// ApertureSize is the number of targets in a failure domain among which an entry selects while one of them has
 	// room. With fewer targets, each is read more often and keeps its connections.
 	ApertureSize = 12
-	// maxLoadReads is the number of targets whose load is read at once before a selection.
-	maxLoadReads = 3
+	// MaxLoadReads is the number of targets whose load is read at once before a selection.
+	MaxLoadReads = 3
+	// fullRecheckInterval is how long a target that reported no free slot is not read again. Its calls take longer than
+	// that, and while all targets are full, the budget of load reads would be spent on them within seconds.
+	fullRecheckInterval = 60 * time.Millisecond
 	// minUnreachableBackoff is how long a target that did not answer a load read gets no calls and no other load read.
 	// It doubles with each further read without a response.
 	minUnreachableBackoff = 100 * time.Millisecond
@@ -582,17 +585,28 @@
 	return 0.5 * math.Erfc(math.Log(left/d)/(logLatencyDeviation*math.Sqrt2))
 }
 
-// LoadReadCandidates returns the targets whose load should be read before a call is placed: those with the lowest
-// expected cost whose last report is too old. It returns no names if a target is known to be idle. Unreachable lists
-// targets that did not answer their last load read and are due for another; the call need not wait for these.
-func (t *Table) LoadReadCandidates(now time.Time, service string, q Query) (names, unreachable []string) {
+// LoadReads are the load reads that are due before a call is placed.
+type LoadReads struct {
+	// Targets are to be read for the call: those with the lowest expected cost whose last report is too old.
+	Targets []string
+	// Unreachable are targets that did not answer their last load read and are due for another. The call need not wait
+	// for these.
+	Unreachable []string
+	// Idle means that a target is known to be idle, so that the call can be placed without further reads.
+	Idle bool
+}
+
+// LoadReads returns the load reads that are due before a call is placed. Targets in reading are being read for it already.
+func (t *Table) LoadReads(now time.Time, service string, q Query, reading []string) LoadReads {
 	s := t.view.Load().services[service]
-	if s == nil {
-		return nil, nil
+	if s == nil || !s.usesRegistry() {
+		return LoadReads{}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.loadReadCandidates(now, q), s.unreachableDue(now)
+	reads := s.loadReads(now, q, reading)
+	reads.Unreachable = s.unreachableDue(now)
+	return reads
 }
 
 // unreachableDue returns the unreachable targets that are due for a load read, and schedules their next one.
@@ -613,14 +627,11 @@
 	return names
 }
 
-func (s *service) loadReadCandidates(now time.Time, q Query) []string {
+func (s *service) loadReads(now time.Time, q Query, reading []string) LoadReads {
 	type candidate struct {
 		target *target
 		score  float64
 	}
-	if !s.usesRegistry() {
-		return nil
-	}
 	var candidates []candidate
 	q = s.allowTriedIfAlone(q)
 	for _, t := range s.candidates(now, q) {
@@ -630,19 +641,22 @@
 		})
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
-	var names []string
+	var reads LoadReads
 	for _, c := range candidates {
-		if len(names) == maxLoadReads {
-			break
-		}
-		t := c.target
-		if now.Sub(t.reportedAt) > maxReportAge {
-			names = append(names, t.Name)
-		} else if t.estimatedLoad(now) < 0.5 && t.slowdown <= maxIdleSlowdown && !t.cold {
-			break
+		age := now.Sub(c.target.reportedAt)
+		switch {
+		case len(reads.Targets) == MaxLoadReads:
+			return reads
+		case age > maxReportAge:
+			if (!c.target.full || age > fullRecheckInterval) && !slices.Contains(reading, c.target.Name) {
+				reads.Targets = append(reads.Targets, c.target.Name)
+			}
+		case c.target.estimatedLoad(now) < 0.5 && c.target.slowdown <= maxIdleSlowdown && !c.target.cold:
+			reads.Idle = len(reads.Targets) == 0
+			return reads
 		}
 	}
-	return names
+	return reads
 }
 
 // LoadReadFailed records that a load read, started at the given time, got no response in time. It returns Unreachable
