Summarize all entries with status -all, and print a status as JSON

status printed one entry: with 189 members and 901 targets more than a thousand lines, of which an operator needs a few.

An entry tells the control addresses of members, calls at targets and in queues by service, and targets that do not answer, and leaves the rest out of a brief status. On the users' platform the version of the last change is that of the desired state's row, alike at all entries; it was 0, and status said that no settings were applied.

--- a/cmd/skylarkbeam/status.go
+++ b/cmd/skylarkbeam/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -10,49 +11,78 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"skylarkbeam/entry"
 )
 
-const statusUsage = `status shows what an entry knows and does.
+const statusUsage = `status shows what an entry knows and does, or the state of all entries.
 
 Usage:
-  skylarkbeam status [-entry IP:PORT] [-events N]
+  skylarkbeam status [-entry IP:PORT] [-events N] [-json]
+  skylarkbeam status -all [-entry IP:PORT] [-json]
 
 It prints the accepted state and who changed it, the members, the targets with their
 owners, the counters of refusals and retries by reason, and the last events: each change
 of state that the entry saw or made, and why.
 
+With -all it asks all members that the entry knows, twice, and prints a summary: entries
+by failure domain, those that did not answer, versions, services, refusals and retries
+per second, and what stands out. It takes about two seconds.
+
 Flags:
   -entry IP:PORT   control address of any entry (127.0.0.1:7201)
   -events N        number of events (20)
+  -all             ask all entries
+  -json            print JSON
 
 Examples:
   skylarkbeam status -entry 127.0.0.1:7203
   skylarkbeam status -events 256
+  skylarkbeam status -all -json
 `
 
 func newStatus(s streams) *ffcli.Command {
 	var o operator
 	var events int
-	command := newCommand(s, "status", "show what an entry knows and does", statusUsage,
+	var all, asJSON bool
+	command := newCommand(s, "status", "show what an entry, or all of them, know and do", statusUsage,
 		func(ctx context.Context, args []string) error {
 			if err := noArguments(args, "status", statusUsage); err != nil {
 				return err
 			}
+			if all {
+				fleet, err := o.fleetStatus(ctx)
+				if err != nil {
+					return err
+				}
+				return printOrEncode(s.Out, asJSON, fleet, func() { fleet.print(s.Out) })
+			}
 			status, err := o.status(ctx)
 			if err != nil {
 				return err
 			}
-			printStatus(s.Out, status, events)
-			return nil
+			return printOrEncode(s.Out, asJSON, status, func() { printStatus(s.Out, status, events) })
 		})
 	command.FlagSet.StringVar(&o.entry, "entry", "127.0.0.1:7201", "")
 	command.FlagSet.IntVar(&events, "events", 20, "")
+	command.FlagSet.BoolVar(&all, "all", false, "")
+	command.FlagSet.BoolVar(&asJSON, "json", false, "")
 	return command
 }
 
+// printOrEncode prints a value by a function, or as JSON.
+func printOrEncode(out io.Writer, asJSON bool, value any, print func()) error {
+	if !asJSON {
+		print()
+		return nil
+	}
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return errors.Wrap(encoder.Encode(value), "writing the status")
+}
+
 func printStatus(out io.Writer, s *entry.Status, events int) {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintf(w, "entry\t%s in %s: %s\n", s.Entry, s.Domain, condition(s))
@@ -62,6 +92,10 @@
 		fmt.Fprintf(w, "member\t%s in %s: %s, version %d, heard %s ago\n",
 			m.Name, m.Domain, m.State, m.Version, time.Duration(m.LastHeardAgo).Round(time.Millisecond))
 	}
+	for _, service := range s.Services {
+		fmt.Fprintf(w, "service\t%s: %s; %d calls at targets, %d waiting\n",
+			service.Service, uses(service.Targets), service.InFlight, service.Waiting)
+	}
 	for _, p := range s.TargetStatuses {
 		fmt.Fprintf(w, "target\t%s of %s: %s, owner %s\n", p.Target, p.Service, p.RoutingState, p.Owner)
 	}
@@ -96,3 +130,12 @@
 	}
 	return strings.Join(names, ", ")
 }
+
+// uses lists numbers of targets by their use, as in "12 warm, 1 cold".
+func uses(targets map[string]int) string {
+	var parts []string
+	for _, use := range slices.Sorted(maps.Keys(targets)) {
+		parts = append(parts, fmt.Sprintf("%d %s", targets[use], use))
+	}
+	return list(parts)
+}
--- a/entry/status.go
+++ b/entry/status.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"maps"
+	"net/netip"
+	"slices"
 	"time"
 
 	restful "github.com/emicklei/go-restful/v3"
@@ -18,15 +21,16 @@
 	Leaving bool   `json:"leaving"`
 	Version uint64 `json:"version"`
 	// BaseVersion is the version of the last change, which the next change must be based on.
-	BaseVersion    uint64         `json:"base"`
-	ChangeAuthor   string         `json:"who"`
-	ChangeSummary  string         `json:"what"`
-	ChangeTime     string         `json:"when"`
-	DrainedDomains []string       `json:"domains"`
-	DrainedTargets []string       `json:"targets"`
-	Members        []memberStatus `json:"members"`
-	Tasks          []taskStatus   `json:"tasks"`
-	TargetStatuses []targetStatus `json:"phases"`
+	BaseVersion    uint64          `json:"base"`
+	ChangeAuthor   string          `json:"who"`
+	ChangeSummary  string          `json:"what"`
+	ChangeTime     string          `json:"when"`
+	DrainedDomains []string        `json:"domains"`
+	DrainedTargets []string        `json:"targets"`
+	Members        []memberStatus  `json:"members"`
+	Services       []ServiceStatus `json:"services"`
+	Tasks          []taskStatus    `json:"tasks"`
+	TargetStatuses []targetStatus  `json:"phases"`
 	// Counts holds the counters of refusals, retries and outcomes that are not zero.
 	Counts map[string]uint64 `json:"counts"`
 	// Events are the last changes of state, oldest first.
@@ -36,11 +40,22 @@
 type memberStatus struct {
 	Name         string           `json:"name"`
 	Domain       string           `json:"domain"`
+	Control      netip.AddrPort   `json:"control"`
 	State        string           `json:"state"`
 	Version      uint64           `json:"version"`
 	LastHeardAgo setting.Duration `json:"heard"`
 }
 
+// ServiceStatus is the state of a service at this entry.
+type ServiceStatus struct {
+	Service string `json:"service"`
+	// Targets is the number of targets by how this entry uses them.
+	Targets map[string]int `json:"targets"`
+	// InFlight and Waiting are the numbers of calls at targets and in the queue.
+	InFlight int `json:"calls"`
+	Waiting  int `json:"waiting"`
+}
+
 type taskStatus struct {
 	Name     string           `json:"name"`
 	Interval setting.Duration `json:"interval"`
@@ -57,33 +72,24 @@
 	RoutingState string        `json:"use"`
 }
 
-func (e *Entry) serveStatus(_ *restful.Request, resp *restful.Response) {
+// serveStatus responds with the status. With the query brief, it leaves out what a view of many entries does not need.
+func (e *Entry) serveStatus(req *restful.Request, resp *restful.Response) {
+	if req.QueryParameter("brief") != "" {
+		writeJSON(resp, e.briefStatus())
+		return
+	}
 	writeJSON(resp, e.Status())
 }
 
 // Status returns the current status.
 func (e *Entry) Status() Status {
+	s := e.briefStatus()
 	now := e.timers.Now()
-	state := e.fleet.State()
-	s := Status{
-		Entry:          e.opts.Name,
-		Domain:         e.opts.Domain,
-		Contact:        e.fleet.CanServe(now),
-		Leaving:        e.leaving.Load(),
-		Version:        state.Version,
-		BaseVersion:    state.BaseVersion,
-		ChangeAuthor:   state.Who,
-		ChangeSummary:  state.What,
-		DrainedDomains: append([]string{}, state.DrainedDomains...),
-		DrainedTargets: append([]string{}, state.DrainedTargets...),
-	}
-	if !state.When.IsZero() {
-		s.ChangeTime = state.When.UTC().Format(time.RFC3339)
-	}
 	for _, m := range e.fleet.Members() {
 		row := memberStatus{
 			Name:    m.Name,
 			Domain:  m.Domain,
+			Control: m.Control,
 			State:   string(m.State),
 			Version: m.Version,
 		}
@@ -98,16 +104,64 @@
 			Interval: setting.Duration(t.Interval),
 		})
 	}
-	s.TargetStatuses = e.targetStatuses()
-	s.Counts = e.metrics.nonzero()
+	s.TargetStatuses = e.targetStatuses(e.table.Status(now))
 	s.Events = e.journal.list()
 	return s
 }
 
-func (e *Entry) targetStatuses() []targetStatus {
+// briefStatus returns the status without members, tasks, events and targets in normal use.
+func (e *Entry) briefStatus() Status {
+	now := e.timers.Now()
+	state := e.fleet.State()
+	s := Status{
+		Entry:          e.opts.Name,
+		Domain:         e.opts.Domain,
+		Contact:        e.fleet.CanServe(now),
+		Leaving:        e.leaving.Load(),
+		Version:        state.Version,
+		BaseVersion:    state.BaseVersion,
+		ChangeAuthor:   state.Who,
+		ChangeSummary:  state.What,
+		DrainedDomains: append([]string{}, state.DrainedDomains...),
+		DrainedTargets: append([]string{}, state.DrainedTargets...),
+		Counts:         e.metrics.nonzero(),
+	}
+	if !state.When.IsZero() {
+		s.ChangeTime = state.When.UTC().Format(time.RFC3339)
+	}
+	targets := e.table.Status(now)
+	s.Services = e.serviceStatuses(targets)
+	s.TargetStatuses = e.targetStatuses(slices.DeleteFunc(targets, func(t route.Status) bool {
+		return routingState(t) == UseWarm
+	}))
+	return s
+}
+
+// serviceStatuses returns the state of the services, sorted by name.
+func (e *Entry) serviceStatuses(targets []route.Status) []ServiceStatus {
+	services := e.snapshot.Load().services
+	rows := make([]ServiceStatus, 0, len(services))
+	for _, name := range slices.Sorted(maps.Keys(services)) {
+		row := ServiceStatus{
+			Service:  name,
+			Targets:  map[string]int{},
+			InFlight: e.table.Inflight(name),
+			Waiting:  services[name].queue.Len(),
+		}
+		for _, t := range targets {
+			if t.Service == name {
+				row.Targets[routingState(t)]++
+			}
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+func (e *Entry) targetStatuses(targets []route.Status) []targetStatus {
 	snap := e.snapshot.Load()
 	var rows []targetStatus
-	for _, s := range e.table.Status(e.timers.Now()) {
+	for _, s := range targets {
 		p := snap.pools[s.Target]
 		if p == nil {
 			continue
@@ -126,6 +180,9 @@
 	return rows
 }
 
+// UseWarm is the routing state of a target in normal use.
+const UseWarm = "warm"
+
 // routingState describes how the entry uses a target.
 func routingState(s route.Status) string {
 	switch {
@@ -133,8 +190,10 @@
 		return "drained or leaving"
 	case !s.Warm:
 		return "cold"
+	case s.Unreachable:
+		return "unreachable"
 	case !s.EjectedUntil.IsZero():
 		return "ejected after failures"
 	}
-	return "warm"
+	return UseWarm
 }
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -294,6 +294,7 @@
 		return
 	}
 	next.Version = former.Version + 1
+	next.BaseVersion = f.tables[f.opt.Tables[0]].LatestVersion()
 	if recheck := retainLapsed(f.now(), former, next); recheck > 0 {
 		f.log.Warn("many targets have vanished from the registry, keeping them for a while", zap.Duration("again", recheck))
 		f.rebuildAfter(recheck)
--- a/fleet/join_test.go
+++ b/fleet/join_test.go
@@ -126,8 +126,9 @@
 		store := newMemoryStore("op", "servers", "entries")
 		transport := newMemoryTransport(t)
 		seeds := []netip.AddrPort{testControl(0)}
-		for i := range 3 {
-			transport.start(t, i, qldDomains[i], store, seeds)
+		first := transport.start(t, 0, qldDomains[0], store, seeds)
+		for i := range 2 {
+			transport.start(t, i+1, qldDomains[i+1], store, seeds)
 		}
 		time.Sleep(time.Second)
 		store.set("op", "config", "x")
@@ -137,5 +138,8 @@
 		late := transport.start(t, 3, qldDomains[0], store, seeds)
 		time.Sleep(2 * time.Second)
 		assert.DeepEqual(t, late.State().DrainedDomains, []string{"x"})
+		// Operators compare the entries by the version of the desired state.
+		assert.Assert(t, late.State().BaseVersion > 0)
+		assert.Equal(t, late.State().BaseVersion, first.State().BaseVersion)
 	})
 }
--- a/route/table.go
+++ b/route/table.go
@@ -293,9 +293,11 @@
 	InService bool
 	// EjectedUntil is when the target is tried again after failures; zero if it is not ejected.
 	EjectedUntil time.Time
-	Inflight     int
-	Limit        int
-	Latency      time.Duration
+	// Unreachable means that a registered target did not answer its last load reads.
+	Unreachable bool
+	Inflight    int
+	Limit       int
+	Latency     time.Duration
 }
 
 // Status returns the state of all targets, sorted by name.
@@ -312,14 +314,15 @@
 
 func (t *target) status(now time.Time) Status {
 	s := Status{
-		Target:    t.Name,
-		Service:   t.Service,
-		Instance:  t.instance,
-		Warm:      t.isWarm(),
-		InService: t.inService(),
-		Inflight:  t.inflight,
-		Limit:     t.concurrencyLimit(),
-		Latency:   time.Duration(t.currentLatency(now)),
+		Target:      t.Name,
+		Service:     t.Service,
+		Instance:    t.instance,
+		Warm:        t.isWarm(),
+		InService:   t.inService(),
+		Unreachable: t.failedReads > 0,
+		Inflight:    t.inflight,
+		Limit:       t.concurrencyLimit(),
+		Latency:     time.Duration(t.currentLatency(now)),
 	}
 	if now.Before(t.ejectedUntil) {
 		s.EjectedUntil = t.ejectedUntil
