--- a/cmd/skylarkbeam/fleet_status.go
+++ b/cmd/skylarkbeam/fleet_status.go
@@ -26,8 +26,8 @@
 	// are computed. An operator gets the summary of 200 entries within two seconds.
 	fleetTimeout  = 600 * time.Millisecond
 	fleetInterval = 500 * time.Millisecond
-	// fleetRequests is the number of entries that are asked at the same time.
-	fleetRequests = 32
+	// fleetRequests is the number of entries that are asked at the same time. With all of them, silent ones delay no other.
+	fleetRequests = 256
 	// fleetOutliers is the number of entries and targets that are listed because they stand out.
 	fleetOutliers = 5
 )
