Read logs for explain once and keep only what the request needs

It now passes over lines about other requests without parsing them, and keeps changes of state as bytes until the request is seen at their entry, those of the last minutes. On a terminal it shows how much it has read.

TestRequestLogMemory.

--- a/cmd/skylarkbeam/explain.go
+++ b/cmd/skylarkbeam/explain.go
@@ -31,6 +31,9 @@
 Below it prints the changes of state that the entries of the request logged from
 -around before it arrived until it ended, such as a lost store or a new desired state.
 
+The logs may be of any size: only lines about the request and the changes of state of
+the last minutes are kept. On a terminal, the part that has been read is shown.
+
 Flags:
   -around DURATION   how long before the request changes of state count (5s)
 
@@ -49,7 +52,7 @@
 					usage:  explainUsage,
 				}
 			}
-			return explain(s.Out, args[0], args[1:], around)
+			return explain(s, args[0], args[1:], around)
 		})
 	command.FlagSet.DurationVar(&around, "around", 5*time.Second, "")
 	return command
@@ -97,69 +100,230 @@
 	return line, true
 }
 
-// logs are the lines of several files.
-type logs struct {
-	lines []logLine
-	bad   int
+// requestLog collects the lines about one request from logs that are read once, and the changes of state around it.
+type requestLog struct {
+	id string
+	// window is how long changes of state are kept until the request is seen at their entry.
+	window  time.Duration
+	story   []logLine
+	entries map[string]*entryChanges
+	// lines and bad are the numbers of lines read, and of those that are no log lines.
+	lines, bad int
+}
+
+// entryChanges are the changes of state of an entry: kept ones from the time of the request, and those since then or, if
+// it has not been seen, of the last window.
+type entryChanges struct {
+	kept, recent []rawLine
+}
+
+// rawLine is a line that is parsed only if it is needed.
+type rawLine struct {
+	at   time.Time
+	text []byte
+}
+
+const (
+	// maxRequestTime is the longest time that is allowed for between the arrival of a request and its first line.
+	maxRequestTime = time.Minute
+	// maxRecentLines bounds the memory for the changes of state of one entry.
+	maxRecentLines = 4000
+)
+
+func newRequestLog(id string, around time.Duration) *requestLog {
+	return &requestLog{
+		id:      id,
+		window:  around + maxRequestTime,
+		entries: map[string]*entryChanges{},
+	}
 }
 
-func (l *logs) read(r io.Reader) error {
+func (l *requestLog) read(r io.Reader) error {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, maxLine)
 	for scanner.Scan() {
-		if len(bytes.TrimSpace(scanner.Bytes())) == 0 {
+		if len(bytes.TrimSpace(scanner.Bytes())) > 0 {
+			l.add(scanner.Bytes())
+		}
+	}
+	return scanner.Err()
+}
+
+// add adds a line. Nearly all lines are about other requests, or details of single load reads, and are not parsed.
+func (l *requestLog) add(text []byte) {
+	l.lines++
+	ofRequest := bytes.Contains(text, []byte(l.id))
+	if !ofRequest && (bytes.Contains(text, []byte(`"request":"`)) || bytes.Contains(text, []byte(`"level":"debug"`))) {
+		return
+	}
+	if ofRequest {
+		if line, ok := parseLine(text); ok && line.Request == l.id {
+			l.story = append(l.story, line)
+			e := l.entryOf(line.Entry)
+			e.kept = append(e.kept, e.recent...)
+			e.recent = nil
+			return
+		}
+	}
+	at, err := time.Parse(time.RFC3339, stringField(text, "ts"))
+	if err != nil {
+		l.bad++
+		return
+	}
+	e := l.entryOf(stringField(text, "entry"))
+	e.recent = append(e.recent, rawLine{
+		at:   at,
+		text: bytes.Clone(text),
+	})
+	for at.Sub(e.recent[0].at) > l.window || len(e.recent) > maxRecentLines {
+		e.recent = e.recent[1:]
+	}
+}
+
+func (l *requestLog) entryOf(name string) *entryChanges {
+	if l.entries[name] == nil {
+		l.entries[name] = &entryChanges{}
+	}
+	return l.entries[name]
+}
+
+// stringField returns a field of a log line without parsing the rest, or "" if it is not there.
+func stringField(text []byte, name string) string {
+	_, rest, _ := bytes.Cut(text, []byte(`"`+name+`":"`))
+	value, _, _ := bytes.Cut(rest, []byte(`"`))
+	return string(value)
+}
+
+// changes returns the changes of state at the entries of the request, and counts lines that cannot be read.
+func (l *requestLog) changes() []logLine {
+	var list []logLine
+	for _, e := range l.entries {
+		if len(e.kept) == 0 {
 			continue
 		}
-		if line, ok := parseLine(scanner.Bytes()); ok {
-			l.lines = append(l.lines, line)
-		} else {
-			l.bad++
+		// Lines of one entry can be out of order by milliseconds.
+		for _, raw := range slices.Concat(e.kept, e.recent) {
+			if line, ok := parseLine(raw.text); !ok {
+				l.bad++
+			} else if line.Request == "" && line.Level != "debug" {
+				list = append(list, line)
+			}
 		}
 	}
-	return scanner.Err()
+	return list
 }
 
-func readLogs(files []string) (*logs, error) {
-	l := &logs{}
-	if len(files) == 0 {
-		return l, errors.Wrap(l.read(os.Stdin), "read standard input")
+// readFiles reads the files, or standard input if there are none.
+func (l *requestLog) readFiles(names []string, p *progress) error {
+	if len(names) == 0 {
+		return errors.Wrap(l.read(p.reader(os.Stdin)), "read standard input")
+	}
+	for _, name := range names {
+		if info, err := os.Stat(name); err == nil {
+			p.total += info.Size()
+		}
 	}
-	for _, name := range files {
+	for _, name := range names {
 		file, err := os.Open(name)
 		if err != nil {
-			return nil, errors.Wrap(err, "read a log")
+			return errors.Wrap(err, "read a log")
 		}
-		err = l.read(file)
+		err = l.read(p.reader(file))
 		file.Close()
 		if err != nil {
-			return nil, errors.Wrapf(err, "read %s", name)
+			return errors.Wrapf(err, "read %s", name)
 		}
 	}
-	return l, nil
+	return nil
 }
 
-func explain(out io.Writer, id string, files []string, around time.Duration) error {
-	l, err := readLogs(files)
-	if err != nil {
-		return err
+// progress shows on a terminal how much has been read.
+type progress struct {
+	// out is nil if there is no terminal.
+	out io.Writer
+	// read and total are numbers of bytes. The total is zero if it is not known.
+	read, total int64
+	shownAt     time.Time
+}
+
+const (
+	progressInterval = 500 * time.Millisecond
+	megabyte         = 1 << 20
+)
+
+// newProgress returns a progress that writes to out if that is a terminal.
+func newProgress(out io.Writer) *progress {
+	p := &progress{
+		shownAt: time.Now(),
 	}
-	var story []logLine
-	for _, line := range l.lines {
-		if line.Request == id {
-			story = append(story, line)
+	if file, ok := out.(*os.File); ok {
+		if info, err := file.Stat(); err == nil && info.Mode()&os.ModeCharDevice != 0 {
+			p.out = out
 		}
 	}
-	if len(story) == 0 {
-		return errors.Newf("no line tells of request %q; %d lines were read, %d were no log lines", id, len(l.lines)+l.bad, l.bad)
+	return p
+}
+
+func (p *progress) reader(r io.Reader) io.Reader {
+	return &countedReader{
+		Reader:   r,
+		progress: p,
+	}
+}
+
+// add counts bytes that have been read.
+func (p *progress) add(n int) {
+	p.read += int64(n)
+	if p.out == nil || time.Since(p.shownAt) < progressInterval {
+		return
+	}
+	p.shownAt = time.Now()
+	if p.total > 0 {
+		fmt.Fprintf(p.out, "\r%d of %d MB", p.read/megabyte, p.total/megabyte)
+	} else {
+		fmt.Fprintf(p.out, "\r%d MB", p.read/megabyte)
+	}
+}
+
+// end clears the line.
+func (p *progress) end() {
+	if p.out != nil {
+		fmt.Fprint(p.out, "\r\x1b[K")
+	}
+}
+
+// countedReader passes the number of bytes read on to a progress.
+type countedReader struct {
+	io.Reader
+	progress *progress
+}
+
+// Read implements io.Reader.
+func (r *countedReader) Read(data []byte) (int, error) {
+	n, err := r.Reader.Read(data)
+	r.progress.add(n)
+	return n, err
+}
+
+func explain(s streams, id string, files []string, around time.Duration) error {
+	l := newRequestLog(id, around)
+	p := newProgress(s.Err)
+	err := l.readFiles(files, p)
+	p.end()
+	if err != nil {
+		return err
+	}
+	if len(l.story) == 0 {
+		return errors.Newf("no line tells of request %q; %d lines were read, %d were no log lines", id, l.lines, l.bad)
 	}
-	slices.SortStableFunc(story, func(a, b logLine) int {
+	slices.SortStableFunc(l.story, func(a, b logLine) int {
 		return cmp.Or(a.Time.Add(-a.Elapsed).Truncate(time.Second).Compare(b.Time.Add(-b.Elapsed).Truncate(time.Second)),
 			cmp.Compare(a.Entry, b.Entry), cmp.Compare(a.Elapsed, b.Elapsed))
 	})
-	printStory(out, id, story)
-	printChanges(out, l.lines, story, around)
+	printStory(s.Out, id, l.story)
+	printChanges(s.Out, l.changes(), l.story, around)
 	if l.bad > 0 {
-		fmt.Fprintf(out, "\n%d lines were passed over, because they are no log lines\n", l.bad)
+		fmt.Fprintf(s.Out, "\n%d lines were passed over, because they are no log lines\n", l.bad)
 	}
 	return nil
 }
@@ -191,7 +355,7 @@
 	}
 	var changes []logLine
 	for _, line := range lines {
-		if line.Request != "" || line.Level == "debug" || from[line.Entry].IsZero() {
+		if from[line.Entry].IsZero() {
 			continue
 		}
 		if !line.Time.Before(from[line.Entry]) && !line.Time.After(to[line.Entry]) {
--- a/cmd/skylarkbeam/explain_test.go
+++ b/cmd/skylarkbeam/explain_test.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
@@ -27,3 +29,29 @@
 	assert.Equal(t, status, 2)
 	assert.Assert(t, strings.Contains(stderr, "need the id of a request"), stderr)
 }
+
+// Guards against memory that grows with the logs: of a day of many entries, only the changes of state around the request are
+// kept, also while the logs of its entry go on for long.
+func TestRequestLogMemory(t *testing.T) {
+	const lines = 100_000
+	l := newRequestLog("id-1", 5*time.Second)
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	add := func(i int, fields string) {
+		l.add(fmt.Appendf(nil, `{"level":"info","ts":%q,"msg":"m","entry":"entry-%d"%s}`,
+			start.Add(time.Duration(i)*100*time.Millisecond).Format(time.RFC3339Nano), i%3, fields))
+	}
+	for i := range lines {
+		add(i, "")
+		add(i, `,"request":"id-2"`)
+		if i == lines/2 {
+			add(i, `,"request":"id-1","elapsed":"1s"`)
+		}
+	}
+	kept := 0
+	for _, e := range l.entries {
+		kept += len(e.kept) + len(e.recent)
+	}
+	perEntry := int(l.window/(300*time.Millisecond)) + 1
+	assert.Equal(t, len(l.story), 1)
+	assert.Assert(t, kept <= 4*perEntry, "%d lines kept", kept)
+}
