--- a/bench/rush_test.go
+++ b/bench/queueing_test.go
@@ -18,7 +18,7 @@
 	}
 }
 
-func rushes(t *testing.T, name string, c QueueingConfig) *QueueingResult {
+func runSeeds(t *testing.T, name string, c QueueingConfig) *QueueingResult {
 	t.Helper()
 	sum := &QueueingResult{}
 	for seed := range uint64(3) {
@@ -51,10 +51,10 @@
 			name := fmt.Sprintf("load %v, lost %v", load, lost)
 			c := smallest()
 			c.Load, c.LostFraction = load, lost
-			have := rushes(t, name, c)
+			have := runSeeds(t, name, c)
 			for _, other := range []Policy{Random, TwoChoices, LeastInFlight} {
 				c.Policy = other
-				control := rushes(t, string(other), c)
+				control := runSeeds(t, string(other), c)
 				assert.Check(t, 1-control.ObjectiveRatio() >= ratio*(1-have.ObjectiveRatio()), "%s: %s", name, other)
 				assert.Check(t, have.AnsweredRatio() >= control.AnsweredRatio()-margin, "%s: %s", name, other)
 			}
@@ -69,7 +69,7 @@
 	const least = 0.05
 	c := smallest()
 	c.Load, c.LostFraction = 0.9, 0.5
-	have := rushes(t, "all", c)
+	have := runSeeds(t, "all", c)
 	without := map[string]func(c *QueueingConfig){
 		"load reads":              func(c *QueueingConfig) { c.NoLoadReads = true },
 		"order of waiting calls":  func(c *QueueingConfig) { c.FIFO = true },
@@ -78,7 +78,7 @@
 	for name, off := range without {
 		control := c
 		off(&control)
-		loss := have.ObjectiveRatio() - rushes(t, "without "+name, control).ObjectiveRatio()
+		loss := have.ObjectiveRatio() - runSeeds(t, "without "+name, control).ObjectiveRatio()
 		assert.Check(t, loss >= least, "without %s only %.3f fewer are in time", name, loss)
 	}
 }
@@ -90,10 +90,10 @@
 	for _, load := range []float64{0.9, 1.2, 2} {
 		c := smallest()
 		c.Load, c.LostFraction = load, 0.5
-		r := rushes(t, fmt.Sprintf("load %v", load), c)
+		r := runSeeds(t, fmt.Sprintf("load %v", load), c)
 		held := r.RefusalWait / time.Duration(max(r.Refusals, 1))
 		t.Logf("refused after %v on average", held)
-		assert.Check(t, r.RefusedCalls > 0 && held <= rushAim/8, "load %v: refused after %v on average", load, held)
+		assert.Check(t, r.RefusedCalls > 0 && held <= defaultObjective/8, "load %v: refused after %v on average", load, held)
 		assert.Check(t, float64(r.TimedOut) <= 0.01*float64(r.Offered), "load %v: %d calls cut at their deadline", load, r.TimedOut)
 	}
 }
@@ -154,14 +154,14 @@
 	}
 	for _, tt := range tests {
 		name := fmt.Sprintf("%d entries, %d targets", tt.config.Entries, tt.config.Targets)
-		have := payoff(rushes(t, name, tt.config))
+		have := payoff(runSeeds(t, name, tt.config))
 		control := tt.config
 		control.IgnoreCallerRetries = true
-		other := payoff(rushes(t, "without memory of callers", control))
+		other := payoff(runSeeds(t, "without memory of callers", control))
 		assert.Check(t, have >= other+least, "%s: %.3f, without memory of callers %.3f", name, have, other)
 		control = tt.config
 		control.AdmitLateCalls = true
-		other = payoff(rushes(t, "without turn for timely calls", control))
+		other = payoff(runSeeds(t, "without turn for timely calls", control))
 		assert.Check(t, have >= other+tt.turnGain, "%s: %.3f, without turn for timely calls %.3f", name, have, other)
 	}
 }
@@ -184,13 +184,13 @@
 	const least = 0.05
 	for load, lost := range map[float64]float64{0.75: 0, 0.65: 0.3} {
 		c := withLoad(largeDomain(), load, lost)
-		have := rushes(t, fmt.Sprintf("load %v, lost %v", load, lost), c)
+		have := runSeeds(t, fmt.Sprintf("load %v, lost %v", load, lost), c)
 		control := c
 		control.LoadReadRounds = 1
-		other := rushes(t, "one group", control)
+		other := runSeeds(t, "one group", control)
 		assert.Check(t, payoff(have) >= payoff(other)+least)
 		c.Policy = Central
-		bound := rushes(t, string(Central), c)
+		bound := runSeeds(t, string(Central), c)
 		assert.Check(t, payoff(have) < payoff(bound))
 	}
 }
@@ -203,9 +203,9 @@
 	const least = 0.05
 	c := withLoad(largeDomain(), 0.75, 0)
 	c.LoadReadQuota, c.LoadReadWindow = 6, 30*time.Second
-	have := rushes(t, "30 s", c)
+	have := runSeeds(t, "30 s", c)
 	c.LoadReadWindow = 10 * time.Second
-	control := rushes(t, "10 s", c)
+	control := runSeeds(t, "10 s", c)
 	assert.Check(t, payoff(have) >= payoff(control)+least)
 }
 
@@ -215,9 +215,9 @@
 	c := smallest()
 	c.Load, c.GreedyLoad = 0.6, 1
 	fair := func(r *QueueingResult) float64 { return float64(r.OtherWithinObjective) / float64(r.OtherCalls) }
-	have := fair(rushes(t, "greedy", c))
+	have := fair(runSeeds(t, "greedy", c))
 	c.FIFO = true
-	control := fair(rushes(t, "unordered", c))
+	control := fair(runSeeds(t, "unordered", c))
 	assert.Check(t, have >= 2*control, "%.3f of the other callers' calls in time, %.3f without order", have, control)
 }
 
@@ -226,9 +226,9 @@
 	t.Parallel()
 	c := smallest()
 	c.Load, c.UnderreportingTargets = 0.6, 2
-	have := rushes(t, "dragged", c)
+	have := runSeeds(t, "dragged", c)
 	c.Policy = LeastInFlight
-	control := rushes(t, "least in flight", c)
+	control := runSeeds(t, "least in flight", c)
 	assert.Check(t, 1-control.ObjectiveRatio() >= 2*(1-have.ObjectiveRatio()))
 }
 
@@ -238,9 +238,9 @@
 	c := smallest()
 	// The small deployment has few calls: in 12 s, its result differs by 0.03 from seed to seed.
 	c.Load, c.LostFraction, c.Duration = 0.7, 0.25, 2*time.Minute
-	small := rushes(t, "3 entries, 12 targets", c)
+	small := runSeeds(t, "3 entries, 12 targets", c)
 	c.Entries, c.Targets, c.Duration = 50, 300, 12*time.Second
-	large := rushes(t, "50 entries, 300 targets", c)
+	large := runSeeds(t, "50 entries, 300 targets", c)
 	reads := func(r *QueueingResult) float64 { return float64(r.LoadReads) / float64(r.Offered) }
 	assert.Check(t, large.ObjectiveRatio() >= small.ObjectiveRatio()-0.02)
 	assert.Check(t, reads(large) <= 1.1*reads(small), "%.2f load reads for a call, %.2f", reads(large), reads(small))
