Prefer targets with a recent report, and take the lock before asking whether targets are registered

TestAddressReused: a request was refused with reason instance. Its log: the target was placed without any report (age 0) while another one was known to be idle. Since a placement no longer waits for reads of targets that rank above an idle one, and the choice between the two was made by the random part of the cost.

Change: a target without a recent report costs as much more as the random part, so that of two alike the known one goes first, and a placement waits for the read of a target that ranks above the idle one. TestRecentReportFirst.

--- a/route/registered.go
+++ b/route/registered.go
@@ -574,6 +574,11 @@
 	if t.inOtherDomain() {
 		c += s.crossDomainCost(q)
 	}
+	if now.Sub(t.reportedAt) > maxReportAge {
+		// Of two targets that are expected to be alike, the one with a recent report goes first: the other may have
+		// changed, or may not even answer.
+		c += scoreJitter * latencyCostWeight
+	}
 	return c
 }
 
@@ -592,18 +597,21 @@
 	// Unreachable are targets that did not answer their last load read and are due for another. The call need not wait
 	// for these.
 	Unreachable []string
-	// Idle means that a target is known to be idle, so that the call can be placed without further reads.
+	// Idle means that a target is known to be idle and that no better one is being read, so that the call can be placed.
 	Idle bool
 }
 
 // LoadReads returns the load reads that are due before a call is placed. Targets in reading are being read for it already.
 func (t *Table) LoadReads(now time.Time, service string, q Query, reading []string) LoadReads {
 	s := t.view.Load().services[service]
-	if s == nil || !s.usesRegistry() {
+	if s == nil {
 		return LoadReads{}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.usesRegistry() {
+		return LoadReads{}
+	}
 	reads := s.loadReads(now, q, reading)
 	reads.Unreachable = s.unreachableDue(now)
 	return reads
@@ -642,17 +650,20 @@
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
 	var reads LoadReads
+	awaited := false
 	for _, c := range candidates {
 		age := now.Sub(c.target.reportedAt)
 		switch {
 		case len(reads.Targets) == MaxLoadReads:
 			return reads
+		case age > maxReportAge && slices.Contains(reading, c.target.Name):
+			awaited = true
 		case age > maxReportAge:
-			if (!c.target.full || age > fullRecheckInterval) && !slices.Contains(reading, c.target.Name) {
+			if !c.target.full || age > fullRecheckInterval {
 				reads.Targets = append(reads.Targets, c.target.Name)
 			}
 		case c.target.estimatedLoad(now) < 0.5 && c.target.slowdown <= maxIdleSlowdown && !c.target.cold:
-			reads.Idle = len(reads.Targets) == 0
+			reads.Idle = len(reads.Targets) == 0 && !awaited
 			return reads
 		}
 	}
--- a/route/registered_test.go
+++ b/route/registered_test.go
@@ -412,6 +412,26 @@
 	assert.Equal(t, reads(epoch.Add(fullRecheckInterval+time.Millisecond)), MaxLoadReads)
 }
 
+// Guards against a call that is placed by an estimate while a target that is just as good is known to be idle, or before the
+// read of a target that may be better has ended.
+func TestRecentReportFirst(t *testing.T) {
+	for range 50 {
+		table := registeredTable(registeredTargets("a", 2)...)
+		observeLoad(table, epoch, "a0", 0, 1)
+		p, reason := table.Pick(epoch, "stock", queryAged(0))
+		assert.Assert(t, p != nil, "%v", reason)
+		assert.Equal(t, p.Target, "a0")
+	}
+	table := registeredTable(registeredTargets("a", 2)...)
+	observeLoad(table, epoch, "a1", 0, 1)
+	observeLoad(table, epoch.Add(time.Second), "a0", 0, maxIdleSlowdown)
+	now := epoch.Add(time.Second)
+	reading := []string{"a1"}
+	assert.Assert(t, !table.LoadReads(now, "stock", queryAged(0), reading).Idle)
+	observeLoad(table, now, "a1", 0, 1)
+	assert.Assert(t, table.LoadReads(now, "stock", queryAged(0), reading).Idle)
+}
+
 // Guards against a late call that takes a slot as soon as it becomes free, although a call of another entry could still
 // meet its soft deadline there. Also guards against a late call that keeps waiting for a slot that nobody else wants.
 func TestLateCallHoldoff(t *testing.T) {
