Record the limits that targets name in their responses

Responses now carry what they say of it in outcome.Report; the entry logs when a limit begins, changes or ends and counts limits and those that cannot be read. Nothing keeps to a limit yet.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -80,9 +80,11 @@
 	loadReads loadReads
 	// meanReadTime is the moving average of the duration of load reads, in nanoseconds.
 	meanReadTime atomic.Int64
-	done         chan struct{}
-	stopOnce     sync.Once
-	tasks        sync.WaitGroup
+	// invalidLimitLoggedAt is when a limit that cannot be read was last logged, in nanoseconds since 1970.
+	invalidLimitLoggedAt atomic.Int64
+	done                 chan struct{}
+	stopOnce             sync.Once
+	tasks                sync.WaitGroup
 }
 
 // newEntry returns an entry made of the given components. It does not start anything.
@@ -152,6 +154,15 @@
 		e.log.Info("target does not answer", zap.String("target", ev.Target))
 	case route.Recovered:
 		e.log.Info("target answers again", zap.String("target", ev.Target), zap.Duration("away", ev.Downtime))
+	case route.LimitNamed:
+		e.metrics.limitsNamed.Inc()
+		e.log.Info("target limits the rate of its calls", zap.String("target", ev.Target), zap.Float64("rate", ev.Rate))
+	case route.LimitEnded:
+		e.log.Info("target no longer limits the rate of its calls", zap.String("target", ev.Target),
+			zap.Duration("limited", ev.Duration))
+	case route.LimitInvalid:
+		e.metrics.invalidLimits.Inc()
+		e.logInvalidLimit(ev)
 	case route.Warmed:
 		e.metrics.targetsWarmed.Inc()
 		e.log.Info("target has finished its cold start; all entries may send to it",
@@ -160,6 +171,20 @@
 	}
 }
 
+// invalidLimitLogInterval is the minimum time between two log lines about limits that cannot be read. A target that
+// names one does so in each response.
+const invalidLimitLogInterval = 10 * time.Second
+
+func (e *Entry) logInvalidLimit(ev route.LimitInvalid) {
+	now := e.timers.Now().UnixNano()
+	last := e.invalidLimitLoggedAt.Load()
+	if last != 0 && now-last < int64(invalidLimitLogInterval) || !e.invalidLimitLoggedAt.CompareAndSwap(last, now) {
+		return
+	}
+	e.log.Warn("ignoring the limit of a target, which is not a rate", zap.String("target", ev.Target),
+		zap.String("limit", ev.Text))
+}
+
 // onInstanceSeen is called when another entry has seen an instance of a target that this entry owns.
 func (e *Entry) onInstanceSeen(name, instance string) {
 	e.table.ObserveInstance(e.timers.Now(), name, instance)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -32,6 +32,8 @@
 	duration        *metrics.Histogram
 	retryAfter      *metrics.Histogram
 	loadReads       map[string]*metrics.Counter
+	limitsNamed     *metrics.Counter
+	invalidLimits   *metrics.Counter
 }
 
 // Results of load reads, as label values.
@@ -63,6 +65,8 @@
 		duration:        set.NewHistogram("skylarkbeam_call_seconds"),
 		retryAfter:      set.NewHistogram("skylarkbeam_retry_after_seconds"),
 		loadReads:       map[string]*metrics.Counter{},
+		limitsNamed:     set.NewCounter("skylarkbeam_limits_total"),
+		invalidLimits:   set.NewCounter("skylarkbeam_invalid_limits_total"),
 	}
 	for _, result := range []string{loadReadAnswered, loadReadLate, loadReadOverBudget} {
 		m.loadReads[result] = set.NewCounter(fmt.Sprintf("skylarkbeam_load_reads_total{result=%q}", result))
--- a/outcome/report.go
+++ b/outcome/report.go
@@ -1,6 +1,11 @@
 package outcome
 
-import "time"
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+)
 
 // Phase is what a target reports about its own readiness. It can be stale or wrong.
 type Phase string
@@ -28,4 +33,53 @@
 	Slowdown float64
 	// ColdRemaining is the time until the cold start of the target ends; 0 if it is warm or does not report it.
 	ColdRemaining time.Duration
+	// Limit is what the response says of the rate of calls that the target takes; nil if it says nothing.
+	Limit Limit
+	// RequestedAt is when the request was written. The target was in the reported state at that time or later.
+	RequestedAt time.Time
+	// LoadRead means that the report comes from a load read or a connection check.
+	LoadRead bool
+}
+
+// Limit is one of RateLimit, Unlimited and InvalidLimit.
+type Limit interface{ isLimit() }
+
+// RateLimit is the rate of calls that the target takes from all entries together, in calls per second, until a later
+// response is Unlimited.
+type RateLimit float64
+
+// Unlimited means that the response names no limit, although those of a target with a limit do.
+type Unlimited struct{}
+
+// InvalidLimit is a limit that cannot be read, and has no effect.
+type InvalidLimit struct {
+	Text string
+}
+
+func (RateLimit) isLimit()    {}
+func (Unlimited) isLimit()    {}
+func (InvalidLimit) isLimit() {}
+
+// maxInvalidLimitText is the number of bytes of an invalid limit that are kept for the log.
+const maxInvalidLimitText = 40
+
+// ParseLimit returns the limit that the values of a header field name. If there are several valid ones, the lowest
+// counts.
+func ParseLimit(values []string) Limit {
+	if len(values) == 0 {
+		return Unlimited{}
+	}
+	lowest := math.Inf(1)
+	for _, value := range values {
+		rate, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+		if err == nil && rate >= 0 {
+			lowest = min(lowest, rate)
+		}
+	}
+	if math.IsInf(lowest, 1) {
+		return InvalidLimit{
+			Text: values[0][:min(len(values[0]), maxInvalidLimitText)],
+		}
+	}
+	return RateLimit(lowest)
 }
--- a/route/event.go
+++ b/route/event.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Event is a change of a target: ColdDetected and Warmed, which other entries must learn, Unreachable or Recovered. It
-// is nil if nothing changed.
+// Event is a change of a target: ColdDetected and Warmed, which other entries must learn, Unreachable, Recovered,
+// LimitNamed, LimitEnded or LimitInvalid. It is nil if nothing changed.
 type Event interface{ event() }
 
 // ColdDetected means that this entry has seen an instance of the target that is not known to be warm. The owner must be
@@ -37,7 +37,30 @@
 	Downtime time.Duration
 }
 
+// LimitNamed means that a target has named a limit, or another one than before.
+type LimitNamed struct {
+	Target string
+	// Rate is in calls per second, over all entries.
+	Rate float64
+}
+
+// LimitEnded means that a target no longer names a limit.
+type LimitEnded struct {
+	Target string
+	// Duration is how long the limit was known.
+	Duration time.Duration
+}
+
+// LimitInvalid means that a target has named a limit that cannot be read.
+type LimitInvalid struct {
+	Target string
+	Text   string
+}
+
 func (ColdDetected) event() {}
 func (Warmed) event()       {}
 func (Unreachable) event()  {}
 func (Recovered) event()    {}
+func (LimitNamed) event()   {}
+func (LimitEnded) event()   {}
+func (LimitInvalid) event() {}
--- a/route/service.go
+++ b/route/service.go
@@ -70,6 +70,8 @@
 	serviceTimes map[string]float64
 	// responseBytes is the average length of responses by kind of call.
 	responseBytes map[string]float64
+	// loadReadsNameLimits means that a target of the service has named its limit in the response to a load read.
+	loadReadsNameLimits bool
 	// ownDomainAvailable means that a target in the entry's own failure domain is in service.
 	ownDomainAvailable bool
 }
--- a/route/table.go
+++ b/route/table.go
@@ -353,6 +353,9 @@
 	e := tgt.applyReport(now, now, report, false)
 	if report.Instance == tgt.instance {
 		tgt.setLoad(now, report)
+		if changed := tgt.applyLimit(now, report); e == nil {
+			e = changed
+		}
 	}
 	if e != nil || tgt.registered() || tgt.isWarm() || tgt.ColdConcurrency <= 0 {
 		return e
--- a/route/target.go
+++ b/route/target.go
@@ -97,6 +97,7 @@
 	reportedAt      time.Time
 
 	registration
+	rateLimit
 }
 
 func newTarget(s *service, spec Target) *target {
@@ -199,6 +200,7 @@
 	}
 	t.leaving = false
 	t.drainingAt = time.Time{}
+	t.rateLimit = rateLimit{}
 	t.warmingSince = time.Time{}
 	t.failureRate = 0
 	t.ejections = 0
--- a/target/header.go
+++ b/target/header.go
@@ -19,6 +19,8 @@
 	HeaderPhase    = "Skylarkbeam-Phase"
 	HeaderLoad     = "Skylarkbeam-Load"
 	HeaderOutcome  = "Skylarkbeam-Outcome"
+	// HeaderLimit names the rate of calls that the target takes from all entries together, in calls per second.
+	HeaderLimit = "Skylarkbeam-Limit"
 	// HeaderRepeat marks hedges, retries of calls that may have been executed, and all calls that a target makes on
 	// behalf of one of these.
 	HeaderRepeat = "Skylarkbeam-Repeat"
@@ -86,6 +88,7 @@
 	r := outcome.Report{
 		Instance: h.Get(HeaderInstance),
 		Phase:    outcome.Phase(h.Get(HeaderPhase)),
+		Limit:    outcome.ParseLimit(h.Values(HeaderLimit)),
 	}
 	active, rest, ok1 := strings.Cut(h.Get(HeaderLoad), "/")
 	slots, queued, ok2 := strings.Cut(rest, "/")
--- a/target/pool.go
+++ b/target/pool.go
@@ -337,6 +337,7 @@
 	if r.Instance == "" {
 		return
 	}
+	r.RequestedAt = sentAt
 	p.mu.Lock()
 	if r.Instance != p.report.Instance && p.report.Instance != "" && !sentAt.After(p.reportedAt) {
 		// A late response of the previous instance, which arrived after the first one of the new instance.
--- a/target/probe.go
+++ b/target/probe.go
@@ -166,6 +166,7 @@
 		return outcome.Report{}, fmt.Errorf("load read: %w", err)
 	}
 	c.instance = report.Instance
+	report.LoadRead = true
 	p.recordReport(report, c.sentAt)
 	return report, nil
 }
@@ -205,5 +206,6 @@
 		Active:   max(load.Active, 0),
 		Slots:    max(load.Slots, 0),
 		Queued:   max(load.Queued, 0),
+		Limit:    outcome.ParseLimit(resp.Header.Values(HeaderLimit)),
 	}, nil
 }
--- a/target/protocol.go
+++ b/target/protocol.go
@@ -106,7 +106,7 @@
 
 // StripResponseHeader implements Protocol.
 func (NativeProtocol) StripResponseHeader(h http.Header) {
-	for _, name := range []string{HeaderRequest, HeaderInstance, HeaderPhase, HeaderLoad, HeaderOutcome, HeaderRepeat} {
+	for _, name := range []string{HeaderRequest, HeaderInstance, HeaderPhase, HeaderLoad, HeaderOutcome, HeaderRepeat, HeaderLimit} {
 		delete(h, name)
 	}
 }
