Divide the limit that a target names between a few entries

Cause: no code read the limit. Ruled out: a limit that each entry keeps by itself, and one that is lost with a change of the target's row, as there was none to keep.

Change: route keeps the limit of each target. Its senders, four entries or one for each call per second, ranked by failure domain and hash among the entries that are heard, take an even part each. Attempts are counted right before their first byte, so calls that were placed before, second attempts and hedges count as well. Only a response to a later request, or a later start of the target, ends a limit. While all targets have one, calls without a turn are refused at once, and callers come back one after the other.

--- a/bench/queueing.go
+++ b/bench/queueing.go
@@ -495,7 +495,7 @@
 	}
 	reading = append(reading, reads.Targets...)
 	wait := time.Duration(0)
-	for i, name := range slices.Concat(reads.Targets, reads.Unreachable) {
+	for i, name := range slices.Concat(reads.Targets, reads.Background) {
 		if !e.spendLoadRead(name) {
 			continue
 		}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -47,6 +47,7 @@
 	e.logPlaced(c, permit)
 	m := c.message(permit.Instance, deadline.Sub(start))
 	m.BeforeWrite = e.beforeWrite
+	m.Reserve = permit.Reserve
 	m.Repeat = c.isRetry || retry
 	finish := func(r route.Result, running bool) {
 		release()
@@ -165,7 +166,7 @@
 		case outcome.Shed:
 			kind = route.Shed
 		case outcome.BudgetExhausted, outcome.QueueFull, outcome.Deadline, outcome.Leaving, outcome.Invalid,
-			outcome.Canceled:
+			outcome.RateLimited, outcome.Canceled:
 			// The limits of this entry ended the attempt. Counting it as a failure would eject the target.
 			kind = route.Canceled
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -117,6 +117,7 @@
 	}
 	e.snapshot.Store(&snapshot{})
 	table.SetLeaseFunc(f.Owns)
+	table.SetRankFunc(f.Rank)
 	table.SetPosition(positionByName(opts.Name))
 	e.registerGauges()
 	return e
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -30,6 +30,8 @@
 	// ReportColdTransition and AnnounceWarm pass on what this entry has observed.
 	Owns(now time.Time, target string) (until time.Time, ok bool)
 	Owner(target string) string
+	// Rank ranks this entry as a sender of a target with a limit, among the entries that are heard.
+	Rank(now time.Time, target, domain string) (rank, entries int)
 	WarmInstance(target string) string
 	WarmFacts(target string) (warm fleet.Fact, coldTransitions []fleet.Fact)
 	ReportInstance(target, instance string)
--- a/entry/load_reads.go
+++ b/entry/load_reads.go
@@ -71,7 +71,7 @@
 // start starts the next group of reads. idle means that the call can be placed without them.
 func (s *loadSurvey) start() (started, idle bool) {
 	reads := s.due()
-	for _, name := range reads.Unreachable {
+	for _, name := range reads.Background {
 		s.entry.readLoad(name, maxLoadReadTimeout, nil)
 	}
 	for _, name := range reads.Targets {
--- a/entry/registered.go
+++ b/entry/registered.go
@@ -79,6 +79,7 @@
 		MinColdDuration: time.Duration(service.Cold.Time),
 		Drained:         slices.Contains(next.drainedDomains, t.Domain),
 		Instance:        t.Instance,
+		StartedAt:       t.StartedAt,
 		ColdUntil:       t.ColdUntil,
 		ColdRate:        service.Cold.Rate,
 		Leaving:         t.Leaving,
--- a/entry/run.go
+++ b/entry/run.go
@@ -46,7 +46,7 @@
 	if permit == nil {
 		return &outcome.NotRun{
 			Reason:     reason,
-			RetryAfter: e.table.RetryAfter(c.service.name, reason),
+			RetryAfter: e.table.RetryAfter(e.timers.Now(), c.service.name, reason),
 		}
 	}
 	for {
@@ -80,14 +80,14 @@
 
 // exemptFromRetryBudget reports whether an attempt ended before anything of the call was sent, for a reason that is
 // not a failure of a running target: the target has restarted, is down or is no longer in the settings, or its probe
-// budget allowed no connection check. Retrying such a call costs the targets nothing, and a simultaneous restart of
+// budget allowed no connection check, or it has named a limit of its rate. Retrying such a call costs the targets nothing, and a simultaneous restart of
 // many targets would exhaust the retry budget.
 func (e *Entry) exemptFromRetryBudget(reason outcome.Reason) bool {
 	switch reason {
 	case outcome.InstanceChanged:
 		// A target that verifies the instance itself has received the call, though it did not run it.
 		return !e.protocol.TargetProtocol().Capabilities().VerifiesInstance
-	case outcome.BudgetExhausted, outcome.Dial, outcome.Leaving:
+	case outcome.BudgetExhausted, outcome.RateLimited, outcome.Dial, outcome.Leaving:
 		return true
 	}
 	return false
--- a/entry/service_queue.go
+++ b/entry/service_queue.go
@@ -147,7 +147,7 @@
 func (e *Entry) placementRefusal(c *call, reason outcome.Reason) *share.Refusal {
 	return &share.Refusal{
 		Reason:     reason,
-		RetryAfter: orDefaultRetryAfter(e.table.RetryAfter(c.service.name, reason)),
+		RetryAfter: orDefaultRetryAfter(e.table.RetryAfter(e.timers.Now(), c.service.name, reason)),
 	}
 }
 
--- a/entry/status.go
+++ b/entry/status.go
@@ -70,6 +70,9 @@
 	// Phase is what the target last reported. RoutingState is how this entry uses the target.
 	Phase        outcome.Phase `json:"phase"`
 	RoutingState string        `json:"use"`
+	// Limit is the rate of calls that the target takes from all entries together, in calls per second; nil if it has
+	// named none.
+	Limit *float64 `json:"limit,omitempty"`
 }
 
 // serveStatus responds with the status. With the query brief, it leaves out what a view of many entries does not need.
@@ -167,7 +170,7 @@
 			continue
 		}
 		report, _ := p.LastReport()
-		rows = append(rows, targetStatus{
+		row := targetStatus{
 			Target:       s.Target,
 			Service:      s.Service,
 			Owner:        e.fleet.Owner(s.Target),
@@ -175,7 +178,11 @@
 			Instance:     report.Instance,
 			Phase:        report.Phase,
 			RoutingState: routingState(s),
-		})
+		}
+		if s.Limited {
+			row.Limit = &s.LimitRate
+		}
+		rows = append(rows, row)
 	}
 	return rows
 }
@@ -192,6 +199,8 @@
 		return "cold"
 	case s.Unreachable:
 		return "unreachable"
+	case s.Limited:
+		return "limited"
 	case !s.EjectedUntil.IsZero():
 		return "ejected after failures"
 	}
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -124,9 +124,10 @@
 	storeFailures    int
 	attachment       context.Context
 	cancelAttachment context.CancelFunc
-	// owned caches the results of Owns by target.
+	// owned caches the results of Owns by target, ranks those of Rank.
 	ownedMu sync.Mutex
 	owned   map[string]ownership
+	ranks   map[string]ranking
 	// watchRequests holds the watch requests in flight by ID.
 	watchRequests map[int]watchRequest
 	lastWatchID   int
@@ -185,6 +186,7 @@
 		changed:       make(chan struct{}),
 		members:       map[string]*member{},
 		owned:         map[string]ownership{},
+		ranks:         map[string]ranking{},
 		random:        newRandom(opt.Seed, opt.Name),
 		fetching:      map[string]bool{},
 		watchRequests: map[int]watchRequest{},
--- a/fleet/upstream_test.go
+++ b/fleet/upstream_test.go
@@ -259,6 +259,38 @@
 	})
 }
 
+// Guards against entries that do not agree on the senders of a target with a limit, and against targets that the
+// entries of their own failure domain do not send to.
+func TestRank(t *testing.T) {
+	simulation.Run(t, func(t *testing.T) {
+		store := newMemoryStore("op", "servers", "entries")
+		_, list := startFollowers(t, 12, func(int) Store { return store })
+		for _, f := range list {
+			rank, entries := f.Rank(f.now(), "x", "")
+			assert.Assert(t, rank >= entries, "a sender before the members are known")
+		}
+		time.Sleep(10 * time.Second)
+		for i := range 50 {
+			target, domain := fmt.Sprint("target-", i), list[i%12].self.Domain
+			ranks, domains := map[int]bool{}, map[string]int{}
+			for _, f := range list {
+				rank, entries := f.Rank(f.now(), target, domain)
+				assert.Equal(t, entries, 12)
+				ranks[rank] = true
+				domains[f.self.Domain]++
+				if f.self.Domain == domain {
+					assert.Assert(t, rank < 12/3, "%s", f.opt.Name)
+				}
+			}
+			assert.Equal(t, len(ranks), 12)
+			assert.Equal(t, len(domains), 3)
+		}
+		list[0].Leave()
+		rank, entries := list[0].Rank(list[0].now(), "x", "")
+		assert.Equal(t, rank, entries)
+	})
+}
+
 // Guards against an entry that shuts down and is still announced to callers a moment later.
 func TestLeavePropagates(t *testing.T) {
 	simulation.Run(t, func(t *testing.T) {
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -54,6 +54,8 @@
 	Canceled Reason = "canceled"
 	// InstanceChanged means that the target is no longer the expected instance, and is therefore cold.
 	InstanceChanged Reason = "instance"
+	// RateLimited means that the target limits the rate of its calls, and that this entry has no turn.
+	RateLimited Reason = "limit"
 	// BudgetExhausted means that the probe budget of the target allows no connection check at the moment.
 	BudgetExhausted Reason = "budget"
 	// Hedge means an additional attempt because the first one is slower than usual.
@@ -68,5 +70,5 @@
 
 // Retries lists the reasons for retries in a fixed order, for counters and documentation.
 var Retries = []Reason{
-	Shed, Dial, Broken, Truncated, Mismatched, TimedOut, Canceled, InstanceChanged, BudgetExhausted, Hedge,
+	Shed, Dial, Broken, Truncated, Mismatched, TimedOut, Canceled, InstanceChanged, RateLimited, BudgetExhausted, Hedge,
 }
--- a/route/permit.go
+++ b/route/permit.go
@@ -28,6 +28,8 @@
 	done   bool
 	// query describes the call.
 	query Query
+	// reserved means that the next attempt is counted against the limit of the target already.
+	reserved bool
 }
 
 // Estimate holds the estimates on which the selection of a target was based.
--- a/route/registered.go
+++ b/route/registered.go
@@ -131,6 +131,9 @@
 // register applies the registry's entry for the target.
 func (t *target) register(now time.Time, spec Target) {
 	t.instance = spec.Instance
+	if spec.StartedAt > t.StartedAt {
+		t.rateLimit = rateLimit{}
+	}
 	if spec.ColdUntil.After(now) && spec.ColdUntil.After(t.coldUntil) {
 		t.setColdUntil(now, spec.ColdUntil)
 	}
@@ -184,7 +187,7 @@
 func (t *target) usable(now time.Time, q Query) bool {
 	t.updateCold(now)
 	return t.reachable() && t.inflight < t.Slots &&
-		!slices.Contains(q.Tried, t.Name) && (!t.cold || t.mayTakeColdCall(now))
+		!slices.Contains(q.Tried, t.Name) && (!t.cold || t.mayTakeColdCall(now)) && t.mayTakeLimitedCall(now)
 }
 
 // mayTakeColdCall reports whether this entry may send a call to the cold target now.
@@ -228,6 +231,9 @@
 	case !warm:
 		return nil, outcome.Cold
 	}
+	if wait, limited := s.limitedWait(now); limited && float64(wait)+s.serviceTime(q) > float64(q.TimeToDeadline) {
+		return nil, outcome.RateLimited
+	}
 	return nil, outcome.QueueFull
 }
 
@@ -236,7 +242,9 @@
 func (s *service) candidates(now time.Time, q Query) []*target {
 	ejecting := s.mayEject(now)
 	own, others := s.targets[:s.ownTargets], s.targets[s.ownTargets:]
-	s.ownDomainAvailable = slices.ContainsFunc(own, (*target).reachable)
+	s.ownDomainAvailable = slices.ContainsFunc(own, func(t *target) bool {
+		return t.reachable() && t.mayTakeLimitedCall(now)
+	})
 	list := s.aperture(now, q, own, ejecting)
 	if s.waitsForOwnDomain(q) {
 		return list
@@ -383,6 +391,7 @@
 	if !t.reportedAt.IsZero() {
 		p.Estimate.ReportAge = now.Sub(t.reportedAt)
 	}
+	p.reserve(now)
 	if t.cold {
 		t.nextColdCall = now.Add(time.Duration(sendersPerColdTarget / t.ColdRate * float64(time.Second)))
 	}
@@ -594,9 +603,9 @@
 type LoadReads struct {
 	// Targets are to be read for the call: those with the lowest expected cost whose last report is too old.
 	Targets []string
-	// Unreachable are targets that did not answer their last load read and are due for another. The call need not wait
-	// for these.
-	Unreachable []string
+	// Background are targets to which the call does not go, and which are due for a load read: they did not answer the
+	// last one, or limit the rate of their calls. The call need not wait for these.
+	Background []string
 	// Idle means that a target is known to be idle and that no better one is being read, so that the call can be placed.
 	Idle bool
 }
@@ -613,7 +622,7 @@
 		return LoadReads{}
 	}
 	reads := s.loadReads(now, q, reading)
-	reads.Unreachable = s.unreachableDue(now)
+	reads.Background = append(s.unreachableDue(now), s.limitedDue(now)...)
 	return reads
 }
 
@@ -712,11 +721,11 @@
 	throughput := 0.0
 	for _, tgt := range s.targets {
 		if tgt.inService() && !tgt.wrongInstance && tgt.failedReads <= 1 && !tgt.cold {
-			throughput += float64(tgt.Slots) /
-				tgt.slowdownFactor(float64(tgt.Slots), s.meanSlowdown(), tgt.relativeLatencyRatio(now), false)
+			slowdown := tgt.slowdownFactor(float64(tgt.Slots), s.meanSlowdown(), tgt.relativeLatencyRatio(now), false)
+			throughput += tgt.throughput(now, float64(tgt.Slots)/slowdown/(s.serviceTime(q)/float64(time.Second)))
 		}
 	}
-	return throughput / (s.serviceTime(q) / float64(time.Second)) / float64(t.entries.Load())
+	return throughput
 }
 
 // allowTriedIfAlone clears the tried targets of the query if no other target is in service.
--- a/route/registered_test.go
+++ b/route/registered_test.go
@@ -157,9 +157,9 @@
 		Target: "a0",
 	})
 	assert.Assert(t, !usable(now), "used after two missed reads")
-	due := table.LoadReads(now.Add(minUnreachableBackoff-time.Millisecond), "stock", queryAged(0), nil).Unreachable
+	due := table.LoadReads(now.Add(minUnreachableBackoff-time.Millisecond), "stock", queryAged(0), nil).Background
 	assert.Equal(t, len(due), 0)
-	due = table.LoadReads(now.Add(minUnreachableBackoff+time.Millisecond), "stock", queryAged(0), nil).Unreachable
+	due = table.LoadReads(now.Add(minUnreachableBackoff+time.Millisecond), "stock", queryAged(0), nil).Background
 	assert.DeepEqual(t, due, []string{"a0"})
 	now = now.Add(2 * minUnreachableBackoff)
 	assert.Equal(t, observeLoad(table, now, "a0", 0, 1), Recovered{
@@ -194,7 +194,7 @@
 	}
 	assert.Equal(t, table.ExpectedThroughput(now, "stock", queryAged(0)), full,
 		"throughput drops before a later load read has failed")
-	due := table.LoadReads(lost.Add(minUnreachableBackoff+time.Millisecond), "stock", queryAged(0), nil).Unreachable
+	due := table.LoadReads(lost.Add(minUnreachableBackoff+time.Millisecond), "stock", queryAged(0), nil).Background
 	assert.DeepEqual(t, due, []string{"a0"})
 
 	sent = lost.Add(minUnreachableBackoff)
--- a/route/service.go
+++ b/route/service.go
@@ -72,6 +72,8 @@
 	responseBytes map[string]float64
 	// loadReadsNameLimits means that a target of the service has named its limit in the response to a load read.
 	loadReadsNameLimits bool
+	// nextLimitedReturn is when the next call that was refused because of the limits is told to come back.
+	nextLimitedReturn time.Time
 	// ownDomainAvailable means that a target in the entry's own failure domain is in service.
 	ownDomainAvailable bool
 }
@@ -222,6 +224,9 @@
 // target may take a call.
 func (s *service) consider(now time.Time, c *choice, t *target, idempotent, spareOnly, randomized bool) bool {
 	var leaseEnd time.Time
+	if !t.mayTakeLimitedCall(now) {
+		return false
+	}
 	if t.isWarm() {
 		if t.inflight >= t.concurrencyLimit() {
 			return false
@@ -259,7 +264,7 @@
 	t.inflight++
 	s.inflight++
 	t.startSum += now.Sub(s.epoch)
-	return &Permit{
+	p := &Permit{
 		Target:   t.Name,
 		Domain:   t.Domain,
 		Address:  t.Address,
@@ -269,6 +274,8 @@
 		target:   t,
 		start:    now,
 	}
+	p.reserve(now)
+	return p
 }
 
 // concurrencyLimit returns the number of calls that this entry may have in flight at the target.
--- a/route/table.go
+++ b/route/table.go
@@ -13,6 +13,7 @@
 //	})
 //	table.SetTargets(now, targets)
 //	table.SetLeaseFunc(fleet.Owns)
+//	table.SetRankFunc(fleet.Rank)
 //	permit, reason := table.Pick(now, "stock", route.Query{})
 //	if permit == nil {
 //		return refuse(reason)
@@ -63,6 +64,9 @@
 	// Instance is the instance listed in a registry, empty for a target that is not registered. Entries learn the
 	// instance of an unregistered target, and whether it is warm, from its responses.
 	Instance string
+	// StartedAt is the start of the instance according to the registry, in a unit of the target's own. It tells a restart
+	// under the same instance.
+	StartedAt int64
 	// ColdUntil is the end of the cold start according to the registry.
 	ColdUntil time.Time
 	// ColdRate is the number of calls per second that the registered target can handle while it is cold, over all
@@ -96,6 +100,7 @@
 	entries    atomic.Int64
 	retryRatio atomic.Uint64 // bits of the ratio of retries to first attempts
 	lease      atomic.Pointer[LeaseFunc]
+	rank       atomic.Pointer[RankFunc]
 	view       atomic.Pointer[view]
 
 	mu    sync.Mutex // serializes changes of view
@@ -129,6 +134,7 @@
 	})
 	t.SetEntries(max(o.Entries, 1))
 	t.SetRetryRatio(defaultRetryRatio)
+	t.SetRankFunc(func(time.Time, string, string) (rank, entries int) { return 0, int(t.entries.Load()) })
 	t.SetLeaseFunc(func(time.Time, string) (time.Time, bool) { return time.Time{}, false })
 	t.view.Store(&view{
 		services: map[string]*service{},
@@ -160,6 +166,12 @@
 	t.lease.Store(&lease)
 }
 
+// SetRankFunc sets the function that ranks the entries as senders of a target with a limit. It is called with a lock
+// held, so it must neither block nor call the Table.
+func (t *Table) SetRankFunc(rank RankFunc) {
+	t.rank.Store(&rank)
+}
+
 // SetTargets replaces the targets. A target keeps its state if its name, service and address are unchanged. A target
 // that is no longer drained goes through slow start.
 func (t *Table) SetTargets(now time.Time, targets []Target) {
@@ -295,9 +307,12 @@
 	EjectedUntil time.Time
 	// Unreachable means that a registered target did not answer its last load reads.
 	Unreachable bool
-	Inflight    int
-	Limit       int
-	Latency     time.Duration
+	// Limited means that the target limits the rate of its calls to LimitRate per second, over all entries.
+	Limited   bool
+	LimitRate float64
+	Inflight  int
+	Limit     int
+	Latency   time.Duration
 }
 
 // Status returns the state of all targets, sorted by name.
@@ -320,6 +335,8 @@
 		Warm:        t.isWarm(),
 		InService:   t.inService(),
 		Unreachable: t.failedReads > 0,
+		Limited:     t.limited,
+		LimitRate:   t.limitRate,
 		Inflight:    t.inflight,
 		Limit:       t.concurrencyLimit(),
 		Latency:     time.Duration(t.currentLatency(now)),
@@ -395,7 +412,7 @@
 }
 
 // Pick selects the target for the first attempt of a call. Without a permit, the reason is UnknownService, Drained,
-// Cold or QueueFull.
+// Cold, RateLimited or QueueFull.
 func (t *Table) Pick(now time.Time, service string, q Query) (*Permit, outcome.Reason) {
 	s := t.view.Load().services[service]
 	if s == nil {
@@ -411,7 +428,7 @@
 }
 
 // RetryAfter estimates when a call that Pick refused for the given reason may find a target; zero if unknown.
-func (t *Table) RetryAfter(service string, reason outcome.Reason) time.Duration {
+func (t *Table) RetryAfter(now time.Time, service string, reason outcome.Reason) time.Duration {
 	s := t.view.Load().services[service]
 	if s == nil {
 		return 0
@@ -429,6 +446,8 @@
 			}
 		}
 		return shortest
+	case outcome.RateLimited:
+		return s.limitedRetryAfter(now)
 	case outcome.Drained:
 		return drainedRetryAfter
 	}
--- a/target/call.go
+++ b/target/call.go
@@ -42,6 +42,9 @@
 	// BeforeWrite, if not nil, is called right before the first byte of each attempt is written. If it returns a
 	// reason, the attempt ends as NotRun with that reason.
 	BeforeWrite func(now time.Time) outcome.Reason
+	// Reserve, if not nil, is called once for each attempt, after BeforeWrite and right before the first byte. If it
+	// returns a reason, the attempt ends as NotRun with that reason.
+	Reserve func(now time.Time) outcome.Reason
 
 	// loadRead reports whether the call is a load read.
 	loadRead bool
--- a/target/conn.go
+++ b/target/conn.go
@@ -46,6 +46,7 @@
 	refusal       outcome.Reason // why the request may not be written; empty if it may
 	deadline      time.Time      // of the request
 	beforeWrite   func(time.Time) outcome.Reason
+	reserve       func(time.Time) outcome.Reason
 	sentAt        time.Time
 	headBytesLeft int64 // bytes that may still be read for the response head; negative if unlimited
 	req           http.Request
@@ -164,7 +165,7 @@
 	defer func() {
 		c.req.Body = nil
 		c.body.Reset(nil)
-		c.beforeWrite = nil
+		c.beforeWrite, c.reserve = nil, nil
 	}()
 	if err := c.req.Write(c.bw); err != nil {
 		return err
@@ -241,10 +242,15 @@
 	if !now.Before(c.deadline) {
 		return outcome.Deadline
 	}
-	if c.beforeWrite == nil {
-		return ""
+	if c.beforeWrite != nil {
+		if reason := c.beforeWrite(now); reason != "" {
+			return reason
+		}
+	}
+	if c.reserve != nil {
+		return c.reserve(now)
 	}
-	return c.beforeWrite(now)
+	return ""
 }
 
 type connReader conn
--- a/target/send.go
+++ b/target/send.go
@@ -29,7 +29,7 @@
 // none, by the response to another request that was written after the connection was open. The same holds for any
 // connection once the last report is older than maxReportAge.
 //
-// Right before it writes each attempt, Send calls Call.BeforeWrite and checks the remaining time.
+// Right before it writes each attempt, Send checks the remaining time and calls Call.BeforeWrite and Call.Reserve.
 //
 // NotRun has the reason queue if all connections are in use, budget if a new connection cannot be confirmed, instance
 // if the target is another instance than expected, leaving if a check shows that it is, and dial if no connection could be opened or checked.
@@ -390,6 +390,7 @@
 	if !p.disabled.beforeWrite {
 		c.beforeWrite = call.BeforeWrite
 	}
+	c.reserve = call.Reserve
 	stopWatch := context.AfterFunc(ctx, c.abort)
 	fail := func(reason outcome.Reason) (*http.Response, ResponseHead, func() bool, outcome.Outcome) {
 		p.finish(c, stopWatch, p.disabled.closeOnTimeout && reason == outcome.TimedOut)
