Order the rows of a restored store by its era

Cause: a table never replaces a row by one of a lower version, and keeps the highest version that it knows. After a restore the store gives out versions again. Rows written then were taken for old ones until their versions passed the known ones, and a table that was read anew kept asking for a history that the store did not have. Class: an order that holds only as long as its source loses nothing. The same order is used between entries and in greetings.

Change: versions have the era of the store (Store-Era) in their high bits, so all of a later era are newer everywhere. A watch in another era reads the table anew, and a table whose history is missing again is read after a pause. Batches of earlier eras, and changes of a later one without the whole table, have no effect.

--- a/cmd/skylarkbeam/fleet_status.go
+++ b/cmd/skylarkbeam/fleet_status.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"skylarkbeam/entry"
+	"skylarkbeam/feed"
 	"skylarkbeam/fleet"
 )
 
@@ -183,7 +184,7 @@
 	}
 	for _, m := range members {
 		if s := after.answers[m.name]; s != nil && s.BaseVersion < f.Version {
-			f.Behind = append(f.Behind, fmt.Sprintf("%s at %d", m.name, s.BaseVersion))
+			f.Behind = append(f.Behind, fmt.Sprintf("%s at %s", m.name, feed.FormatVersion(s.BaseVersion)))
 		}
 	}
 	f.Entries = standOut(entries)
@@ -297,7 +298,7 @@
 	for _, d := range f.Domains {
 		fmt.Fprintf(w, "domain\t%s: %s\n", d.Domain, uses(d.Entries))
 	}
-	fmt.Fprintf(w, "state\tversion %d, %d entries behind: %s\n", f.Version, len(f.Behind), list(f.Behind[:min(len(f.Behind), fleetOutliers)]))
+	fmt.Fprintf(w, "state\tversion %s, %d entries behind: %s\n", feed.FormatVersion(f.Version), len(f.Behind), list(f.Behind[:min(len(f.Behind), fleetOutliers)]))
 	for _, s := range f.Services {
 		fmt.Fprintf(w, "service\t%s: %s; %d calls at targets, %d waiting\n", s.Service, uses(s.Targets), s.InFlight, s.Waiting)
 	}
--- a/feed/doc.go
+++ b/feed/doc.go
@@ -3,7 +3,7 @@
 // A Table is the replica of one table. It applies batches of changes from the table's service or from another entry, in
 // any order, and never replaces a row by an older version. Follow keeps a Table up to date from a Source: it reads the
 // whole table once, then watches for changes, and reads the whole table again if the service no longer keeps the changes
-// that it needs.
+// that it needs, or has been restored from a copy.
 //
 // # Usage
 //
--- a/feed/follow.go
+++ b/feed/follow.go
@@ -11,8 +11,9 @@
 	"skylarkbeam/timer"
 )
 
-// ErrCompacted is returned by Watch if the service no longer keeps the changes after the requested version.
-var ErrCompacted = errors.New("the table history after the requested version is no longer available")
+// ErrCompacted is returned by Watch if the service does not have the changes after the requested version: it no longer
+// keeps them, or has been restored and is in another era.
+var ErrCompacted = errors.New("the table history after the requested version is not available")
 
 // Source is a service that stores tables.
 type Source interface {
@@ -73,7 +74,10 @@
 		case err == nil && changed:
 			f.sleep(ctx, f.BatchDelay())
 		case err != nil && !errors.Is(err, ErrCompacted):
-			f.sleep(ctx, f.backoff())
+			f.sleep(ctx, f.backoff(f.failures))
+		case f.compactions > 1:
+			// The table that was read anew did not help.
+			f.sleep(ctx, f.backoff(f.compactions))
 		}
 	}
 }
@@ -83,6 +87,8 @@
 	// failedSince is when the first of the current run of failed requests ended, and failures is their number.
 	failedSince time.Time
 	failures    int
+	// compactions is the number of watches without the requested history since the last successful one.
+	compactions int
 }
 
 // fetch makes one request and reports whether a row has changed.
@@ -94,8 +100,10 @@
 		b, err = f.Source.Watch(ctx, f.Table.Name(), f.Table.CompleteVersion(), f.watchTimeout())
 	}
 	if errors.Is(err, ErrCompacted) {
+		f.compactions++
+		version := f.Table.CompleteVersion()
 		f.Logger.Info("the table's history is gone, reading it anew", zap.String("table", f.Table.Name()),
-			zap.Uint64("version", f.Table.CompleteVersion()))
+			zap.Uint64("version", ServiceVersion(version)), zap.Uint64("era", Era(version)))
 		return false, err
 	}
 	if err != nil {
@@ -103,6 +111,14 @@
 		return false, err
 	}
 	f.recordSuccess()
+	if !reload {
+		f.compactions = 0
+	}
+	if known := f.Table.CompleteVersion(); f.Table.Loaded() && Era(b.Version) > Era(known) {
+		f.Logger.Warn("the service has been restored from a copy", zap.String("table", f.Table.Name()),
+			zap.Uint64("era", Era(b.Version)), zap.Uint64("version", ServiceVersion(b.Version)),
+			zap.Uint64("before", ServiceVersion(known)))
+	}
 	if changed = f.Table.Apply(b); changed || reload {
 		f.OnChange()
 	}
@@ -136,10 +152,10 @@
 	}
 }
 
-// backoff returns the delay after the failures so far. Half of it is random, so that entries do not reconnect at the
+// backoff returns the delay after a number of failures. Half of it is random, so that entries do not reconnect at the
 // same time.
-func (f *follower) backoff() time.Duration {
-	delay := min(minBackoff<<min(f.failures, 8), maxBackoff)
+func (f *follower) backoff(failures int) time.Duration {
+	delay := min(minBackoff<<min(failures, 8), maxBackoff)
 	return delay/2 + rand.N(delay/2)
 }
 
--- a/feed/message.go
+++ b/feed/message.go
@@ -25,6 +25,7 @@
 	// Content of the row; empty if it was deleted.
 	Value []byte `json:"value,omitempty,omitzero"`
 
-	// Version of the write or of the deletion. Versions increase across all tables.
+	// Version of the write or of the deletion. Versions increase across all tables
+	// and contain the era of the service.
 	Version uint64 `json:"version"`
 }
--- a/feed/table.go
+++ b/feed/table.go
@@ -83,10 +83,14 @@
 	return t.latestVersion
 }
 
-// Apply merges a batch and reports whether any row has changed.
+// Apply merges a batch and reports whether any row has changed. A batch of an earlier era than that of the table has no
+// effect. Neither do changes in a later one, because only the whole table tells which rows are gone since.
 func (t *Table) Apply(b Batch) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if era := Era(t.completeVersion); Era(b.Version) < era || t.loaded && !b.Whole && Era(b.Version) > era {
+		return false
+	}
 	changed := false
 	for _, row := range b.Rows {
 		changed = t.applyRow(row) || changed
@@ -185,8 +189,8 @@
 	}
 }
 
-// ChangesSince returns the changes after a version, or the whole table if the version is 0 or the deletions since then are
-// no longer known. A replica that knows nothing asks for the changes after 0. All that there are make up the whole table,
+// ChangesSince returns the changes after a version, or the whole table if the version is 0 or of an earlier era, or if the
+// deletions since then are no longer known. A replica that knows nothing asks for the changes after 0. All that there are make up the whole table,
 // and must be marked as such, or the replica would never count as loaded.
 func (t *Table) ChangesSince(after uint64) Batch {
 	t.mu.RLock()
@@ -194,7 +198,7 @@
 	b := Batch{
 		Rows:    []Row{},
 		Version: t.completeVersion,
-		Whole:   after == 0 || after < t.tombstonesSince,
+		Whole:   after == 0 || after < t.tombstonesSince || Era(after) < Era(t.completeVersion),
 	}
 	for _, row := range t.rows {
 		if b.Whole || row.Version > after {
--- a/feed/table_test.go
+++ b/feed/table_test.go
@@ -1,16 +1,19 @@
 package feed
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"skylarkbeam/simulation"
+	"skylarkbeam/timer"
 )
 
 func TestMain(m *testing.M) { simulation.Main(m, "5512") }
@@ -66,6 +69,61 @@
 	assert.DeepEqual(t, versions(replica), map[string]uint64{"a": 1})
 }
 
+// era returns a version in an era.
+func era(era, version uint64) uint64 { return NewVersion(era, version) }
+
+// Guards against a replica that keeps rows which the service lost in a restore, because it had seen writes that the
+// replica it learns from had not.
+func TestRestoredReplicas(t *testing.T) {
+	source, replica := NewTable("targets"), NewTable("targets")
+	for _, table := range []*Table{source, replica} {
+		table.Apply(wholeTable(era(1, 5), row("a", era(1, 5))))
+	}
+	replica.Apply(changes(era(1, 7), row("lost", era(1, 7))))
+	source.Apply(wholeTable(era(2, 5), row("a", era(2, 5))))
+	source.Apply(changes(era(2, 9), row("b", era(2, 9))))
+	replica.Apply(source.ChangesSince(replica.CompleteVersion()))
+	assert.DeepEqual(t, versions(replica), map[string]uint64{"a": era(2, 5), "b": era(2, 9)})
+	assert.Equal(t, replica.CompleteVersion(), era(2, 9))
+	assert.Equal(t, ServiceVersion(replica.LatestVersion()), uint64(9))
+}
+
+// alwaysCompacted is a Source that has a table, but never its history.
+type alwaysCompacted struct {
+	calls *int
+}
+
+func (s alwaysCompacted) Read(context.Context, string) (Batch, error) {
+	*s.calls++
+	return wholeTable(3, row("a", 3)), nil
+}
+
+func (s alwaysCompacted) Watch(context.Context, string, uint64, time.Duration) (Batch, error) {
+	*s.calls++
+	return Batch{}, ErrCompacted
+}
+
+// Guards against calls to the service without a pause while it does not have the history that a table needs.
+func TestFollowPauses(t *testing.T) {
+	simulation.Run(t, func(t *testing.T) {
+		calls := 0
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		Follow(ctx, Options{
+			Table: NewTable("t"),
+			Source: alwaysCompacted{
+				calls: &calls,
+			},
+			Timers:       timer.New(),
+			OnChange:     func() {},
+			OnDisconnect: func(error) {},
+			OnReconnect:  func(time.Duration) {},
+			Logger:       zap.NewNop(),
+		})
+		assert.Assert(t, calls < 60, "%d calls in 10 s", calls)
+	})
+}
+
 // Guards against rows that go back to an older version, deletions that an older row undoes, and rows that survive a
 // copy of the whole table that lacks them.
 func TestApply(t *testing.T) {
@@ -93,6 +151,29 @@
 			batches: []Batch{wholeTable(1, row("a", 1)), changes(5, row("b", 5)), wholeTable(3, row("a", 1))},
 			want:    map[string]uint64{"a": 1, "b": 5},
 		},
+		"versions given out again": {
+			batches: []Batch{
+				wholeTable(era(1, 9), row("a", era(1, 9)), row("b", era(1, 8))),
+				wholeTable(era(2, 3), row("a", era(2, 3))),
+				changes(era(2, 4), row("c", era(2, 4))),
+			},
+			want: map[string]uint64{"a": era(2, 3), "c": era(2, 4)},
+		},
+		"changes of an earlier era": {
+			batches: []Batch{
+				wholeTable(era(2, 3), row("a", era(2, 3))),
+				changes(era(1, 9), row("b", era(1, 9))),
+				wholeTable(era(1, 9), row("b", era(1, 9))),
+			},
+			want: map[string]uint64{"a": era(2, 3)},
+		},
+		"changes of a later era without the whole table": {
+			batches: []Batch{
+				wholeTable(era(1, 9), row("a", era(1, 9))),
+				changes(era(2, 9), row("b", era(2, 9))),
+			},
+			want: map[string]uint64{"a": era(1, 9)},
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -102,7 +102,9 @@
 	state     atomic.Pointer[State]
 	tables    map[string]*feed.Table
 
+	// rebuildMu is held while the state is derived. rebuildAt is when that happens next without a change of the tables.
 	rebuildMu sync.Mutex
+	rebuildAt time.Time
 	mu        sync.RWMutex
 	changed   chan struct{}
 	members   map[string]*member
@@ -112,6 +114,10 @@
 	joined        bool
 	membersReadAt time.Time
 	published     atomic.Bool
+	// publishing is set while this entry is being written to it.
+	publishing bool
+	// publishedEra is the era of the store in which this entry was written to that table. A restore loses the row.
+	publishedEra atomic.Uint64
 	// rolls are computed from members when they are needed; nil if members have changed since.
 	rolls   map[string]*roll
 	random  *rand.Rand
@@ -267,8 +273,13 @@
 	})
 }
 
-// rebuildAfter rebuilds the state after a delay.
-func (f *Follower) rebuildAfter(delay time.Duration) {
+// rebuildAfter rebuilds the state after a delay, unless that is about to happen sooner. The caller holds rebuildMu.
+func (f *Follower) rebuildAfter(now time.Time, delay time.Duration) {
+	at := now.Add(delay)
+	if f.rebuildAt.After(now) && !f.rebuildAt.After(at) {
+		return
+	}
+	f.rebuildAt = at
 	time.AfterFunc(delay, func() {
 		if f.ctx.Err() == nil {
 			f.rebuild()
@@ -297,9 +308,13 @@
 	}
 	next.Version = former.Version + 1
 	next.BaseVersion = f.tables[f.opt.Tables[0]].LatestVersion()
-	if recheck := retainLapsed(f.now(), former, next); recheck > 0 {
+	now := f.now()
+	if recheck := retainLapsed(now, former, next); recheck > 0 {
 		f.log.Warn("many targets have vanished from the registry, keeping them for a while", zap.Duration("again", recheck))
-		f.rebuildAfter(recheck)
+		f.rebuildAfter(now, recheck)
+	}
+	if next.RebuildAfter > 0 {
+		f.rebuildAfter(now, next.RebuildAfter)
 	}
 	f.state.Store(next)
 	f.mu.Lock()
--- a/fleet/join.go
+++ b/fleet/join.go
@@ -6,6 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+
+	"skylarkbeam/feed"
 )
 
 // An entry that starts finds the others through its seeds. Only entries that follow the store write themselves to the
@@ -63,15 +65,26 @@
 	}
 }
 
-// publish writes this entry to the table of members, unless it has done so before, and reads that table.
+// storeEra returns the latest era of the store that this entry knows.
+func (f *Follower) storeEra() uint64 {
+	era := uint64(0)
+	for _, table := range f.tables {
+		era = max(era, feed.Era(table.CompleteVersion()))
+	}
+	return era
+}
+
+// publish writes this entry to the table of members, unless it has done so in this era of the store, and reads that
+// table.
 func (f *Follower) publish() error {
 	ctx, cancel := context.WithTimeout(f.ctx, tableTimeout)
 	defer cancel()
-	if !f.published.Load() {
+	if era := f.storeEra(); !f.published.Load() || f.publishedEra.Load() != era {
 		if err := f.opt.Store.Put(ctx, f.opt.MembersTable, f.opt.Name, encode(f.self)); err != nil {
 			return err
 		}
 		f.published.Store(true)
+		f.publishedEra.Store(era)
 	}
 	return f.readMembers(ctx)
 }
@@ -80,19 +93,23 @@
 func (f *Follower) publishIfReader() {
 	f.mu.Lock()
 	now := f.now()
-	due := f.settled(now) && f.isReader(now) && now.Sub(f.membersReadAt) >= membersReadInterval
+	lost := f.published.Load() && f.publishedEra.Load() != f.storeEra()
+	due := f.settled(now) && f.isReader(now) && (lost && !f.publishing || now.Sub(f.membersReadAt) >= membersReadInterval)
 	if due {
 		f.membersReadAt = now
+		f.publishing = true
 	}
 	f.mu.Unlock()
 	if !due {
 		return
 	}
 	f.tasks.Go(func() {
-		if err := f.publish(); err != nil {
+		err := f.publish()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.publishing = false
+		if err != nil {
 			f.log.Debug("publishing this entry as a reader failed", zap.Error(err))
-			f.mu.Lock()
-			defer f.mu.Unlock()
 			f.membersReadAt = time.Time{}
 		}
 	})
