Refuse a call whose target is known to be leaving

Cause: a call whose target was chosen before another call brought the report of leaving was sent on the idle connection that this one had released, as a recent report needs no check and only checked connections looked at the phase.

Change: Send looks at the phase of a recent report in the same step that decides whether the report is too old, and refuses the call as not run. TestLeavingReport fails without it (the target sheds the call).

--- a/target/pool.go
+++ b/target/pool.go
@@ -301,6 +301,19 @@
 	p.mu.Unlock()
 }
 
+// returnIdle puts back an idle connection that was taken and not used.
+func (p *Pool) returnIdle(c *conn) {
+	p.mu.Lock()
+	if p.closed || p.open > p.maxConnections {
+		p.mu.Unlock()
+		p.closeConns(c)
+		return
+	}
+	i, _ := slices.BinarySearchFunc(p.idle, c.respondedAt, func(other *conn, at time.Time) int { return other.respondedAt.Compare(at) })
+	p.idle = slices.Insert(p.idle, i, c)
+	p.mu.Unlock()
+}
+
 // notifyWaiters wakes the calls that wait on changed. The caller must hold p.mu.
 func (p *Pool) notifyWaiters() {
 	if p.changed != nil {
--- a/target/pool_test.go
+++ b/target/pool_test.go
@@ -430,6 +430,21 @@
 	}
 }
 
+// Guards against a call at a target that is known to leave. Load: a call whose target was chosen before another one
+// brought the report.
+func TestLeavingReport(t *testing.T) {
+	target, p := startTarget(t, standin.Behavior{}, nil)
+	call := newCall("GET", "/", "", "")
+	call.Instance = target.Instance()
+	assertSend(t, p, call, "complete")
+	target.UpdateBehavior(func(b *standin.Behavior) { b.Draining = true })
+	_, err := p.ReadLoad(t.Context())
+	assert.NilError(t, err)
+	assertSend(t, p, call, "not-run leaving")
+	assert.Equal(t, target.Counts().DrainingCalls, 0)
+	assert.Equal(t, p.OpenConnections(), 1)
+}
+
 // Guards against refusals in a burst of calls to a warm target because the probe budget allows the check of only one
 // new connection, and against confirmation by a request from before the connection was open. The control checks each
 // connection by its own load read.
--- a/target/send.go
+++ b/target/send.go
@@ -57,7 +57,14 @@
 		}
 	}
 	c := p.takeIdle(call, now)
-	if c == nil || !p.canCarry(c, call) || p.needsReport(call, now) {
+	old, leaving := p.checkReport(call, now)
+	if leaving != nil {
+		if c != nil {
+			p.returnIdle(c)
+		}
+		return leaving
+	}
+	if c == nil || !p.canCarry(c, call) || old {
 		return p.sendUnconfirmed(ctx, call, deadline, c)
 	}
 	first := p.sendOn(ctx, c, call, deadline, true)
@@ -103,14 +110,24 @@
 	return call.Instance == "" || c.instance == call.Instance || p.skipsInstanceCheck()
 }
 
-// needsReport reports whether the last report is too old for a call.
-func (p *Pool) needsReport(call *Call, now time.Time) bool {
+// checkReport reports whether the last report is too old for a call. If it is recent and says that the target is leaving,
+// checkReport returns the outcome of the call: its target may have been chosen before the report arrived.
+func (p *Pool) checkReport(call *Call, now time.Time) (old bool, leaving *outcome.NotRun) {
 	if call.Instance == "" || p.skipsInstanceCheck() || p.opts.ProbeBudget == nil || p.disabled.maxReportAge {
-		return false
+		return false, nil
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.reportIsOld(now)
+	if p.reportIsOld(now) {
+		return true, nil
+	}
+	if p.report.Instance == call.Instance && p.report.Phase == outcome.PhaseDraining {
+		return false, &outcome.NotRun{
+			Reason: outcome.Leaving,
+			Report: p.report,
+		}
+	}
+	return false, nil
 }
 
 // reportIsOld reports whether the last report is older than maxReportAge. The caller must hold p.mu.
