Keep to what targets say of leaving and pauses

Change: both are kept with the limit in one place (route, statements), parsed from any answer of a call or a load read, and ended by a later lifetime of the target only. Calls that wait, were placed before, or are sent a second time keep to them; a pause counts as no capacity, and ends with one call at a time. While all targets of a service want a pause beyond a call's deadline, it is refused at once, and returns are spread.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -166,7 +166,7 @@
 		case outcome.Shed:
 			kind = route.Shed
 		case outcome.BudgetExhausted, outcome.QueueFull, outcome.Deadline, outcome.Leaving, outcome.Invalid,
-			outcome.RateLimited, outcome.Canceled:
+			outcome.RateLimited, outcome.Paused, outcome.Canceled:
 			// The limits of this entry ended the attempt. Counting it as a failure would eject the target.
 			kind = route.Canceled
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -161,6 +161,12 @@
 	case route.LimitEnded:
 		e.log.Info("target no longer limits the rate of its calls", zap.String("target", ev.Target),
 			zap.Duration("limited", ev.Duration))
+	case route.SaysLeaving:
+		e.metrics.targetsLeaving.Inc()
+		e.log.Info("target says that it is leaving", zap.String("target", ev.Target))
+	case route.Paused:
+		e.metrics.targetPauses.Inc()
+		e.log.Info("target wants a pause", zap.String("target", ev.Target), zap.Duration("pause", ev.Pause))
 	case route.LimitInvalid:
 		e.metrics.invalidLimits.Inc()
 		e.logInvalidLimit(ev)
@@ -182,8 +188,8 @@
 	if last != 0 && now-last < int64(invalidLimitLogInterval) || !e.invalidLimitLoggedAt.CompareAndSwap(last, now) {
 		return
 	}
-	e.log.Warn("ignoring the limit of a target, which is not a rate", zap.String("target", ev.Target),
-		zap.String("limit", ev.Text))
+	e.log.Warn("ignoring a limit or pause of a target that cannot be read", zap.String("target", ev.Target),
+		zap.String("value", ev.Text))
 }
 
 // onInstanceSeen is called when another entry has seen an instance of a target that this entry owns.
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -34,6 +34,8 @@
 	loadReads       map[string]*metrics.Counter
 	limitsNamed     *metrics.Counter
 	invalidLimits   *metrics.Counter
+	targetsLeaving  *metrics.Counter
+	targetPauses    *metrics.Counter
 }
 
 // Results of load reads, as label values.
@@ -66,6 +68,8 @@
 		retryAfter:      set.NewHistogram("skylarkbeam_retry_after_seconds"),
 		loadReads:       map[string]*metrics.Counter{},
 		limitsNamed:     set.NewCounter("skylarkbeam_limits_total"),
+		targetsLeaving:  set.NewCounter("skylarkbeam_targets_leaving_total"),
+		targetPauses:    set.NewCounter("skylarkbeam_target_pauses_total"),
 		invalidLimits:   set.NewCounter("skylarkbeam_invalid_limits_total"),
 	}
 	for _, result := range []string{loadReadAnswered, loadReadLate, loadReadOverBudget} {
--- a/entry/run.go
+++ b/entry/run.go
@@ -87,7 +87,7 @@
 	case outcome.InstanceChanged:
 		// A target that verifies the instance itself has received the call, though it did not run it.
 		return !e.protocol.TargetProtocol().Capabilities().VerifiesInstance
-	case outcome.BudgetExhausted, outcome.RateLimited, outcome.Dial, outcome.Leaving:
+	case outcome.BudgetExhausted, outcome.RateLimited, outcome.Paused, outcome.Dial, outcome.Leaving:
 		return true
 	}
 	return false
--- a/entry/status.go
+++ b/entry/status.go
@@ -199,6 +199,8 @@
 		return "cold"
 	case s.Unreachable:
 		return "unreachable"
+	case s.Paused:
+		return "paused"
 	case s.Limited:
 		return "limited"
 	case !s.EjectedUntil.IsZero():
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -56,6 +56,8 @@
 	InstanceChanged Reason = "instance"
 	// RateLimited means that the target limits the rate of its calls, and that this entry has no turn.
 	RateLimited Reason = "limit"
+	// Paused means that the target wants nothing from this entry for a while.
+	Paused Reason = "pause"
 	// BudgetExhausted means that the probe budget of the target allows no connection check at the moment.
 	BudgetExhausted Reason = "budget"
 	// Hedge means an additional attempt because the first one is slower than usual.
@@ -70,5 +72,5 @@
 
 // Retries lists the reasons for retries in a fixed order, for counters and documentation.
 var Retries = []Reason{
-	Shed, Dial, Broken, Truncated, Mismatched, TimedOut, Canceled, InstanceChanged, RateLimited, BudgetExhausted, Hedge,
+	Shed, Dial, Broken, Truncated, Mismatched, TimedOut, Canceled, InstanceChanged, RateLimited, Paused, BudgetExhausted, Hedge,
 }
--- a/outcome/report.go
+++ b/outcome/report.go
@@ -35,6 +35,12 @@
 	ColdRemaining time.Duration
 	// Limit is what the response says of the rate of calls that the target takes; nil if it says nothing.
 	Limit Limit
+	// Leaving means that the response says that the target is leaving, which it does not take back.
+	Leaving bool
+	// Pause is the time for which the target wants nothing from this entry; 0 if the response names none.
+	Pause time.Duration
+	// InvalidPause is a pause that cannot be read, and has no effect.
+	InvalidPause string
 	// RequestedAt is when the request was written. The target was in the reported state at that time or later.
 	RequestedAt time.Time
 	// LoadRead means that the report comes from a load read or a connection check.
@@ -60,8 +66,8 @@
 func (Unlimited) isLimit()    {}
 func (InvalidLimit) isLimit() {}
 
-// maxInvalidLimitText is the number of bytes of an invalid limit that are kept for the log.
-const maxInvalidLimitText = 40
+// maxInvalidText is the number of bytes of an invalid value that are kept for the log.
+const maxInvalidText = 40
 
 // ParseLimit returns the limit that the values of a header field name. If there are several valid ones, the lowest
 // counts.
@@ -78,8 +84,27 @@
 	}
 	if math.IsInf(lowest, 1) {
 		return InvalidLimit{
-			Text: values[0][:min(len(values[0]), maxInvalidLimitText)],
+			Text: abbreviate(values[0]),
 		}
 	}
 	return RateLimit(lowest)
 }
+
+// maxPause bounds a pause. A target that names a longer one is asked again after it.
+const maxPause = time.Hour
+
+// ParsePause returns the pause that the values of a header field name in seconds, or the text that names none. If there
+// are several valid ones, the longest counts.
+func ParsePause(values []string) (pause time.Duration, invalid string) {
+	for _, value := range values {
+		seconds, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+		if err != nil || math.IsNaN(seconds) || seconds < 0 {
+			invalid = abbreviate(value)
+			continue
+		}
+		pause = max(pause, time.Duration(min(seconds, maxPause.Seconds())*float64(time.Second)))
+	}
+	return pause, invalid
+}
+
+func abbreviate(text string) string { return text[:min(len(text), maxInvalidText)] }
--- a/route/event.go
+++ b/route/event.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Event is a change of a target: ColdDetected and Warmed, which other entries must learn, Unreachable, Recovered,
-// LimitNamed, LimitEnded or LimitInvalid. It is nil if nothing changed.
+// LimitNamed, LimitEnded, LimitInvalid, SaysLeaving or Paused. It is nil if nothing changed.
 type Event interface{ event() }
 
 // ColdDetected means that this entry has seen an instance of the target that is not known to be warm. The owner must be
@@ -51,7 +51,18 @@
 	Duration time.Duration
 }
 
-// LimitInvalid means that a target has named a limit that cannot be read.
+// SaysLeaving means that a target has said in a response that it is leaving.
+type SaysLeaving struct {
+	Target string
+}
+
+// Paused means that a target wants nothing from this entry for a while.
+type Paused struct {
+	Target string
+	Pause  time.Duration
+}
+
+// LimitInvalid means that a target has named a limit or a pause that cannot be read.
 type LimitInvalid struct {
 	Target string
 	Text   string
@@ -64,3 +75,5 @@
 func (LimitNamed) event()   {}
 func (LimitEnded) event()   {}
 func (LimitInvalid) event() {}
+func (SaysLeaving) event()  {}
+func (Paused) event()       {}
--- a/route/limit_test.go
+++ b/route/limit_test.go
@@ -200,3 +200,118 @@
 	assert.Equal(t, len(due.Targets), 0)
 	assert.Equal(t, len(table.LoadReads(epoch.Add(limitReadInterval+1), "stock", queryAged(0), nil).Background), 0)
 }
+
+// observePause records a refusal with a pause, or an ordinary response without one, of a request that was written at the
+// given time.
+func observePause(t *Table, now, requestedAt time.Time, name string, pause time.Duration) Event {
+	return t.Observe(now, name, outcome.Report{
+		Instance:    name + ".1",
+		Phase:       outcome.PhaseWarm,
+		Slots:       registeredSlots,
+		Pause:       pause,
+		RequestedAt: requestedAt,
+	})
+}
+
+// Guards against calls at a target in its pause, also those whose target was chosen before it, against load reads
+// there, and against a burst at its end.
+func TestPause(t *testing.T) {
+	table := registeredTable(registeredTargets("a", 1)...)
+	before, _ := table.Pick(epoch, "stock", queryAged(0))
+	assert.DeepEqual(t, observePause(table, epoch, epoch, "a0", 2*time.Second), Paused{
+		Target: "a0",
+		Pause:  2 * time.Second,
+	})
+	assert.Equal(t, before.Reserve(epoch), outcome.Paused)
+	before.Done(epoch, Result{
+		Kind: Canceled,
+	})
+	// An ordinary response to an earlier request does not end it, a shorter pause does not either.
+	observePause(table, epoch, epoch, "a0", 0)
+	observePause(table, epoch, epoch, "a0", time.Second)
+	end := epoch.Add(2 * time.Second)
+	for now := epoch; now.Before(end); now = now.Add(100 * time.Millisecond) {
+		p, reason := table.Pick(now, "stock", queryAged(0))
+		assert.Assert(t, p == nil, "a call %s before the end", end.Sub(now))
+		if end.Sub(now) > registeredDeadline {
+			assert.Equal(t, reason, outcome.Paused)
+		}
+		reads := table.LoadReads(now, "stock", queryAged(0), nil)
+		assert.Equal(t, len(reads.Targets)+len(reads.Background), 0)
+		assert.Equal(t, table.ExpectedThroughput(now, "stock", queryAged(0)), 0.0)
+	}
+	first, _ := table.Pick(end, "stock", queryAged(0))
+	assert.Equal(t, first.Reserve(end), outcome.Reason(""))
+	second, _ := table.Pick(end, "stock", queryAged(0))
+	assert.Assert(t, second == nil, "two calls before the target has answered")
+	observePause(table, end, end, "a0", 0)
+	second, _ = table.Pick(end, "stock", queryAged(0))
+	assert.Assert(t, second != nil)
+}
+
+// Guards against calls at a target that has said that it is leaving: one whose target was chosen before, and others after
+// the registry has lost the target and has it back, or has it at another address.
+func TestSaysLeaving(t *testing.T) {
+	targets := registeredTargets("a", 2)
+	lost, moved, restarted := targets[1:], registeredTargets("a", 2), registeredTargets("a", 2)
+	moved[0].Address = targets[1].Address
+	restarted[0].StartedAt = 1
+	table := registeredTable(targets[0])
+	p, _ := table.Pick(epoch, "stock", queryAged(0))
+	event := table.Observe(epoch, "a0", outcome.Report{
+		Instance: "a0.1",
+		Leaving:  true,
+	})
+	assert.DeepEqual(t, event, SaysLeaving{
+		Target: "a0",
+	})
+	assert.Equal(t, p.Reserve(epoch), outcome.Leaving)
+	steps := []struct {
+		name    string
+		apply   func()
+		wantUse bool
+	}{
+		{
+			name:  "same",
+			apply: func() { table.SetTargets(epoch, targets) },
+		},
+		{
+			name:  "lost",
+			apply: func() { table.SetTargets(epoch, lost) },
+		},
+		{
+			name:  "back",
+			apply: func() { table.SetTargets(epoch, targets) },
+		},
+		{
+			name:  "removed",
+			apply: func() { table.UpdateTargets(epoch, nil, []string{"a0"}) },
+		},
+		{
+			name:  "added",
+			apply: func() { table.UpdateTargets(epoch, targets[:1], nil) },
+		},
+		{
+			name:  "moved",
+			apply: func() { table.SetTargets(epoch, moved) },
+		},
+		{
+			name:    "restarted",
+			apply:   func() { table.SetTargets(epoch, restarted) },
+			wantUse: true,
+		},
+	}
+	for _, step := range steps {
+		step.apply()
+		used := false
+		for range 2 * registeredSlots {
+			p, _ := table.Pick(epoch, "stock", queryAged(0))
+			if p == nil {
+				break
+			}
+			used = used || p.Target == "a0"
+			defer p.Done(epoch, succeededAfter(time.Millisecond))
+		}
+		assert.Equal(t, used, step.wantUse, step.name)
+	}
+}
--- a/route/registered.go
+++ b/route/registered.go
@@ -132,7 +132,7 @@
 func (t *target) register(now time.Time, spec Target) {
 	t.instance = spec.Instance
 	if spec.StartedAt > t.StartedAt {
-		t.rateLimit = rateLimit{}
+		t.statements = statements{}
 	}
 	if spec.ColdUntil.After(now) && spec.ColdUntil.After(t.coldUntil) {
 		t.setColdUntil(now, spec.ColdUntil)
@@ -187,7 +187,7 @@
 func (t *target) usable(now time.Time, q Query) bool {
 	t.updateCold(now)
 	return t.reachable() && t.inflight < t.Slots &&
-		!slices.Contains(q.Tried, t.Name) && (!t.cold || t.mayTakeColdCall(now)) && t.mayTakeLimitedCall(now)
+		!slices.Contains(q.Tried, t.Name) && (!t.cold || t.mayTakeColdCall(now)) && t.mayTakeLimitedCall(now) && t.mayResume(now)
 }
 
 // mayTakeColdCall reports whether this entry may send a call to the cold target now.
@@ -231,8 +231,8 @@
 	case !warm:
 		return nil, outcome.Cold
 	}
-	if wait, limited := s.limitedWait(now); limited && float64(wait)+s.serviceTime(q) > float64(q.TimeToDeadline) {
-		return nil, outcome.RateLimited
+	if wait, blocked := s.blocked(now); blocked != "" && float64(wait)+s.serviceTime(q) > float64(q.TimeToDeadline) {
+		return nil, blocked
 	}
 	return nil, outcome.QueueFull
 }
@@ -243,7 +243,7 @@
 	ejecting := s.mayEject(now)
 	own, others := s.targets[:s.ownTargets], s.targets[s.ownTargets:]
 	s.ownDomainAvailable = slices.ContainsFunc(own, func(t *target) bool {
-		return t.reachable() && t.mayTakeLimitedCall(now)
+		return t.reachable() && t.mayTakeLimitedCall(now) && !t.paused(now)
 	})
 	list := s.aperture(now, q, own, ejecting)
 	if s.waitsForOwnDomain(q) {
@@ -636,7 +636,7 @@
 		}
 		if t.failedReads == 0 {
 			counted++
-		} else if t.inService() && now.After(t.unreachableUntil) {
+		} else if t.inService() && !t.paused(now) && now.After(t.unreachableUntil) {
 			t.unreachableUntil = now.Add(maxUnreachableBackoff)
 			names = append(names, t.Name)
 		}
--- a/route/table.go
+++ b/route/table.go
@@ -105,6 +105,8 @@
 
 	mu    sync.Mutex // serializes changes of view
 	seeds *rand.Rand
+	// retained holds what targets have said that were removed, by name.
+	retained map[string]retainedStatements
 
 	// domain is the failure domain of this entry, position its position among the entries there.
 	domain   string
@@ -125,9 +127,10 @@
 // New returns a Table without targets.
 func New(o Options) *Table {
 	t := &Table{
-		domain:  o.Domain,
-		started: o.Started,
-		seeds:   rand.New(rand.NewPCG(o.Seed, 0x9e3779b97f4a7c15)),
+		domain:   o.Domain,
+		started:  o.Started,
+		retained: map[string]retainedStatements{},
+		seeds:    rand.New(rand.NewPCG(o.Seed, 0x9e3779b97f4a7c15)),
 	}
 	t.position.Store(&entryPosition{
 		count: 1,
@@ -190,6 +193,11 @@
 	for s, members := range byService {
 		s.setTargets(members)
 	}
+	for name, current := range old.targets {
+		if next.targets[name] == nil {
+			t.retainStatements(now, current)
+		}
+	}
 	t.view.Store(next)
 }
 
@@ -208,6 +216,7 @@
 		if current := old.targets[name]; current != nil {
 			byService[current.service] = nil
 			delete(next.targets, name)
+			t.retainStatements(now, current)
 		}
 	}
 	for _, spec := range changed {
@@ -243,7 +252,9 @@
 	}
 	current := old.targets[spec.Name]
 	if current == nil || current.service != s || current.Address != spec.Address {
+		former := current
 		current = newTarget(s, spec)
+		t.recallStatements(now, former, current)
 	}
 	s.mu.Lock()
 	current.setSpec(now, spec)
@@ -307,6 +318,8 @@
 	EjectedUntil time.Time
 	// Unreachable means that a registered target did not answer its last load reads.
 	Unreachable bool
+	// Paused means that the target wants nothing from this entry for now.
+	Paused bool
 	// Limited means that the target limits the rate of its calls to LimitRate per second, over all entries.
 	Limited   bool
 	LimitRate float64
@@ -335,6 +348,7 @@
 		Warm:        t.isWarm(),
 		InService:   t.inService(),
 		Unreachable: t.failedReads > 0,
+		Paused:      t.paused(now),
 		Limited:     t.limited,
 		LimitRate:   t.limitRate,
 		Inflight:    t.inflight,
@@ -370,7 +384,7 @@
 	e := tgt.applyReport(now, now, report, false)
 	if report.Instance == tgt.instance {
 		tgt.setLoad(now, report)
-		if changed := tgt.applyLimit(now, report); e == nil {
+		if changed := tgt.applyStatements(now, report); e == nil {
 			e = changed
 		}
 	}
@@ -412,7 +426,7 @@
 }
 
 // Pick selects the target for the first attempt of a call. Without a permit, the reason is UnknownService, Drained,
-// Cold, RateLimited or QueueFull.
+// Cold, RateLimited, Paused or QueueFull.
 func (t *Table) Pick(now time.Time, service string, q Query) (*Permit, outcome.Reason) {
 	s := t.view.Load().services[service]
 	if s == nil {
@@ -446,6 +460,8 @@
 			}
 		}
 		return shortest
+	case outcome.Paused:
+		return s.pausedRetryAfter(now)
 	case outcome.RateLimited:
 		return s.limitedRetryAfter(now)
 	case outcome.Drained:
--- a/route/target.go
+++ b/route/target.go
@@ -97,7 +97,7 @@
 	reportedAt      time.Time
 
 	registration
-	rateLimit
+	statements
 }
 
 func newTarget(s *service, spec Target) *target {
@@ -200,7 +200,7 @@
 	}
 	t.leaving = false
 	t.drainingAt = time.Time{}
-	t.rateLimit = rateLimit{}
+	t.statements = statements{}
 	t.warmingSince = time.Time{}
 	t.failureRate = 0
 	t.ejections = 0
@@ -273,7 +273,7 @@
 
 // inService reports whether the target may get new calls at all.
 func (t *target) inService() bool {
-	return !t.Drained && !t.Leaving && !t.leaving && t.drainingAt.IsZero()
+	return !t.Drained && !t.Leaving && !t.leaving && !t.saysLeaving && t.drainingAt.IsZero()
 }
 
 // setLoad takes the load of the whole target from a report and derives the part of other entries.
