--- a/entry/entry.go
+++ b/entry/entry.go
@@ -80,11 +80,11 @@
 	loadReads loadReads
 	// meanReadTime is the moving average of the duration of load reads, in nanoseconds.
 	meanReadTime atomic.Int64
-	// invalidLimitLoggedAt is when a limit that cannot be read was last logged, in nanoseconds since 1970.
-	invalidLimitLoggedAt atomic.Int64
-	done                 chan struct{}
-	stopOnce             sync.Once
-	tasks                sync.WaitGroup
+	// invalidLoggedAt is when a limit that cannot be read was last logged, in nanoseconds since 1970.
+	invalidLoggedAt atomic.Int64
+	done            chan struct{}
+	stopOnce        sync.Once
+	tasks           sync.WaitGroup
 }
 
 // newEntry returns an entry made of the given components. It does not start anything.
@@ -167,9 +167,9 @@
 	case route.Paused:
 		e.metrics.targetPauses.Inc()
 		e.log.Info("target wants a pause", zap.String("target", ev.Target), zap.Duration("pause", ev.Pause))
-	case route.LimitInvalid:
+	case route.InvalidStatement:
 		e.metrics.invalidLimits.Inc()
-		e.logInvalidLimit(ev)
+		e.logInvalidStatement(ev)
 	case route.Warmed:
 		e.metrics.targetsWarmed.Inc()
 		e.log.Info("target has finished its cold start; all entries may send to it",
@@ -178,14 +178,14 @@
 	}
 }
 
-// invalidLimitLogInterval is the minimum time between two log lines about limits that cannot be read. A target that
+// invalidLogInterval is the minimum time between two log lines about limits that cannot be read. A target that
 // names one does so in each response.
-const invalidLimitLogInterval = 10 * time.Second
+const invalidLogInterval = 10 * time.Second
 
-func (e *Entry) logInvalidLimit(ev route.LimitInvalid) {
+func (e *Entry) logInvalidStatement(ev route.InvalidStatement) {
 	now := e.timers.Now().UnixNano()
-	last := e.invalidLimitLoggedAt.Load()
-	if last != 0 && now-last < int64(invalidLimitLogInterval) || !e.invalidLimitLoggedAt.CompareAndSwap(last, now) {
+	last := e.invalidLoggedAt.Load()
+	if last != 0 && now-last < int64(invalidLogInterval) || !e.invalidLoggedAt.CompareAndSwap(last, now) {
 		return
 	}
 	e.log.Warn("ignoring a limit or pause of a target that cannot be read", zap.String("target", ev.Target),
--- a/route/event.go
+++ b/route/event.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Event is a change of a target: ColdDetected and Warmed, which other entries must learn, Unreachable, Recovered,
-// LimitNamed, LimitEnded, LimitInvalid, SaysLeaving or Paused. It is nil if nothing changed.
+// LimitNamed, LimitEnded, InvalidStatement, SaysLeaving or Paused. It is nil if nothing changed.
 type Event interface{ event() }
 
 // ColdDetected means that this entry has seen an instance of the target that is not known to be warm. The owner must be
@@ -62,18 +62,18 @@
 	Pause  time.Duration
 }
 
-// LimitInvalid means that a target has named a limit or a pause that cannot be read.
-type LimitInvalid struct {
+// InvalidStatement means that a target has named a limit or a pause that cannot be read.
+type InvalidStatement struct {
 	Target string
 	Text   string
 }
 
-func (ColdDetected) event() {}
-func (Warmed) event()       {}
-func (Unreachable) event()  {}
-func (Recovered) event()    {}
-func (LimitNamed) event()   {}
-func (LimitEnded) event()   {}
-func (LimitInvalid) event() {}
-func (SaysLeaving) event()  {}
-func (Paused) event()       {}
+func (ColdDetected) event()     {}
+func (Warmed) event()           {}
+func (Unreachable) event()      {}
+func (Recovered) event()        {}
+func (LimitNamed) event()       {}
+func (LimitEnded) event()       {}
+func (InvalidStatement) event() {}
+func (SaysLeaving) event()      {}
+func (Paused) event()           {}
--- a/route/registered.go
+++ b/route/registered.go
@@ -187,7 +187,7 @@
 func (t *target) usable(now time.Time, q Query) bool {
 	t.updateCold(now)
 	return t.reachable() && t.inflight < t.Slots &&
-		!slices.Contains(q.Tried, t.Name) && (!t.cold || t.mayTakeColdCall(now)) && t.mayTakeLimitedCall(now) && t.mayResume(now)
+		!slices.Contains(q.Tried, t.Name) && (!t.cold || t.mayTakeColdCall(now)) && t.allowsCall(now)
 }
 
 // mayTakeColdCall reports whether this entry may send a call to the cold target now.
--- a/route/service.go
+++ b/route/service.go
@@ -224,7 +224,7 @@
 // target may take a call.
 func (s *service) consider(now time.Time, c *choice, t *target, idempotent, spareOnly, randomized bool) bool {
 	var leaseEnd time.Time
-	if !t.mayTakeLimitedCall(now) || !t.mayResume(now) {
+	if !t.allowsCall(now) {
 		return false
 	}
 	if t.isWarm() {
