Receive SIGHUP from the start of a process on

Cause: the signal was subscribed to after the settings had been read and the entry assembled, and unsubscribed from at the end; without a receiver the Go runtime ends the process. Change: serve subscribes first and never unsubscribes. What is left is the start of the program before its first step.

--- a/cmd/skylarkbeam/serve.go
+++ b/cmd/skylarkbeam/serve.go
@@ -175,6 +175,10 @@
 
 // serveBoot runs an entry on a machine of the users' platform.
 func serveBoot(ctx context.Context, s streams, f serveFlags) error {
+	// A signal that comes before this ends the process, as does one that nobody receives, so this is the first step and
+	// is never undone.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	boot, err := platform.ReadMachineSettings(f.boot)
 	if err != nil {
 		return err
@@ -209,25 +213,26 @@
 	if err != nil {
 		return errors.Wrap(err, "assembling the entry")
 	}
-	defer reloadOnHangup(machine)()
+	defer reloadOnHangup(hangups, machine)()
 	e.Start()
 	waitAndStop(ctx, e)
 	return nil
 }
 
-// reloadOnHangup makes SIGHUP reload the settings of the machine, until the result is called.
-func reloadOnHangup(machine *platform.Adapter) (stop func()) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
+// reloadOnHangup makes each hangup reload the settings of the machine, until the result is called.
+func reloadOnHangup(hangups <-chan os.Signal, machine *platform.Adapter) (stop func()) {
+	done := make(chan struct{})
 	go func() {
-		for range signals {
-			machine.Reload()
+		for {
+			select {
+			case <-hangups:
+				machine.Reload()
+			case <-done:
+				return
+			}
 		}
 	}()
-	return func() {
-		signal.Stop(signals)
-		close(signals)
-	}
+	return func() { close(done) }
 }
 
 // tuneCollector makes the garbage collector run less often than by default, unless GOGC or GOMEMLIMIT are set.
