Ask for the rank once for a limit, and reflow comments

limitInterval asked twice for the entry's rank, which takes locks of the fleet, while a target has a limit. Some comments ran over the line or named limits where pauses are meant as well. Behaviour is unchanged.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -80,7 +80,7 @@
 	loadReads loadReads
 	// meanReadTime is the moving average of the duration of load reads, in nanoseconds.
 	meanReadTime atomic.Int64
-	// invalidLoggedAt is when a limit that cannot be read was last logged, in nanoseconds since 1970.
+	// invalidLoggedAt is when a limit or pause that cannot be read was last logged, in nanoseconds since 1970.
 	invalidLoggedAt atomic.Int64
 	done            chan struct{}
 	stopOnce        sync.Once
@@ -178,7 +178,7 @@
 	}
 }
 
-// invalidLogInterval is the minimum time between two log lines about limits that cannot be read. A target that
+// invalidLogInterval is the minimum time between two log lines about limits and pauses that cannot be read. A target that
 // names one does so in each response.
 const invalidLogInterval = 10 * time.Second
 
--- a/feed/table.go
+++ b/feed/table.go
@@ -190,8 +190,8 @@
 }
 
 // ChangesSince returns the changes after a version, or the whole table if the version is 0 or of an earlier era, or if the
-// deletions since then are no longer known. A replica that knows nothing asks for the changes after 0. All that there are make up the whole table,
-// and must be marked as such, or the replica would never count as loaded.
+// deletions since then are no longer known. A replica that knows nothing asks for the changes after 0. All that there are
+// make up the whole table, and must be marked as such, or the replica would never count as loaded.
 func (t *Table) ChangesSince(after uint64) Batch {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
--- a/route/limit.go
+++ b/route/limit.go
@@ -111,14 +111,15 @@
 	t.nextLimitedCall = now.Add(interval + limitBurst)
 }
 
-// limitSenders returns the number of entries that send to the limited target, and whether this entry is one of them.
-func (t *target) limitSenders(now time.Time) (senders int, sender bool) {
+// limitSenders returns the number of entries that send to the limited target, whether this entry is one of them, and the
+// number of all entries.
+func (t *target) limitSenders(now time.Time) (senders int, sender bool, entries int) {
 	rank, entries := (*t.service.table.rank.Load())(now, t.Name, t.Domain)
 	senders = entries
 	if most := math.Ceil(t.limitRate); most < float64(entries) {
 		senders = min(max(minSendersPerLimitedTarget, int(most)), entries)
 	}
-	return senders, rank < senders
+	return senders, rank < senders, entries
 }
 
 // maxLimitInterval stands for a turn that never comes.
@@ -127,7 +128,7 @@
 // limitInterval returns the interval between the turns of this entry at the limited target, and whether it is a sender.
 // If load reads do not name limits, all entries must make a call now and then to learn that the limit has ended.
 func (t *target) limitInterval(now time.Time) (interval time.Duration, sender bool) {
-	senders, sender := t.limitSenders(now)
+	senders, sender, entries := t.limitSenders(now)
 	interval = maxLimitInterval
 	if rate := t.limitRate / float64(max(senders, 1)); sender && rate > 1/maxLimitInterval.Seconds() {
 		interval = time.Duration(float64(time.Second) / rate)
@@ -135,7 +136,6 @@
 	if t.service.loadReadsNameLimits {
 		return interval, sender
 	}
-	_, entries := (*t.service.table.rank.Load())(now, t.Name, t.Domain)
 	if sender && senders < entries {
 		interval = time.Duration(float64(interval) / (1 - otherEntriesFraction))
 	}
@@ -237,7 +237,7 @@
 	if !t.limited {
 		return share
 	}
-	senders, sender := t.limitSenders(now)
+	senders, sender, _ := t.limitSenders(now)
 	if !sender {
 		return 0
 	}
