--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -82,6 +82,16 @@
 	s.changed = make(chan struct{})
 }
 
+// removeWorkers removes the rows of workers in one transaction.
+func (s *store) removeWorkers(workers []*worker) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	for _, w := range workers {
+		s.write("servers", w.id, nil)
+	}
+}
+
 // changes returns the rows of a table after a version in the order of their versions. The caller holds the lock.
 func (s *store) changes(table string, after uint64) []storeRow {
 	rows := []storeRow{}
