Keep calls off connections on which they were refused

Cause: an answer is matched with its attempt by the request's id, and all attempts of a request carry the id that the caller sent. A refused attempt leaves its connection in the pool, so the next attempt of the same request could get that connection, where a copy of the refusal cannot be told from an answer. The record of the case shows it: refusal, second attempt on the same connection, copy, and a run at another worker beside the first. No connection broke, which rules out a repeat by the transport; the id of the copy rules out a mix-up of two requests.

Change: a connection remembers the ids of the calls refused on it and carries none of them again. A full pool replaces the idle connection. A connection with 32 refused calls is closed, so that nothing is forgotten.

--- a/target/conn.go
+++ b/target/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -26,6 +27,9 @@
 // statusLinePrefix begins each response.
 const statusLinePrefix = "HTTP/"
 
+// maxRefusals bounds the refused calls that a connection remembers. It is closed when it has as many.
+const maxRefusals = 32
+
 // conn is a connection to the target. It is used by one call at a time or is in the idle list.
 type conn struct {
 	nc            net.Conn
@@ -55,6 +59,9 @@
 	body          requestBody
 	// previousID is the ID of the previous attempt, whose response may arrive twice.
 	previousID string
+	// refused are the IDs of the calls that were refused on the connection. They may be sent again, with the same ID, but
+	// not here: a late copy of the refusal could not be told from the response.
+	refused []string
 	// targetIdleTimeout is how long the target keeps an idle connection open; zero if unknown.
 	targetIdleTimeout time.Duration
 }
@@ -91,6 +98,9 @@
 	return min(limit, c.targetIdleTimeout-c.targetIdleTimeout/idleMarginDivisor)
 }
 
+// refusedCall reports whether the call with the given ID was refused on the connection.
+func (c *conn) refusedCall(id string) bool { return id != "" && slices.Contains(c.refused, id) }
+
 // alive reports whether an idle connection is still open and has nothing to read. Bytes that arrive without a pending
 // request belong to a late or mismatched response.
 func (c *conn) alive() bool {
--- a/target/pool.go
+++ b/target/pool.go
@@ -71,6 +71,7 @@
 
 	// disabled turns off single mechanisms, so that tests can show which failure each of them prevents.
 	disabled struct {
+		refusedCheck        bool // send a call again on a connection on which it was refused
 		requestIDMatch      bool // accept responses with any request ID
 		knownLength         bool // accept responses of unknown length
 		closedConnCheck     bool // do not detect closed idle connections
@@ -166,7 +167,8 @@
 }
 
 // popIdle removes an idle connection from the list and returns it. It prefers a connection known to lead to the
-// expected instance over one whose instance is unknown. Unusable holds the connections to close.
+// expected instance over one whose instance is unknown, and leaves those on which the call was refused. Unusable holds the
+// connections to close.
 func (p *Pool) popIdle(call *Call, now time.Time) (c *conn, unusable []*conn) {
 	limit := maxIdleTime
 	if !call.Idempotent && !p.disabled.freshnessCheck {
@@ -174,7 +176,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	fallback := -1
+	fallback, refused := -1, -1
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		c := p.idle[i]
 		if now.Sub(c.respondedAt) > c.maxIdle(limit) {
@@ -182,8 +184,13 @@
 			unusable = append(unusable, p.idle[:i+1]...)
 			p.idle = slices.Delete(p.idle, 0, i+1)
 			fallback -= i + 1
+			refused -= i + 1
 			break
 		}
+		if p.refusedOn(c, call) {
+			refused = i
+			continue
+		}
 		if call.Instance == "" || p.leadsTo(c, call.Instance) || p.skipsInstanceCheck() {
 			p.idle = slices.Delete(p.idle, i, i+1)
 			return c, unusable
@@ -200,8 +207,14 @@
 		unusable = append(unusable, c)
 		p.idle = slices.Delete(p.idle, i, i+1)
 		fallback--
+		refused--
 	}
 	if fallback < 0 {
+		if refused >= 0 && p.open-len(unusable) >= p.maxConnections {
+			// The call needs a new connection in its place.
+			unusable = append(unusable, p.idle[refused])
+			p.idle = slices.Delete(p.idle, refused, refused+1)
+		}
 		return nil, unusable
 	}
 	c = p.idle[fallback]
@@ -209,6 +222,11 @@
 	return c, unusable
 }
 
+// refusedOn reports whether call was refused on c, so that another connection has to carry it.
+func (p *Pool) refusedOn(c *conn, call *Call) bool {
+	return c.refusedCall(call.ID) && !p.disabled.refusedCheck
+}
+
 // skipsInstanceCheck reports whether calls with an expected instance may use unchecked connections.
 func (p *Pool) skipsInstanceCheck() bool {
 	return p.opts.capabilities.VerifiesInstance || p.disabled.instanceCheck
--- a/target/send.go
+++ b/target/send.go
@@ -257,7 +257,7 @@
 	p.addWaiters(1)
 	defer p.addWaiters(-1)
 	for {
-		confirmed, changed := p.tryConfirm(c, call.Instance)
+		confirmed, changed := p.tryConfirm(c, call)
 		if confirmed == c || confirmed != nil && confirmed.alive() {
 			return confirmed
 		}
@@ -281,9 +281,10 @@
 	p.waiters += n
 }
 
-// tryConfirm returns c if its instance is confirmed, else an idle connection to the given instance that got a response
-// within the last second. If there is none, it returns a channel that is closed when another attempt makes sense.
-func (p *Pool) tryConfirm(c *conn, instance string) (*conn, <-chan struct{}) {
+// tryConfirm returns c if its instance is confirmed, else an idle connection to the expected instance that got a response
+// within the last second and may carry call. If there is none, it returns a channel that is closed when another attempt
+// makes sense.
+func (p *Pool) tryConfirm(c *conn, call *Call) (*conn, <-chan struct{}) {
 	now := p.opts.Timers.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -292,7 +293,7 @@
 		return c, nil
 	}
 	for i, other := range slices.Backward(p.idle) {
-		if p.leadsTo(other, instance) && now.Sub(other.respondedAt) <= freshnessLimit {
+		if p.leadsTo(other, call.Instance) && now.Sub(other.respondedAt) <= freshnessLimit && !p.refusedOn(other, call) {
 			p.idle = slices.Delete(p.idle, i, i+1)
 			return other, nil
 		}
@@ -343,7 +344,10 @@
 		if head.InstanceMismatch {
 			reason = outcome.InstanceChanged
 		}
-		p.finish(c, stopWatch, !resp.Close && c.discardBody(resp))
+		if call.ID != "" {
+			c.refused = append(c.refused, call.ID)
+		}
+		p.finish(c, stopWatch, !resp.Close && len(c.refused) < maxRefusals && c.discardBody(resp))
 		return &outcome.NotRun{
 			Reason:     reason,
 			RetryAfter: head.RetryAfter,
