End the dispatch of calls before the end of a stop

Cause: a stop had a last moment for new connections, but none for sending calls. First requests of open connections, calls that waited for a target, repeats and hedges were sent until the process ended. The record of the case rules out an answer that was lost: the workers were still at work. Closing such connections earlier would lose requests that cross the close, and would not help a call that waits.

Change: from two fifths of the grace period on, nothing is sent to targets. Calls that arrive later or still wait are refused with 503, reason leaving and a Retry-After of a millisecond, as any other entry can take them. The log line at the end of a stop tells cut calls from silent connections.

Before the change TestStopLateRequest fails with "unexpected EOF" for the request sent after 5.2 s, with one run, and TestStopWaitingRequest with "unexpected EOF: after 5.701398006s, 0 runs". Both pass with it.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -19,9 +19,9 @@
 // another attempt of the call may have run or may be running.
 func (e *Entry) attempt(ctx context.Context, c *call, permit *route.Permit, retry bool) outcome.Outcome {
 	start := e.timers.Now()
-	if !e.canDispatch(start) {
+	if reason := e.dispatchRefusal(start); reason != "" {
 		// The process may have been paused since the call was admitted, most likely while it waited for its claim.
-		return releaseUnused(permit, start, outcome.Isolated)
+		return releaseUnused(permit, start, reason)
 	}
 	deadline := c.deadline
 	if !permit.LeaseEnd.IsZero() && permit.LeaseEnd.Before(deadline) {
@@ -46,7 +46,7 @@
 	c.runs.Add(1)
 	e.logPlaced(c, permit)
 	m := c.message(permit.Instance, deadline.Sub(start))
-	m.BeforeWrite = e.beforeWrite
+	m.BeforeWrite = e.dispatchRefusal
 	m.Reserve = permit.Reserve
 	m.Repeat = c.isRetry || retry
 	finish := func(r route.Result, running bool) {
@@ -128,14 +128,6 @@
 	}
 }
 
-// beforeWrite returns the reason why an attempt may not be written now, or an empty reason.
-func (e *Entry) beforeWrite(now time.Time) outcome.Reason {
-	if !e.canDispatch(now) {
-		return outcome.Isolated
-	}
-	return ""
-}
-
 // message returns the call as it is sent to a target or to another entry. instance is the target instance that the
 // call must reach, or empty for any.
 func (c *call) message(instance string, timeout time.Duration) *target.Call {
--- a/entry/call.go
+++ b/entry/call.go
@@ -156,9 +156,11 @@
 
 // handleCall admits a call, runs it and writes its response. A returned refusal has not been written yet.
 func (e *Entry) handleCall(w http.ResponseWriter, c *call) *Refusal {
-	if !e.canDispatch(e.timers.Now()) {
-		return notRunRefusal(outcome.Isolated, defaultRetryAfter,
-			"this entry has lost contact with the platform and its peers")
+	switch reason := e.dispatchRefusal(e.timers.Now()); reason {
+	case outcome.Isolated:
+		return notRunRefusal(reason, defaultRetryAfter, "this entry has lost contact with the platform and its peers")
+	case outcome.Leaving:
+		return leavingRefusal()
 	}
 	ctx := c.request.Context()
 	if !c.idempotent && c.key != "" {
@@ -201,6 +203,9 @@
 func (e *Entry) admit(ctx context.Context, c *call) (finish func(), refusal *Refusal) {
 	if c.snapshot.registered {
 		permit, refused := e.waitForTarget(ctx, c)
+		if refused != nil && refused.Reason == outcome.Leaving {
+			return nil, leavingRefusal()
+		}
 		if refused != nil {
 			if c.policy.elapsed != nil {
 				c.policy.elapsed.RecordRefusal(e.timers.Now())
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -72,6 +72,8 @@
 	extraServers  []*http.Server
 
 	leaving atomic.Bool
+	// dispatchEnd is when a shutdown ends the dispatch of calls; nil if there is no such time.
+	dispatchEnd atomic.Pointer[time.Time]
 	// hadContact is the contact state that was last logged.
 	hadContact atomic.Bool
 	inflight   atomic.Int64
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -112,7 +112,7 @@
 			return nil
 		}
 		if permit := e.table.Hedge(now, h.call.service.name, h.query); permit != nil {
-			if e.canDispatch(now) && h.tryStart() {
+			if e.dispatchRefusal(now) == "" && h.tryStart() {
 				return permit
 			}
 			permit.Done(now, route.Result{
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -10,6 +10,9 @@
 // defaultRetryAfter is the retry delay sent to refused callers if no better estimate is known.
 const defaultRetryAfter = time.Second
 
+// leavingRetryAfter is the retry delay sent by an entry that is shutting down. The other entries can take the call at once.
+const leavingRetryAfter = time.Millisecond
+
 func notRunRefusal(reason outcome.Reason, retryAfter time.Duration, message string) *Refusal {
 	status := http.StatusServiceUnavailable
 	switch reason {
@@ -31,6 +34,11 @@
 	}
 }
 
+// leavingRefusal returns the refusal for a call that arrives, or still waits, when a shutdown has ended the dispatch.
+func leavingRefusal() *Refusal {
+	return notRunRefusal(outcome.Leaving, leavingRetryAfter, "this entry is shutting down")
+}
+
 func orDefaultRetryAfter(d time.Duration) time.Duration {
 	if d <= 0 {
 		return defaultRetryAfter
--- a/entry/run.go
+++ b/entry/run.go
@@ -129,7 +129,7 @@
 // pickRetry selects the target for another attempt. It returns nil if there is to be none.
 func (e *Entry) pickRetry(ctx context.Context, c *call) *route.Permit {
 	now := e.timers.Now()
-	if ctx.Err() != nil || !now.Before(c.deadline) || !c.hasAttemptsLeft() || !e.canDispatch(now) {
+	if ctx.Err() != nil || !now.Before(c.deadline) || !c.hasAttemptsLeft() || e.dispatchRefusal(now) != "" {
 		return nil
 	}
 	if c.snapshot.registered {
--- a/entry/server.go
+++ b/entry/server.go
@@ -24,8 +24,11 @@
 	// idleTimeout is longer than the address TTL, so that idle connections are closed by the caller and not by the
 	// entry.
 	idleTimeout = 5 * time.Minute
-	// graceAcceptDivisor sets the part of the grace period, as 1/n, during which new calls are accepted.
+	// graceAcceptDivisor sets the part of the grace period, as 1/n, during which new connections are accepted.
 	graceAcceptDivisor = 3
+	// graceDispatchFraction is the part of the grace period during which calls are sent to targets. A later one is
+	// refused, because it could still be running when the process ends.
+	graceDispatchFraction = 0.4
 	// graceExitMargin is the part of the grace period reserved for the exit of the process.
 	graceExitMargin = 300 * time.Millisecond
 	// closeTimeout bounds the last writes to the table on shutdown.
@@ -105,6 +108,8 @@
 // Shutdown stops the entry without cutting calls in flight. It removes the entry from the address lists at once,
 // serves until callers no longer use a list that contains it, and then waits for the last call to end. If ctx ends
 // first, the remaining calls are cut.
+//
+// With a grace period, new calls are refused from graceDispatchFraction of it on.
 func (e *Entry) Shutdown(ctx context.Context) {
 	e.leaving.Store(true)
 	e.fleet.Leave()
@@ -116,6 +121,8 @@
 		ctx, cancel = context.WithTimeout(ctx, e.opts.GracePeriod-graceExitMargin)
 		defer cancel()
 		acceptTime = min(e.AddressTTL(), e.opts.GracePeriod/graceAcceptDivisor)
+		dispatchEnd := e.timers.Now().Add(time.Duration(graceDispatchFraction * float64(e.opts.GracePeriod)))
+		e.dispatchEnd.Store(&dispatchEnd)
 		e.callerServer.Drain()
 	}
 	e.log.Info("leaving", zap.Duration("stay", acceptTime))
@@ -126,11 +133,27 @@
 	case <-ctx.Done():
 	}
 	if err := e.callerServer.Shutdown(ctx); err != nil {
-		e.log.Warn("calls were cut by an early stop", zap.Error(err))
+		e.logCut(err)
 	}
 	e.Close()
 }
 
+// dispatchEnded reports whether a shutdown has ended the dispatch of calls.
+func (e *Entry) dispatchEnded(now time.Time) bool {
+	end := e.dispatchEnd.Load()
+	return end != nil && !now.Before(*end)
+}
+
+// logCut logs what the end of a shutdown cuts: connections, most of them without a call, and calls.
+func (e *Entry) logCut(err error) {
+	connections, calls := zap.Int("connections", e.callerServer.Connections()), zap.Int64("calls", e.inflight.Load())
+	if e.inflight.Load() == 0 {
+		e.log.Info("connections without a call were closed", connections)
+		return
+	}
+	e.log.Warn("calls were cut by an early stop", connections, calls, zap.Error(err))
+}
+
 // AddressTTL returns how long callers use the addresses that an entry gave them.
 func (e *Entry) AddressTTL() time.Duration {
 	if settings := e.snapshot.Load().settings; settings != nil {
--- a/entry/service_queue.go
+++ b/entry/service_queue.go
@@ -66,6 +66,11 @@
 func (e *Entry) waitForTarget(ctx context.Context, c *call) (*route.Permit, *share.Refusal) {
 	q := c.service.queue
 	now := e.timers.Now()
+	if e.dispatchEnded(now) {
+		return nil, &share.Refusal{
+			Reason: outcome.Leaving,
+		}
+	}
 	queued := c.queuedCall(now, e.table.ServiceTime(q.service, c.query(now)))
 	q.RecordArrival(now, queued)
 	if q.Len() == 0 {
@@ -213,6 +218,13 @@
 
 // tryPlace grants a waiting call a target or refuses it. It returns false if the call stays in the queue.
 func (e *Entry) tryPlace(q *serviceQueue, waiter *share.Waiter, w *waitingCall) bool {
+	if e.dispatchEnded(e.timers.Now()) {
+		q.Refuse(waiter, &share.Refusal{
+			Reason: outcome.Leaving,
+		})
+		q.deleteCall(waiter)
+		return true
+	}
 	permit, reason := e.chooseTarget(w.call)
 	now := e.timers.Now()
 	switch {
--- a/entry/snapshot.go
+++ b/entry/snapshot.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"skylarkbeam/fleet"
+	"skylarkbeam/outcome"
 	"skylarkbeam/route"
 	"skylarkbeam/setting"
 	"skylarkbeam/share"
@@ -51,16 +52,19 @@
 	active     atomic.Bool
 }
 
-// canDispatch reports whether new calls may be dispatched now. It first applies a state that has just arrived: an
-// entry that regains contact by learning of a drain must not send a call to a drained target.
-func (e *Entry) canDispatch(now time.Time) bool {
+// dispatchRefusal returns the reason why no call may be dispatched now, or an empty reason. It first applies a state that
+// has just arrived: an entry that regains contact by learning of a drain must not send a call to a drained target.
+func (e *Entry) dispatchRefusal(now time.Time) outcome.Reason {
+	if e.dispatchEnded(now) {
+		return outcome.Leaving
+	}
 	if !e.fleet.CanServe(now) {
-		return false
+		return outcome.Isolated
 	}
 	if e.fleet.State().Version != e.snapshot.Load().version {
 		e.refreshSnapshot()
 	}
-	return true
+	return ""
 }
 
 // refreshSnapshot derives a new snapshot if the accepted state is newer than the current one.
