Bound what a connection reads after it is to end

Callers that always have a further request on its way lost the last ones around a stop: the connection was in use for 5.7 s after SIGTERM and then cut, with requests that had run and got no answer.

Cause: a response ends the connection if no further request was read before its head is written. A connection that is to end waits 5 ms for a request that may be on its way already, and each request began these 5 ms anew. A caller that pauses for 100 ms is told to close at once, which rules out that the connection is not told to end.

Change: the 5 ms count from when the connection first looks for a further request. Later ones are not read, and the response before them ends the connection, so that callers may send them again.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -19,7 +19,7 @@
 	bufferSize = 4 << 10
 	// stallTime bounds one write to a caller that does not read.
 	stallTime = 30 * time.Second
-	// lastCall is how long a connection that is to end waits for a request that may be on its way already.
+	// lastCall is how long a connection that is to end still reads requests that may be on their way already.
 	lastCall = 5 * time.Millisecond
 	// lingerTime is how long a connection is read after its last response. Closing it with unread bytes would reset it,
 	// and the caller could lose the response.
@@ -43,6 +43,9 @@
 	// this response says so, after which no request is taken.
 	finishing bool
 	closed    bool
+	// readUntil is the time until which a connection that is to end reads further requests; zero if it is not to end yet
+	// or waits for its first one.
+	readUntil time.Time
 	// awaiting says that the next request is being waited for.
 	awaiting bool
 	// open is the number of requests without a whole response, last the newest of all.
@@ -180,8 +183,12 @@
 		c.mu.Lock()
 		c.awaiting = false
 		over := c.finishing && c.last != nil || c.open == 0
+		late := !c.readUntil.IsZero() && !time.Now().Before(c.readUntil)
 		c.mu.Unlock()
 		switch {
+		case err == nil && late:
+			// A caller that always has a request on its way would be served until the process ends.
+			return false
 		case err == nil:
 			return true
 		case !errors.Is(err, os.ErrDeadlineExceeded):
@@ -204,7 +211,10 @@
 	limit := time.Time{}
 	switch {
 	case c.finishing && c.last != nil:
-		limit = time.Now().Add(lastCall)
+		if c.readUntil.IsZero() {
+			c.readUntil = time.Now().Add(lastCall)
+		}
+		limit = c.readUntil
 	case c.open == 0:
 		limit = time.Now().Add(c.server.opts.Limits().IdleTimeout)
 	}
