Answer the calls that a stop would cut

Cause: the end of a stop closed all connections, whatever was owed on them. A request whose target does not answer, and whose deadline comes after the end of the process, got no answer, although that moment is known.

Change: 150 ms before connections are cut, calls without a response end. They are answered 502, or 503 if they have certainly not run. Responses that have begun go on.

TestStopSilentWorker before the change: "unexpected EOF: after 5.701599786s". With it: 502.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,6 +24,7 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -74,6 +75,9 @@
 	leaving atomic.Bool
 	// dispatchEnd is when a shutdown ends the dispatch of calls; nil if there is no such time.
 	dispatchEnd atomic.Pointer[time.Time]
+	// ending is canceled by endCalls, when a shutdown answers the calls that are still running.
+	ending   context.Context
+	endCalls context.CancelFunc
 	// hadContact is the contact state that was last logged.
 	hadContact atomic.Bool
 	inflight   atomic.Int64
@@ -117,6 +121,7 @@
 		done:         make(chan struct{}),
 		haveSettings: make(chan struct{}),
 	}
+	e.ending, e.endCalls = context.WithCancel(context.Background())
 	e.snapshot.Store(&snapshot{})
 	table.SetLeaseFunc(f.Owns)
 	table.SetRankFunc(f.Rank)
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -149,6 +149,8 @@
 		return first
 	}
 	h.mu.Unlock()
+	stopWatch := context.AfterFunc(h.entry.ending, h.cancel)
+	defer stopWatch()
 	switch second := (<-h.result).(type) {
 	case *response:
 		if answered {
--- a/entry/run.go
+++ b/entry/run.go
@@ -20,6 +20,8 @@
 // *outcome.NotRun or *outcome.Unknown.
 func (e *Entry) runCall(ctx context.Context, c *call) outcome.Outcome {
 	defer func() { c.answeredAt = e.timers.Now() }()
+	stopWatch := context.AfterFunc(e.ending, c.cancel)
+	defer stopWatch()
 	result := e.runLocally(ctx, c)
 	if notRun, ok := result.(*outcome.NotRun); ok && !c.relayed {
 		switch notRun.Reason {
@@ -37,6 +39,11 @@
 			Reason: c.unknownReason,
 		}
 	}
+	if unknown, ok := result.(*outcome.Unknown); ok && unknown.Reason == outcome.Canceled && e.ending.Err() != nil {
+		return &outcome.Unknown{
+			Reason: outcome.Leaving,
+		}
+	}
 	return result
 }
 
--- a/entry/server.go
+++ b/entry/server.go
@@ -31,6 +31,8 @@
 	graceDispatchFraction = 0.4
 	// graceExitMargin is the part of the grace period reserved for the exit of the process.
 	graceExitMargin = 300 * time.Millisecond
+	// graceAnswerMargin is how long before that the calls that are still running are answered.
+	graceAnswerMargin = 150 * time.Millisecond
 	// closeTimeout bounds the last writes to the table on shutdown.
 	closeTimeout = 3 * time.Second
 )
@@ -109,7 +111,8 @@
 // serves until callers no longer use a list that contains it, and then waits for the last call to end. If ctx ends
 // first, the remaining calls are cut.
 //
-// With a grace period, new calls are refused from graceDispatchFraction of it on.
+// With a grace period, new calls are refused from graceDispatchFraction of it on, and calls without a response are answered
+// right before its end.
 func (e *Entry) Shutdown(ctx context.Context) {
 	e.leaving.Store(true)
 	e.fleet.Leave()
@@ -123,6 +126,8 @@
 		acceptTime = min(e.AddressTTL(), e.opts.GracePeriod/graceAcceptDivisor)
 		dispatchEnd := e.timers.Now().Add(time.Duration(graceDispatchFraction * float64(e.opts.GracePeriod)))
 		e.dispatchEnd.Store(&dispatchEnd)
+		answer := time.AfterFunc(e.opts.GracePeriod-graceExitMargin-graceAnswerMargin, e.endCalls)
+		defer answer.Stop()
 		e.callerServer.Drain()
 	}
 	e.log.Info("leaving", zap.Duration("stay", acceptTime))
