Drop targets that leave together before their drain time is over

Cause: they were taken for registrations that lapsed in an outage of the store, and retained for the time in which those are renewed, whether or not there had been an outage. "many targets have vanished from the registry" in the entries' logs shows that they knew of the removal, which rules out a delay of the registry.

Change: without an outage they are retained for half of drain_timeout_ms, which is read from the settings. There is an outage if entries of at least two failure domains have lost the store within the last two seconds; one entry may be cut off alone. Entries learn of the others from greetings.

The stand-in of the table that the followers' tests use now returns targets in order of their names, as State asks for.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -130,6 +130,8 @@
 	storeFailures    int
 	attachment       context.Context
 	cancelAttachment context.CancelFunc
+	// storeLostAt is when an entry was last known to have lost the store, by failure domain.
+	storeLostAt map[string]time.Time
 	// owned caches the results of Owns by target, ranks those of Rank.
 	ownedMu sync.Mutex
 	owned   map[string]ownership
@@ -191,6 +193,7 @@
 		tables:        map[string]*feed.Table{},
 		changed:       make(chan struct{}),
 		members:       map[string]*member{},
+		storeLostAt:   map[string]time.Time{},
 		owned:         map[string]ownership{},
 		ranks:         map[string]ranking{},
 		random:        newRandom(opt.Seed, opt.Name),
@@ -309,8 +312,10 @@
 	next.Version = former.Version + 1
 	next.BaseVersion = f.tables[f.opt.Tables[0]].LatestVersion()
 	now := f.now()
-	if recheck := retainLapsed(now, former, next); recheck > 0 {
-		f.log.Warn("many targets have vanished from the registry, keeping them for a while", zap.Duration("again", recheck))
+	outage := f.storeOutage(now)
+	if recheck := retainLapsed(now, former, next, retentionTime(outage, next.DrainTime)); recheck > 0 {
+		f.log.Warn("many targets have vanished from the registry, keeping them for a while", zap.Duration("again", recheck),
+			zap.Bool("outage", outage))
 		f.rebuildAfter(now, recheck)
 	}
 	if next.RebuildAfter > 0 {
@@ -543,6 +548,7 @@
 	ColdUntil time.Time
 	// Leaving is set if the target is about to end.
 	Leaving bool
-	// LapsedAt is when the registration disappeared together with many others, or the zero time if it is still there.
-	LapsedAt time.Time
+	// RetainedUntil is how long the target is retained after its registration disappeared together with many others, or
+	// the zero time if it is still there.
+	RetainedUntil time.Time
 }
--- a/fleet/follower_test.go
+++ b/fleet/follower_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"flag"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,6 +58,22 @@
 	s.changed = make(chan struct{})
 }
 
+// remove removes rows in one transaction.
+func (s *memoryStore) remove(table string, keys ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	for _, key := range keys {
+		s.rows[table][key] = feed.Row{
+			Key:     key,
+			Version: s.version,
+			Deleted: true,
+		}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *memoryStore) count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -154,16 +173,46 @@
 	return s.Put(context.Background(), table, key, nil)
 }
 
+// testDrainTime is how long targets in tests serve after they have left the registry.
+const testDrainTime = 2 * time.Second
+
+// partialStore is the store as one entry reaches it.
+type partialStore struct {
+	*memoryStore
+	down atomic.Bool
+}
+
+func (s *partialStore) Read(ctx context.Context, table string) (feed.Batch, error) {
+	if s.down.Load() {
+		return feed.Batch{}, errors.New("down")
+	}
+	return s.memoryStore.Read(ctx, table)
+}
+
+func (s *partialStore) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (feed.Batch, error) {
+	for {
+		if s.down.Load() {
+			return feed.Batch{}, errors.New("down")
+		}
+		part := min(wait, 100*time.Millisecond)
+		b, err := s.memoryStore.Watch(ctx, table, after, part)
+		if wait -= part; err != nil || len(b.Rows) > 0 || wait <= 0 {
+			return b, err
+		}
+	}
+}
+
 // buildTestState builds a state whose drained domains are the values in table op and whose registered targets are the
 // keys in table servers.
 func buildTestState(_ *State, tables map[string]*feed.Table) (*State, error) {
 	s := &State{
 		ParsedSettings: &setting.Settings{},
+		DrainTime:      testDrainTime,
 	}
 	for _, row := range tables["op"].Rows() {
 		s.DrainedDomains = append(s.DrainedDomains, string(row.Value))
 	}
-	for key := range tables["servers"].Rows() {
+	for _, key := range slices.Sorted(maps.Keys(tables["servers"].Rows())) {
 		s.RegisteredTargets = append(s.RegisteredTargets, RegisteredTarget{
 			Name: key,
 		})
--- a/fleet/greeting.go
+++ b/fleet/greeting.go
@@ -475,6 +475,9 @@
 	if m.record.Domain != g.Record.Domain {
 		f.rolls = nil
 	}
+	if m.record.Detached || g.Record.Detached {
+		f.recordStoreLoss(g.Record.Domain, at)
+	}
 	m.record = g.Record
 	m.heardAt = laterTime(m.heardAt, at)
 	m.rolls = g.rolls()
--- a/fleet/lapse_test.go
+++ b/fleet/lapse_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"skylarkbeam/simulation"
 )
 
 // Guards against targets that are all dropped at once when their registrations lapse, against lapsed targets that are
@@ -27,24 +29,24 @@
 	single := &State{
 		RegisteredTargets: registered(2, 20),
 	}
-	assert.Equal(t, retainLapsed(now, former, single), time.Duration(0))
+	assert.Equal(t, retainLapsed(now, former, single, renewalTime), time.Duration(0))
 	assert.Equal(t, len(single.RegisteredTargets), 18)
 
 	lapsed := &State{}
-	assert.Equal(t, retainLapsed(now, former, lapsed), lapsedRetention)
+	assert.Equal(t, retainLapsed(now, former, lapsed, renewalTime), renewalTime)
 	assert.Equal(t, len(lapsed.RegisteredTargets), 20)
 
 	// Half of the targets come back. The rest is retained until the original time is over.
 	half := &State{
 		RegisteredTargets: registered(0, 10),
 	}
-	assert.Equal(t, retainLapsed(now.Add(time.Second), lapsed, half), lapsedRetention-time.Second)
+	assert.Equal(t, retainLapsed(now.Add(time.Second), lapsed, half, renewalTime), renewalTime-time.Second)
 	assert.Equal(t, len(half.RegisteredTargets), 20)
-	assert.Assert(t, half.RegisteredTargets[0].LapsedAt.IsZero() && !half.RegisteredTargets[19].LapsedAt.IsZero())
+	assert.Assert(t, half.RegisteredTargets[0].RetainedUntil.IsZero() && !half.RegisteredTargets[19].RetainedUntil.IsZero())
 	late := &State{
 		RegisteredTargets: registered(0, 10),
 	}
-	assert.Equal(t, retainLapsed(now.Add(lapsedRetention), half, late), time.Duration(0))
+	assert.Equal(t, retainLapsed(now.Add(renewalTime), half, late, renewalTime), time.Duration(0))
 	assert.Equal(t, len(late.RegisteredTargets), 10)
 
 	// Targets that announced that they leave are not retained.
@@ -54,5 +56,80 @@
 	for i := range leaving.RegisteredTargets {
 		leaving.RegisteredTargets[i].Leaving = true
 	}
-	assert.Equal(t, retainLapsed(now, leaving, &State{}), time.Duration(0))
+	assert.Equal(t, retainLapsed(now, leaving, &State{}, renewalTime), time.Duration(0))
+}
+
+// Guards against targets that have left together without a word and are retained until they end, although the registry
+// was never down; also while a single entry has lost the store. The control has an outage, in which registrations lapse:
+// targets are retained until these may have been renewed.
+func TestVanishedTargets(t *testing.T) {
+	const interval = 10 * time.Millisecond // between two looks at the targets
+	tests := []struct {
+		name   string
+		cutOff func(entry int) bool // from 4 s before the removal on
+		outage bool                 // which ends with the removal
+		min    time.Duration        // for which the targets are retained
+		max    time.Duration
+	}{
+		{
+			name:   "store in operation",
+			cutOff: func(int) bool { return false },
+			min:    testDrainTime / 2,
+			max:    testDrainTime,
+		},
+		{
+			name:   "one entry cut off",
+			cutOff: func(entry int) bool { return entry == 0 },
+			min:    testDrainTime / 2,
+			max:    testDrainTime,
+		},
+		{
+			name:   "outage",
+			cutOff: func(int) bool { return true },
+			outage: true,
+			min:    renewalTime,
+			max:    2 * renewalTime,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			simulation.Run(t, func(t *testing.T) {
+				registry := newMemoryStore("op", "servers", "entries")
+				var stores []*partialStore
+				_, list := startFollowers(t, 6, func(int) Store {
+					stores = append(stores, &partialStore{
+						memoryStore: registry,
+					})
+					return stores[len(stores)-1]
+				})
+				for i := range 12 {
+					registry.set("servers", fmt.Sprintf("s%02d", i), "x")
+				}
+				time.Sleep(10 * time.Second)
+				for i, s := range stores {
+					s.down.Store(tt.cutOff(i))
+				}
+				time.Sleep(4 * time.Second)
+				removedAt := time.Now()
+				registry.remove("servers", "s00", "s01", "s02")
+				for i, s := range stores {
+					s.down.Store(tt.cutOff(i) && !tt.outage)
+				}
+				retained := make([]time.Duration, len(list))
+				for time.Since(removedAt) < 2*renewalTime {
+					time.Sleep(interval)
+					for i, f := range list {
+						if len(f.State().RegisteredTargets) > 9 {
+							retained[i] = time.Since(removedAt) + interval
+						}
+					}
+				}
+				for i, d := range retained {
+					if !tt.cutOff(i) || tt.outage {
+						assert.Check(t, d >= tt.min && d < tt.max, "entry %d retained them for %s", i, d)
+					}
+				}
+			})
+		})
+	}
 }
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -43,6 +43,9 @@
 	// RegisteredTargets are the targets that have registered themselves, sorted by name; ParsedSettings contains no
 	// targets then. The list is not modified, and may be shared with other states.
 	RegisteredTargets []RegisteredTarget
+	// DrainTime is how long a target still serves after its registration was removed, without a word that it leaves; zero
+	// if it may end at once.
+	DrainTime time.Duration
 	// RebuildAfter is the time after which the state that the tables describe changes without a change of the tables;
 	// zero if it does not.
 	RebuildAfter time.Duration
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -217,6 +217,9 @@
 		}
 	}
 	detached := f.storeFailures >= detachAfterFailures
+	if detached || f.self.Detached {
+		f.recordStoreLoss(f.self.Domain, f.now())
+	}
 	if detached != f.self.Detached {
 		f.self.Detached = detached
 		if detached {
