Keep what a load read says when its connection ends

Workers that leave answer health checks with Connection: close.

Cause: runProbe took a connection that cannot be reused for a failed read; the log line has the error, so the response itself was read.

Change: the report counts and the connection is closed. A response with further bytes behind it still fails.

TestLoadReadClosesConnection before the change: "load read: connection cannot be reused", no report. With it: one report for each read.

--- a/target/probe.go
+++ b/target/probe.go
@@ -26,6 +26,9 @@
 	ErrProbeTimeout = errors.New("no response in time")
 )
 
+// errConnEnds means that a load read succeeded and that its connection, which is closed, cannot be used again.
+var errConnEnds = errors.New("connection cannot be reused")
+
 // newLoadCall returns the call of a load read.
 func (p *Pool) newLoadCall() *Call {
 	return &Call{
@@ -57,11 +60,19 @@
 		p.opts.ProbeBudget.Cancel()
 		return outcome.Report{}, p.probeError(fmt.Errorf("no connection: %s", reason))
 	}
+	return p.endLoadRead(ctx, c, deadline)
+}
+
+// endLoadRead does a load read on c and releases the connection. A report counts even if its connection ends with it:
+// targets that leave close their connections.
+func (p *Pool) endLoadRead(ctx context.Context, c *conn, deadline time.Time) (outcome.Report, error) {
 	report, err := p.probeConn(ctx, c, deadline)
-	if err != nil {
+	switch {
+	case err == nil:
+		p.release(c)
+	case !errors.Is(err, errConnEnds):
 		return outcome.Report{}, p.probeError(err)
 	}
-	p.release(c)
 	return report, nil
 }
 
@@ -85,12 +96,7 @@
 			return outcome.Report{}, p.probeError(fmt.Errorf("no connection: %s", reason))
 		}
 	}
-	report, err := p.probeConn(ctx, c, deadline)
-	if err != nil {
-		return outcome.Report{}, p.probeError(err)
-	}
-	p.release(c)
-	return report, nil
+	return p.endLoadRead(ctx, c, deadline)
 }
 
 func (p *Pool) probeError(err error) error {
@@ -98,7 +104,7 @@
 }
 
 // probeConn does one load read on c and ends the probe that was taken for it. If it returns an error, c is closed now
-// or when the load read ends.
+// or when the load read ends. The error errConnEnds comes with a report.
 func (p *Pool) probeConn(ctx context.Context, c *conn, deadline time.Time) (outcome.Report, error) {
 	type result struct {
 		report outcome.Report
@@ -155,8 +161,8 @@
 	}
 	p.opts.ProbeBudget.Done(end)
 	report, err := p.opts.Protocol.ReadLoad(resp)
-	if err == nil && (resp.Close || c.br.Buffered() > 0) {
-		err = errors.New("connection cannot be reused")
+	if err == nil && c.br.Buffered() > 0 {
+		err = errors.New("more bytes than one response")
 	}
 	if !stopWatch() && err == nil {
 		err = context.Canceled
@@ -168,6 +174,10 @@
 	c.instance = report.Instance
 	report.LoadRead = true
 	p.recordReport(report, c.sentAt)
+	if resp.Close {
+		p.closeConns(c)
+		return report, errConnEnds
+	}
 	return report, nil
 }
 
