--- a/fleet/lapse_test.go
+++ b/fleet/lapse_test.go
@@ -92,44 +92,46 @@
 		},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			simulation.Run(t, func(t *testing.T) {
-				registry := newMemoryStore("op", "servers", "entries")
-				var stores []*partialStore
-				_, list := startFollowers(t, 6, func(int) Store {
-					stores = append(stores, &partialStore{
-						memoryStore: registry,
+		for _, entries := range []int{6, 60} {
+			t.Run(fmt.Sprintf("%s/%d", tt.name, entries), func(t *testing.T) {
+				simulation.Run(t, func(t *testing.T) {
+					registry := newMemoryStore("op", "servers", "entries")
+					var stores []*partialStore
+					_, list := startFollowers(t, entries, func(int) Store {
+						stores = append(stores, &partialStore{
+							memoryStore: registry,
+						})
+						return stores[len(stores)-1]
 					})
-					return stores[len(stores)-1]
-				})
-				for i := range 12 {
-					registry.set("servers", fmt.Sprintf("s%02d", i), "x")
-				}
-				time.Sleep(10 * time.Second)
-				for i, s := range stores {
-					s.down.Store(tt.cutOff(i))
-				}
-				time.Sleep(4 * time.Second)
-				removedAt := time.Now()
-				registry.remove("servers", "s00", "s01", "s02")
-				for i, s := range stores {
-					s.down.Store(tt.cutOff(i) && !tt.outage)
-				}
-				retained := make([]time.Duration, len(list))
-				for time.Since(removedAt) < 2*renewalTime {
-					time.Sleep(interval)
-					for i, f := range list {
-						if len(f.State().RegisteredTargets) > 9 {
-							retained[i] = time.Since(removedAt) + interval
+					for i := range 12 {
+						registry.set("servers", fmt.Sprintf("s%02d", i), "x")
+					}
+					time.Sleep(10 * time.Second)
+					for i, s := range stores {
+						s.down.Store(tt.cutOff(i))
+					}
+					time.Sleep(4 * time.Second)
+					removedAt := time.Now()
+					registry.remove("servers", "s00", "s01", "s02")
+					for i, s := range stores {
+						s.down.Store(tt.cutOff(i) && !tt.outage)
+					}
+					retained := make([]time.Duration, len(list))
+					for time.Since(removedAt) < 2*renewalTime {
+						time.Sleep(interval)
+						for i, f := range list {
+							if len(f.State().RegisteredTargets) > 9 {
+								retained[i] = time.Since(removedAt) + interval
+							}
 						}
 					}
-				}
-				for i, d := range retained {
-					if !tt.cutOff(i) || tt.outage {
-						assert.Check(t, d >= tt.min && d < tt.max, "entry %d retained them for %s", i, d)
+					for i, d := range retained {
+						if !tt.cutOff(i) || tt.outage {
+							assert.Check(t, d >= tt.min && d < tt.max, "entry %d retained them for %s", i, d)
+						}
 					}
-				}
+				})
 			})
-		})
+		}
 	}
 }
