Take failed calls to the store, not a state, for the sign of an outage

Its log says "outage":true, seven seconds after the store was back.

Cause: an entry that loses the store is detached until it calls the store again. One that follows another entry does not, so it says so in its greetings for as long as it is a follower, and each greeting counted as a new sign.

Change: what counts is when two calls in a row of an entry last failed. Greetings carry that for two seconds, by failure domain, so that it reaches entries that follow others.

TestVanishedTargets "after an outage" before the change: retained for 2.51 s at the entries of both fleets. With it: 1 s to 2 s.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -130,7 +130,7 @@
 	storeFailures    int
 	attachment       context.Context
 	cancelAttachment context.CancelFunc
-	// storeLostAt is when an entry was last known to have lost the store, by failure domain.
+	// storeLostAt is when consecutive calls of an entry to the store last failed, by failure domain.
 	storeLostAt map[string]time.Time
 	// owned caches the results of Owns by target, ranks those of Rank.
 	ownedMu sync.Mutex
--- a/fleet/greeting.go
+++ b/fleet/greeting.go
@@ -366,6 +366,7 @@
 		Tables: map[string]uint64{},
 		Heard:  map[string]int{},
 		Ages:   map[string]DomainAges{},
+		Lost:   f.recentStoreLosses(now),
 	}
 	if f.leaving {
 		g.Record.State = RecordStateLeaving
@@ -475,8 +476,8 @@
 	if m.record.Domain != g.Record.Domain {
 		f.rolls = nil
 	}
-	if m.record.Detached || g.Record.Detached {
-		f.recordStoreLoss(g.Record.Domain, at)
+	for domain, tenths := range g.Lost {
+		f.recordStoreLoss(domain, at.Add(-time.Duration(tenths)*silenceUnit))
 	}
 	m.record = g.Record
 	m.heardAt = laterTime(m.heardAt, at)
--- a/fleet/lapse.go
+++ b/fleet/lapse.go
@@ -73,11 +73,26 @@
 	return max(recheck, time.Millisecond)
 }
 
-// recordStoreLoss records that an entry in a failure domain has lost the store, or had until now. The caller holds f.mu.
+// recordStoreLoss records that calls of an entry in a failure domain failed to reach the store. The caller holds f.mu.
 func (f *Follower) recordStoreLoss(domain string, at time.Time) {
 	f.storeLostAt[domain] = laterTime(f.storeLostAt[domain], at)
 }
 
+// recentStoreLosses returns the time since the losses of the last outageMemory by failure domain, in units of silenceUnit
+// rounded up. The caller holds f.mu.
+func (f *Follower) recentStoreLosses(now time.Time) map[string]int {
+	var recent map[string]int
+	for domain, at := range f.storeLostAt {
+		if age := now.Sub(at); age < outageMemory {
+			if recent == nil {
+				recent = map[string]int{}
+			}
+			recent[domain] = roundUp(age, silenceUnit)
+		}
+	}
+	return recent
+}
+
 // storeOutage reports whether the store is, or was until a moment ago, out of reach for entries of several failure domains.
 func (f *Follower) storeOutage(now time.Time) bool {
 	f.mu.RLock()
@@ -88,11 +103,5 @@
 	for _, m := range f.members {
 		domains[m.record.Domain] = true
 	}
-	lost := 0
-	for _, at := range f.storeLostAt {
-		if now.Sub(at) < outageMemory {
-			lost++
-		}
-	}
-	return lost >= min(outageDomains, len(domains))
+	return len(f.recentStoreLosses(now)) >= min(outageDomains, len(domains))
 }
--- a/fleet/lapse_test.go
+++ b/fleet/lapse_test.go
@@ -60,14 +60,16 @@
 }
 
 // Guards against targets that have left together without a word and are retained until they end, although the registry
-// was never down; also while a single entry has lost the store. The control has an outage, in which registrations lapse:
-// targets are retained until these may have been renewed.
+// was not down; also while a single entry has lost the store, and after an outage that entries remember which do not call
+// the store since. The control has an outage, in which registrations lapse: targets are retained until these may have been
+// renewed.
 func TestVanishedTargets(t *testing.T) {
 	const interval = 10 * time.Millisecond // between two looks at the targets
 	tests := []struct {
 		name   string
-		cutOff func(entry int) bool // from 4 s before the removal on
-		outage bool                 // which ends with the removal
+		cutOff func(entry int) bool // for 4 s
+		outage bool                 // which ends
+		before time.Duration        // between the end of the outage and the removal
 		min    time.Duration        // for which the targets are retained
 		max    time.Duration
 	}{
@@ -90,6 +92,14 @@
 			min:    renewalTime,
 			max:    2 * renewalTime,
 		},
+		{
+			name:   "after an outage",
+			cutOff: func(int) bool { return true },
+			outage: true,
+			before: 4 * time.Second,
+			min:    testDrainTime / 2,
+			max:    testDrainTime,
+		},
 	}
 	for _, tt := range tests {
 		for _, entries := range []int{6, 60} {
@@ -111,11 +121,17 @@
 						s.down.Store(tt.cutOff(i))
 					}
 					time.Sleep(4 * time.Second)
-					removedAt := time.Now()
-					registry.remove("servers", "s00", "s01", "s02")
+					if tt.before == 0 {
+						registry.remove("servers", "s00", "s01", "s02")
+					}
 					for i, s := range stores {
 						s.down.Store(tt.cutOff(i) && !tt.outage)
 					}
+					if tt.before > 0 {
+						time.Sleep(tt.before)
+						registry.remove("servers", "s00", "s01", "s02")
+					}
+					removedAt := time.Now()
 					retained := make([]time.Duration, len(list))
 					for time.Since(removedAt) < 2*renewalTime {
 						time.Sleep(interval)
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -90,6 +90,10 @@
 	// second.
 	Heard map[string]int `json:"heard,omitempty,omitzero"`
 
+	// Time since an entry last failed to reach the store, in tenths of a second, by
+	// failure domain; only where that was a moment ago.
+	Lost map[string]int `json:"lost,omitempty,omitzero"`
+
 	// Record corresponds to the JSON schema field "record".
 	Record Record `json:"record"`
 
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -217,7 +217,7 @@
 		}
 	}
 	detached := f.storeFailures >= detachAfterFailures
-	if detached || f.self.Detached {
+	if detached {
 		f.recordStoreLoss(f.self.Domain, f.now())
 	}
 	if detached != f.self.Detached {
