--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -36,14 +36,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s, err := startStore()
-	if err != nil {
-		return nil, err
-	}
 	return &deployment{
 		started: time.Now(),
 		folder:  folder,
-		store:   s,
+		store:   newStore(),
 		log:     log,
 	}, nil
 }
@@ -193,9 +189,13 @@
 			caller: ports[0],
 			ready:  ports[1],
 		}
+		platform, err := d.store.listen(e.name)
+		if err != nil {
+			return nil, err
+		}
 		path := filepath.Join(d.folder, e.name+".toml")
 		text := fmt.Sprintf(settings, e.name, ip, string(rune('a'+i%3)), strings.Join(seeds, ","),
-			ports[0], ports[1], ports[2], ports[3], d.store.address())
+			ports[0], ports[1], ports[2], ports[3], platform)
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			return nil, err
 		}
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -13,12 +13,16 @@
 
 // store is a stand-in for the platform's store.
 type store struct {
-	listener net.Listener
+	handler http.Handler
 
 	mu      sync.Mutex
 	version uint64
 	rows    map[string]map[string]storeRow
 	changed chan struct{}
+	// resetting makes the store reset each connection on which it is called.
+	resetting bool
+	// watches is the number of watches in flight by entry.
+	watches map[string]int
 }
 
 type storeRow struct {
@@ -30,26 +34,88 @@
 	Deleted bool   `json:"deleted,omitempty"`
 }
 
-func startStore() (*store, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
+func newStore() *store {
 	s := &store{
-		listener: l,
-		version:  1,
-		rows:     map[string]map[string]storeRow{},
-		changed:  make(chan struct{}),
+		version: 1,
+		rows:    map[string]map[string]storeRow{},
+		changed: make(chan struct{}),
+		watches: map[string]int{},
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /rows-tx", s.serveTx)
 	mux.HandleFunc("GET /rows-get", s.serveGet)
 	mux.HandleFunc("GET /rows-feed", s.serveFeed)
-	go func() { _ = http.Serve(l, mux) }()
-	return s, nil
+	s.handler = mux
+	return s
+}
+
+// listen returns an address of the store for one entry, which tells the calls of the entries apart.
+func (s *store) listen(entry string) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	go func() {
+		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if s.isResetting() {
+				reset(w)
+				return
+			}
+			r.Header.Set(headerEntry, entry)
+			s.handler.ServeHTTP(w, r)
+		}))
+	}()
+	return l.Addr().String(), nil
 }
 
-func (s *store) address() string { return s.listener.Addr().String() }
+// headerEntry names the entry that makes a call, within this program.
+const headerEntry = "Review-Entry"
+
+func reset(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
+func (s *store) isResetting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.resetting
+}
+
+// setResetting begins or ends an outage.
+func (s *store) setResetting(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resetting = on
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// watchers returns the entries with a watch in flight.
+func (s *store) watchers() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for name, n := range s.watches {
+		if n > 0 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (s *store) countWatch(entry string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watches[entry] += n
+}
 
 // put writes a row, or removes it if the value is nil.
 func (s *store) put(table, key string, value any) {
@@ -134,7 +200,13 @@
 	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
 	limit := time.After(time.Duration(wait) * time.Millisecond)
+	s.countWatch(r.Header.Get(headerEntry), 1)
+	defer s.countWatch(r.Header.Get(headerEntry), -1)
 	for timedOut := false; ; {
+		if s.isResetting() {
+			reset(w)
+			return
+		}
 		s.mu.Lock()
 		var list []storeRow
 		for _, row := range s.rows[q.Get("table")] {
