Add roll-outs by version, whole path

The version of a registered target was not read, so an operator could replace targets only by stopping old ones.

A version without an order is held back while a target of a version in service is ready.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -53,6 +53,7 @@
 		release()
 		now := e.timers.Now()
 		r.Latency = now.Sub(start)
+		e.rollouts.record(c, permit, r, running)
 		e.metrics.recordAttempt(c.service.name, r.Latency)
 		if running {
 			r.RunningUntil = deadline
@@ -158,7 +159,7 @@
 		case outcome.Shed:
 			kind = route.Shed
 		case outcome.BudgetExhausted, outcome.QueueFull, outcome.Deadline, outcome.Leaving, outcome.Invalid,
-			outcome.RateLimited, outcome.Paused, outcome.Canceled:
+			outcome.RateLimited, outcome.Paused, outcome.VersionHeld, outcome.Canceled:
 			// The limits of this entry ended the attempt. Counting it as a failure would eject the target.
 			kind = route.Canceled
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -84,6 +84,7 @@
 	// position is the position last passed to table.SetPosition.
 	position  struct{ index, count int }
 	loadReads loadReads
+	rollouts  *rollouts
 	// meanReadTime is the moving average of the duration of load reads, in nanoseconds.
 	meanReadTime atomic.Int64
 	// invalidLoggedAt is when a limit or pause that cannot be read was last logged, in nanoseconds since 1970.
@@ -126,6 +127,7 @@
 	table.SetLeaseFunc(f.Owns)
 	table.SetRankFunc(f.Rank)
 	table.SetPosition(positionByName(opts.Name))
+	e.rollouts = newRollouts(e)
 	e.registerGauges()
 	return e
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -36,6 +36,10 @@
 	invalidLimits   *metrics.Counter
 	targetsLeaving  *metrics.Counter
 	targetPauses    *metrics.Counter
+
+	rolloutReports        *metrics.Counter
+	rolloutReportFailures *metrics.Counter
+	rolloutStoreCalls     *metrics.Counter
 }
 
 // Results of load reads, as label values.
@@ -71,6 +75,10 @@
 		targetsLeaving:  set.NewCounter("skylarkbeam_targets_leaving_total"),
 		targetPauses:    set.NewCounter("skylarkbeam_target_pauses_total"),
 		invalidLimits:   set.NewCounter("skylarkbeam_invalid_limits_total"),
+
+		rolloutReports:        set.NewCounter("skylarkbeam_rollout_reports_total"),
+		rolloutReportFailures: set.NewCounter("skylarkbeam_rollout_report_failures_total"),
+		rolloutStoreCalls:     set.NewCounter("skylarkbeam_rollout_store_calls_total"),
 	}
 	for _, result := range []string{loadReadAnswered, loadReadLate, loadReadOverBudget} {
 		m.loadReads[result] = set.NewCounter(fmt.Sprintf("skylarkbeam_load_reads_total{result=%q}", result))
--- a/entry/registered.go
+++ b/entry/registered.go
@@ -83,6 +83,7 @@
 		ColdUntil:       t.ColdUntil,
 		ColdRate:        service.Cold.Rate,
 		Leaving:         t.Leaving,
+		Version:         t.Version,
 	}, ok
 }
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -87,14 +87,16 @@
 
 // exemptFromRetryBudget reports whether an attempt ended before anything of the call was sent, for a reason that is
 // not a failure of a running target: the target has restarted, is down or is no longer in the settings, its probe budget
-// allowed no connection check, or it has named a limit or a pause. Retrying such a call costs the targets nothing, and a
+// allowed no connection check, it has named a limit or a pause, or a roll-out
+// holds its version. Retrying such a call costs the targets nothing, and a
 // simultaneous restart of many targets would exhaust the retry budget.
 func (e *Entry) exemptFromRetryBudget(reason outcome.Reason) bool {
 	switch reason {
 	case outcome.InstanceChanged:
 		// A target that verifies the instance itself has received the call, though it did not run it.
 		return !e.protocol.TargetProtocol().Capabilities().VerifiesInstance
-	case outcome.BudgetExhausted, outcome.RateLimited, outcome.Paused, outcome.Dial, outcome.Leaving:
+	case outcome.BudgetExhausted, outcome.RateLimited, outcome.Paused, outcome.Dial, outcome.Leaving,
+		outcome.VersionHeld:
 		return true
 	}
 	return false
--- a/entry/snapshot.go
+++ b/entry/snapshot.go
@@ -124,6 +124,7 @@
 	e.table.SetRetryBudget(time.Duration(settings.Limits.Window), settings.Limits.Slack)
 	e.table.SetEntries(next.entries)
 	if next.registered {
+		e.rollouts.apply(now, state)
 		unused := e.applyRegisteredTargets(now, state, old, next)
 		e.storeSnapshot(next)
 		closePools(unused)
--- a/entry/status.go
+++ b/entry/status.go
@@ -29,6 +29,8 @@
 	DrainedTargets []string        `json:"targets"`
 	Members        []memberStatus  `json:"members"`
 	Services       []ServiceStatus `json:"services"`
+	// Rollouts are the roll-outs that the operator has ordered.
+	Rollouts       []RolloutStatus `json:"rollouts,omitempty"`
 	Tasks          []taskStatus    `json:"tasks"`
 	TargetStatuses []targetStatus  `json:"phases"`
 	// Counts holds the counters of refusals, retries and outcomes that are not zero.
@@ -134,6 +136,7 @@
 	}
 	targets := e.table.Status(now)
 	s.Services = e.serviceStatuses(targets)
+	s.Rollouts = e.rollouts.status(now)
 	s.TargetStatuses = e.targetStatuses(slices.DeleteFunc(targets, func(t route.Status) bool {
 		return routingState(t) == UseWarm
 	}))
@@ -187,12 +190,17 @@
 	return rows
 }
 
-// UseWarm is the routing state of a target in normal use.
-const UseWarm = "warm"
+// Routing states of targets: in normal use, and held back because of the version.
+const (
+	UseWarm = "warm"
+	UseHeld = "held for its version"
+)
 
 // routingState describes how the entry uses a target.
 func routingState(s route.Status) string {
 	switch {
+	case s.Held:
+		return UseHeld
 	case !s.InService:
 		return "drained or leaving"
 	case !s.Warm:
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -76,6 +76,8 @@
 	BuildState func(former *State, tables map[string]*feed.Table) (*State, error)
 	// Seed makes the random choices reproducible; 0 stands for a random seed.
 	Seed uint64
+	// Rollouts holds the status of roll-outs. It is nil if there are none.
+	Rollouts RolloutStore
 	// Metrics receives the gauges and Logger the state changes; both may be nil.
 	Metrics *metrics.Set
 	Logger  *zap.Logger
@@ -139,6 +141,7 @@
 	// watchRequests holds the watch requests in flight by ID.
 	watchRequests map[int]watchRequest
 	lastWatchID   int
+	rollouts      rolloutHandler
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -533,22 +536,3 @@
 		Members: maps.Clone(records),
 	}
 }
-
-// RegisteredTarget is a target that has registered itself.
-type RegisteredTarget struct {
-	Name     string
-	Service  string
-	Domain   string
-	Address  netip.AddrPort
-	Slots    int
-	Instance string
-	// StartedAt is the start time of the instance in the target's own unit. A target can restart under the same name.
-	StartedAt int64
-	// ColdUntil is the end of the cold start as reported by the target, or the zero time if it is not in a cold start.
-	ColdUntil time.Time
-	// Leaving is set if the target is about to end.
-	Leaving bool
-	// RetainedUntil is how long the target is retained after its registration disappeared together with many others, or
-	// the zero time if it is still there.
-	RetainedUntil time.Time
-}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"skylarkbeam/rollout"
 	"skylarkbeam/setting"
 	"skylarkbeam/store"
 )
@@ -46,6 +47,10 @@
 	// DrainTime is how long a target still serves after its registration was removed, without a word that it leaves; zero
 	// if it may end at once.
 	DrainTime time.Duration
+	// Rollouts are the operators' orders for roll-outs, sorted by service, and RolloutBounds the limits for them. Without
+	// limits there are no roll-outs.
+	Rollouts      []rollout.Order
+	RolloutBounds rollout.Bounds
 	// RebuildAfter is the time after which the state that the tables describe changes without a change of the tables;
 	// zero if it does not.
 	RebuildAfter time.Duration
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -62,6 +62,8 @@
 	BudgetExhausted Reason = "budget"
 	// Hedge means an additional attempt because the first one is slower than usual.
 	Hedge Reason = "hedge"
+	// VersionHeld means that a roll-out keeps calls from the version of the target.
+	VersionHeld Reason = "version"
 )
 
 // Refusals lists the reasons for refusals in a fixed order, for counters and documentation.
@@ -72,5 +74,5 @@
 
 // Retries lists the reasons for retries in a fixed order, for counters and documentation.
 var Retries = []Reason{
-	Shed, Dial, Broken, Truncated, Mismatched, TimedOut, Canceled, InstanceChanged, RateLimited, Paused, BudgetExhausted, Hedge,
+	Shed, Dial, Broken, Truncated, Mismatched, TimedOut, Canceled, InstanceChanged, RateLimited, Paused, BudgetExhausted, Hedge, VersionHeld,
 }
--- /dev/null
+++ b/rollout/judgment.go
@@ -0,0 +1,241 @@
+package rollout
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// bucketsPerOctave is the number of latency buckets for each doubling. With 4, a bucket is 19% wide, which is
+	// finer than the factors that are told apart.
+	bucketsPerOctave = 4
+	// latencyBuckets is the number of buckets, which reach from 1 ms to 65 s.
+	latencyBuckets = 64
+	// slowBuckets is the distance from the bucket of the old version's median from which on an answer is slow: a factor
+	// of 2.4 to 2.8, depending on where in their buckets the two are.
+	slowBuckets = 6
+	// minMedianAnswers is the number of answers of the old version on a route below which its median is not used. The
+	// median of 10 answers has an error of about a bucket.
+	minMedianAnswers = 10
+
+	// trialSignificance and finalSignificance are the values of z above which a difference is significant: during the
+	// trial, in which it is looked at up to twice a second, and once at its end.
+	trialSignificance = 4
+	finalSignificance = 2.5
+	// trialFailures and finalFailures are the differences of the shares of failures, below which a version is not bad.
+	trialFailures = 0.03
+	finalFailures = 0.015
+	// minFailures is the number of failures below which a version is not bad.
+	minFailures = 3
+	// minSlow is the difference of the shares of slow answers below which a version is not bad.
+	minSlow = 0.15
+)
+
+// LatencyBucket returns the bucket of a latency in Results.
+func LatencyBucket(d time.Duration) int {
+	ms := float64(d) / float64(time.Millisecond)
+	if ms <= 1 {
+		return 0
+	}
+	return min(int(bucketsPerOctave*math.Log2(ms)), latencyBuckets-1)
+}
+
+// bucketLatency returns the latency in the middle of a bucket.
+func bucketLatency(bucket int) time.Duration {
+	return time.Duration(math.Exp2((float64(bucket)+0.5)/bucketsPerOctave) * float64(time.Millisecond))
+}
+
+// addLatency counts a latency.
+func (r *Results) addLatency(d time.Duration) {
+	bucket := LatencyBucket(d)
+	for len(r.Latencies) <= bucket {
+		r.Latencies = append(r.Latencies, 0)
+	}
+	r.Latencies[bucket]++
+}
+
+// add adds the results of others, times a factor that is 1 or -1.
+func (r *Results) add(other Results, factor int) {
+	r.Answers += factor * other.Answers
+	r.Failures += factor * other.Failures
+	for len(r.Latencies) < len(other.Latencies) {
+		r.Latencies = append(r.Latencies, 0)
+	}
+	for i, n := range other.Latencies {
+		r.Latencies[i] += factor * n
+	}
+}
+
+// clone returns a copy that shares nothing.
+func (r Results) clone() Results {
+	r.Latencies = slices.Clone(r.Latencies)
+	return r
+}
+
+// measured returns the number of answers with a latency that counts, and those from a bucket on.
+func (r Results) measured(from int) (all, slow int) {
+	for i, n := range r.Latencies {
+		all += n
+		if i >= from {
+			slow += n
+		}
+	}
+	return all, slow
+}
+
+// median returns the bucket of the median latency. ok is false if there are too few answers.
+func (r Results) median(least int) (bucket int, ok bool) {
+	all, _ := r.measured(0)
+	if all < max(least, 1) {
+		return 0, false
+	}
+	sum := 0
+	for i, n := range r.Latencies {
+		if sum += n; 2*sum >= all {
+			return i, true
+		}
+	}
+	return len(r.Latencies) - 1, true
+}
+
+// Median returns the median latency, 0 if nothing was measured.
+func (r Results) Median() time.Duration {
+	bucket, ok := r.median(1)
+	if !ok {
+		return 0
+	}
+	return bucketLatency(bucket)
+}
+
+// Counts are results by route.
+type Counts map[string]Comparison
+
+// add adds the counts of others, times a factor that is 1 or -1.
+func (c Counts) add(other Counts, factor int) {
+	for route, results := range other {
+		sum := c[route]
+		sum.Old, sum.New = sum.Old.clone(), sum.New.clone()
+		sum.Old.add(results.Old, factor)
+		sum.New.add(results.New, factor)
+		c[route] = sum
+	}
+}
+
+// total returns the sum over the routes.
+func (c Counts) total() Comparison {
+	var sum Comparison
+	for _, results := range c {
+		sum.Old.add(results.Old, 1)
+		sum.New.add(results.New, 1)
+	}
+	return sum
+}
+
+// stratumSum is a stratified comparison of two shares, after Mantel and Haenszel.
+type stratumSum struct {
+	observed, expected, variance float64
+	difference, weight           float64
+	count                        int
+}
+
+// add adds a stratum: of n1 answers of the new version, x1 have the property, and of n0 of the old one, x0.
+func (s *stratumSum) add(n1, x1, n0, x0 int) {
+	s.count += x1
+	if n1 <= 0 || n0 <= 0 {
+		return // The stratum compares nothing.
+	}
+	a, b, m := float64(n1), float64(n0), float64(x1+x0)
+	n := a + b
+	s.observed += float64(x1)
+	s.expected += a * m / n
+	s.variance += a * b * m * (n - m) / (n * n * (n - 1))
+	w := a * b / n
+	s.weight += w
+	s.difference += w * (float64(x1)/a - float64(x0)/b)
+}
+
+func (s *stratumSum) merge(other stratumSum) {
+	s.observed += other.observed
+	s.expected += other.expected
+	s.variance += other.variance
+	s.difference += other.difference
+	s.weight += other.weight
+	s.count += other.count
+}
+
+// z returns the significance of a higher share of the new version, with the correction for continuity: counts are small
+// at first.
+func (s *stratumSum) z() float64 {
+	if excess := s.observed - s.expected - 0.5; excess > 0 && s.variance > 0 {
+		return excess / math.Sqrt(s.variance)
+	}
+	return 0
+}
+
+// excess returns the difference of the shares.
+func (s *stratumSum) excess() float64 {
+	if s.weight == 0 {
+		return 0
+	}
+	return s.difference / s.weight
+}
+
+// Verdict is a judgment with its evidence.
+type Verdict struct {
+	Bad bool
+	// Reason is the evidence in words.
+	Reason string
+}
+
+// Judge compares the new version with the old one. Each stratum has the counts of one period. With final, the trial has
+// ended and the judgment is made once; otherwise it is repeated and must be surer.
+func Judge(strata []Counts, final bool) Verdict {
+	significance, leastFailures := float64(trialSignificance), trialFailures
+	if final {
+		significance, leastFailures = finalSignificance, finalFailures
+	}
+	whole := Counts{}
+	for _, stratum := range strata {
+		whole.add(stratum, 1)
+	}
+	var allFailures, allSlow stratumSum
+	judge := func(route string, failures, slow stratumSum) Verdict {
+		if z, excess := failures.z(), failures.excess(); z > significance && excess > leastFailures && failures.count >= minFailures {
+			return verdict(route, "failures", failures, z, excess)
+		}
+		if z, excess := slow.z(), slow.excess(); z > significance && excess > minSlow {
+			return verdict(route, "slow answers", slow, z, excess)
+		}
+		return Verdict{}
+	}
+	for _, route := range slices.Sorted(maps.Keys(whole)) {
+		median, measured := whole[route].Old.median(minMedianAnswers)
+		var failures, slow stratumSum
+		for _, stratum := range strata {
+			results := stratum[route]
+			failures.add(results.New.Answers, results.New.Failures, results.Old.Answers, results.Old.Failures)
+			if measured {
+				n1, x1 := results.New.measured(median + slowBuckets)
+				n0, x0 := results.Old.measured(median + slowBuckets)
+				slow.add(n1, x1, n0, x0)
+			}
+		}
+		if v := judge("route "+route, failures, slow); v.Bad {
+			return v
+		}
+		allFailures.merge(failures)
+		allSlow.merge(slow)
+	}
+	return judge("all routes", allFailures, allSlow)
+}
+
+func verdict(where, what string, s stratumSum, z, excess float64) Verdict {
+	return Verdict{
+		Bad: true,
+		Reason: fmt.Sprintf("%s: %d %s of the new version, %.1f expected, share higher by %.3f, z %.1f",
+			where, s.count, what, s.expected, excess, z),
+	}
+}
--- a/route/permit.go
+++ b/route/permit.go
@@ -14,6 +14,8 @@
 	Address netip.AddrPort
 	// Instance is the instance that the attempt must reach; empty if any instance may run it.
 	Instance string
+	// Version is the version of a registered target.
+	Version string
 	// Cold means that the target is in its cold start and this entry owns it.
 	Cold bool
 	// LeaseEnd is the end of the ownership lease of a cold target; the attempt must have ended by then. It is zero for
--- a/route/registered.go
+++ b/route/registered.go
@@ -202,24 +202,14 @@
 // pickRegistered selects the registered target with room and the lowest cost, and starts an attempt.
 func (s *service) pickRegistered(now time.Time, q Query) (*Permit, outcome.Reason) {
 	q = s.allowTriedIfAlone(q)
-	var best *target
-	least := 0.0
-	for _, t := range s.candidates(now, q) {
-		load := t.estimatedLoad(now)
-		if !t.hasRoom(load) || s.shouldWait(now, t, q, load) {
-			continue
-		}
-		cost := t.cost(now, q, load) + scoreJitter*latencyCostWeight*s.rand.Float64()
-		if best == nil || cost < least {
-			best, least = t, cost
+	for list := range s.candidateLists(now, q) {
+		if best := s.cheapest(now, q, list); best != nil {
+			best.inflight++
+			s.inflight++
+			best.startSum += now.Sub(s.epoch)
+			return best.newPermit(now, q), ""
 		}
 	}
-	if best != nil {
-		best.inflight++
-		s.inflight++
-		best.startSum += now.Sub(s.epoch)
-		return best.newPermit(now, q), ""
-	}
 	inService, warm := false, false
 	for _, t := range s.targets {
 		inService = inService || t.inService() && !t.wrongInstance
@@ -227,7 +217,7 @@
 	}
 	switch {
 	case !inService:
-		return nil, outcome.Drained
+		return s.pickHeld(now, q)
 	case !warm:
 		return nil, outcome.Cold
 	}
@@ -377,6 +367,7 @@
 		Domain:   t.Domain,
 		Address:  t.Address,
 		Instance: t.Instance,
+		Version:  t.Version,
 		Estimate: Estimate{
 			Load:            max(load, 0),
 			Slowdown:        t.currentSlowdown(now),
@@ -392,6 +383,7 @@
 		p.Estimate.ReportAge = now.Sub(t.reportedAt)
 	}
 	p.reserve(now)
+	p.countTrial()
 	if t.cold {
 		t.nextColdCall = now.Add(time.Duration(sendersPerColdTarget / t.ColdRate * float64(time.Second)))
 	}
@@ -636,7 +628,7 @@
 		}
 		if t.failedReads == 0 {
 			counted++
-		} else if t.inService() && !t.paused(now) && now.After(t.unreachableUntil) {
+		} else if (t.inService() || t.inTrial(now)) && !t.paused(now) && now.After(t.unreachableUntil) {
 			t.unreachableUntil = now.Add(maxUnreachableBackoff)
 			names = append(names, t.Name)
 		}
@@ -651,7 +643,7 @@
 	}
 	var candidates []candidate
 	q = s.allowTriedIfAlone(q)
-	for _, t := range s.candidates(now, q) {
+	for _, t := range s.firstCandidates(now, q) {
 		candidates = append(candidates, candidate{
 			target: t,
 			score:  t.cost(now, q, t.estimatedLoad(now)) + scoreJitter*latencyCostWeight*s.rand.Float64(),
@@ -720,27 +712,10 @@
 	defer s.mu.Unlock()
 	throughput := 0.0
 	for _, tgt := range s.targets {
-		if tgt.inService() && !tgt.wrongInstance && tgt.failedReads <= 1 && !tgt.cold {
+		if tgt.mayServe() && !tgt.wrongInstance && tgt.failedReads <= 1 && !tgt.cold {
 			slowdown := tgt.slowdownFactor(float64(tgt.Slots), s.meanSlowdown(), tgt.relativeLatencyRatio(now), false)
 			throughput += tgt.throughput(now, float64(tgt.Slots)/slowdown/(s.serviceTime(q)/float64(time.Second)))
 		}
 	}
 	return throughput
 }
-
-// allowTriedIfAlone clears the tried targets of the query if no other target is in service.
-func (s *service) allowTriedIfAlone(q Query) Query {
-	other := slices.ContainsFunc(s.targets, func(t *target) bool {
-		return t.reachable() && !slices.Contains(q.Tried, t.Name)
-	})
-	if !other {
-		q.Tried = nil
-	}
-	return q
-}
-
-// usesRegistry reports whether the targets of the service are registered. Only their load is read before each
-// selection.
-func (s *service) usesRegistry() bool {
-	return len(s.targets) > 0 && s.targets[0].registered()
-}
--- a/route/service.go
+++ b/route/service.go
@@ -76,6 +76,7 @@
 	nextLimitedReturn time.Time
 	// ownDomainAvailable means that a target in the entry's own failure domain is in service.
 	ownDomainAvailable bool
+	versions           versionState
 }
 
 func newService(t *Table, name string, now time.Time, seed uint64) *service {
@@ -98,6 +99,7 @@
 	defer s.mu.Unlock()
 	if len(list) > 0 && list[0].registered() {
 		s.targets, s.ownTargets = s.orderTargets(list)
+		s.applyPolicy()
 		return
 	}
 	s.targets = list
--- a/route/statements.go
+++ b/route/statements.go
@@ -62,7 +62,7 @@
 
 // Reserve counts an attempt that is about to be written against the limit of its target. It returns the reason why the
 // attempt may not be written: the target has said since the permit was given that it is leaving, that it wants a pause or
-// that it has a limit, or this is another attempt at a target without a turn.
+// that it has a limit, its version no longer gets calls, or this is another attempt at a target without a turn.
 func (p *Permit) Reserve(now time.Time) outcome.Reason {
 	s := p.target.service
 	s.mu.Lock()
@@ -72,6 +72,8 @@
 		return outcome.Leaving
 	case p.target.paused(now):
 		return outcome.Paused
+	case p.versionForbids(now):
+		return outcome.VersionHeld
 	}
 	if p.reserved {
 		p.reserved = false
--- a/route/table.go
+++ b/route/table.go
@@ -36,7 +36,6 @@
 	"maps"
 	"math"
 	"math/rand/v2"
-	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -46,36 +45,6 @@
 	"skylarkbeam/outcome"
 )
 
-// Target describes a target according to the settings and the accepted state.
-type Target struct {
-	Name    string
-	Service string
-	Domain  string
-	Address netip.AddrPort
-	// Slots is the number of calls that the target runs at once.
-	Slots int
-	// ColdConcurrency is the number of calls that the target can run at once during its cold start, over all entries.
-	ColdConcurrency int
-	// MinColdDuration is the minimum duration of a cold start.
-	MinColdDuration time.Duration
-	// Drained means that operators have drained the target or its failure domain.
-	Drained bool
-
-	// Instance is the instance listed in a registry, empty for a target that is not registered. Entries learn the
-	// instance of an unregistered target, and whether it is warm, from its responses.
-	Instance string
-	// StartedAt is the start of the instance according to the registry, in a unit of the target's own. It tells a restart
-	// under the same instance.
-	StartedAt int64
-	// ColdUntil is the end of the cold start according to the registry.
-	ColdUntil time.Time
-	// ColdRate is the number of calls per second that the registered target can handle while it is cold, over all
-	// entries.
-	ColdRate float64
-	// Leaving means that the target is about to terminate according to the registry.
-	Leaving bool
-}
-
 // drainedRetryAfter is the retry delay for a service without targets in service. Operators need at least seconds to put
 // one back.
 const drainedRetryAfter = 5 * time.Second
@@ -105,6 +74,8 @@
 
 	mu    sync.Mutex // serializes changes of view
 	seeds *rand.Rand
+	// policies holds the policies for versions by service.
+	policies map[string]VersionPolicy
 	// retained holds what targets have said that were removed, by name.
 	retained map[string]retainedStatements
 
@@ -247,6 +218,7 @@
 		s = old.services[spec.Service]
 		if s == nil {
 			s = newService(t, spec.Service, now, t.seeds.Uint64())
+			s.versions.policy = t.policies[spec.Service]
 		}
 		next.services[spec.Service] = s
 	}
@@ -320,6 +292,8 @@
 	Unreachable bool
 	// Paused means that the target wants nothing from this entry for now.
 	Paused bool
+	// Held means that the target gets no calls because of its version, unless the trial of a roll-out sends it some.
+	Held bool
 	// Limited means that the target limits the rate of its calls to LimitRate per second, over all entries.
 	Limited   bool
 	LimitRate float64
@@ -349,6 +323,7 @@
 		InService:   t.inService(),
 		Unreachable: t.failedReads > 0,
 		Paused:      t.paused(now),
+		Held:        t.held,
 		Limited:     t.limited,
 		LimitRate:   t.limitRate,
 		Inflight:    t.inflight,
@@ -436,6 +411,7 @@
 	defer s.mu.Unlock()
 	p, reason := s.pick(now, q, false)
 	if p != nil && !q.Redispatch && !q.FromRetry {
+		s.recordRequest(q)
 		s.budget.deposit(now, t.budgetConfig(now))
 	}
 	return p, reason
--- a/route/target.go
+++ b/route/target.go
@@ -96,6 +96,9 @@
 	usualOtherCalls float64
 	reportedAt      time.Time
 
+	// held means that the policy for versions keeps calls from the target.
+	held bool
+
 	registration
 	statements
 }
@@ -272,7 +275,10 @@
 }
 
 // inService reports whether the target may get new calls at all.
-func (t *target) inService() bool {
+func (t *target) inService() bool { return !t.held && t.available() }
+
+// available is inService regardless of the version of the target.
+func (t *target) available() bool {
 	return !t.Drained && !t.Leaving && !t.leaving && !t.saysLeaving && t.drainingAt.IsZero()
 }
 
