--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -539,7 +539,7 @@
 	if o != rollout.Answered && (c.request.Context().Err() != nil || r.entry.ending.Err() != nil) {
 		o = rollout.Uncounted // The caller has left, or this entry stops.
 	}
-	p.Record(permit.Version, c.policy.route, o, result.Latency, permit.Cold || permit.Estimate.Cold)
+	p.Record(permit.Target, permit.Version, c.policy.route, o, result.Latency, permit.Cold || permit.Estimate.Cold)
 }
 
 // RolloutStatus is the state of a roll-out as an entry sees it.
--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -34,6 +34,10 @@
 	// lostMemberWait is how long a promotion waits for members that are known but not heard. Within it, such a member that
 	// reaches the store has read the phase itself.
 	lostMemberWait = 2500 * time.Millisecond
+	// minPromotedAnswers and maxPromotedFailures are the number of answers under the whole load, and the difference of their
+	// share of failures from that of the old version in the trial, above which a promotion is ended.
+	minPromotedAnswers  = 20
+	maxPromotedFailures = 0.5
 	// pollInterval is the interval at which a coordinator that does not hear all members reads the row.
 	pollInterval = time.Second
 	// minRetryDelay is the delay after a failed call to the store. It doubles with each further one.
@@ -120,7 +124,9 @@
 	verdict Verdict
 	// promotedAt is when the promotion was announced or found.
 	promotedAt time.Time
-	view       View
+	// promoted are the results before.
+	promoted Comparison
+	view     View
 }
 
 // NewCoordinator returns the coordinator of a roll-out. known is the phase that this entry obeys since an era of the store,
@@ -279,7 +285,7 @@
 		c.known = c.row.Phase
 	}
 	if c.row != nil && (c.row.Phase == Promote{}) && (former == nil || former.Phase != Promote{}) {
-		c.promotedAt = now
+		c.promotedAt, c.promoted = now, c.Total()
 	}
 }
 
@@ -322,17 +328,28 @@
 	c.closed, c.stratumAt = total, now
 }
 
-// allStrata returns the closed strata and the open one.
-func (c *Coordinator) allStrata() []Counts {
+// evidence returns the closed strata and the open one.
+func (c *Coordinator) evidence() Evidence {
 	open := c.Counts()
 	open.add(c.closed, -1)
-	return append(slices.Clone(c.strata), open)
+	targets := map[string]Results{}
+	for _, h := range c.reports {
+		for name, results := range h.report.Targets {
+			sum := targets[name]
+			sum.add(results, 1)
+			targets[name] = sum
+		}
+	}
+	return Evidence{
+		Strata:  append(slices.Clone(c.strata), open),
+		Targets: targets,
+	}
 }
 
 // judge suspends the new version on clear evidence.
 func (c *Coordinator) judge() {
 	if c.row != nil && (c.row.Phase == Trial{}) && !c.verdict.Bad {
-		c.verdict = Judge(c.allStrata(), false)
+		c.verdict = c.evidence().Judge(false)
 	}
 }
 
@@ -425,6 +442,9 @@
 		if c.view.Slots[c.order.To] == 0 {
 			return enter(RolledBack{}, "no target of the version is ready any more")
 		}
+		if reason := c.promotionFails(); reason != "" {
+			return enter(RolledBack{}, "%s", reason)
+		}
 		if waiting := c.promotionWaits(now); waiting == "" {
 			return enter(Done{}, "no entry sends to other versions: %s", c.row.Reason)
 		} else if after(promoteDeadline) {
@@ -448,12 +468,12 @@
 	case elapsed < trial:
 		return Wait{}
 	}
-	if v := Judge(c.allStrata(), true); v.Bad {
+	if v := c.evidence().Judge(true); v.Bad {
 		return enter(RolledBack{}, "%s", v.Reason)
 	}
 	late := after(warmDeadline)
 	if c.isWarm(warmFraction) && (sum.New.Answers > 0 || sum.Old.Answers == 0) {
-		return enter(Promote{}, "%s", evidence(sum))
+		return enter(Promote{}, "%s", describe(sum))
 	}
 	switch {
 	case !late:
@@ -463,11 +483,11 @@
 	case sum.New.Answers == 0 && sum.Old.Answers > 0:
 		return enter(RolledBack{}, "the version has answered nothing")
 	}
-	return enter(Promote{}, "%s", evidence(sum))
+	return enter(Promote{}, "%s", describe(sum))
 }
 
-// evidence describes the results of both versions.
-func evidence(sum Comparison) string {
+// describe describes the results of both versions.
+func describe(sum Comparison) string {
 	return fmt.Sprintf("%d of %d answers of the new version failed, median %v; %d of %d of the old one, median %v",
 		sum.New.Failures, sum.New.Answers, sum.New.Median().Round(time.Millisecond),
 		sum.Old.Failures, sum.Old.Answers, sum.Old.Median().Round(time.Millisecond))
@@ -518,6 +538,23 @@
 	return ""
 }
 
+// promotionFails returns why the new version is bad under the whole load, or an empty text. The old version gets no
+// requests meanwhile, so a fault that hits both must not be taken for one of the version: only what the trial would have
+// shown at once counts.
+func (c *Coordinator) promotionFails() string {
+	total := c.Total()
+	old, fresh := total.Old, total.New.clone()
+	fresh.add(c.promoted.New, -1)
+	if old.Answers == 0 || fresh.Answers < minPromotedAnswers {
+		return ""
+	}
+	share := float64(fresh.Failures) / float64(fresh.Answers)
+	if usual := float64(old.Failures) / float64(old.Answers); share > usual+maxPromotedFailures {
+		return fmt.Sprintf("%d of %d answers of the new version failed under the whole load", fresh.Failures, fresh.Answers)
+	}
+	return ""
+}
+
 // Waiting says what the roll-out waits for.
 func (c *Coordinator) Waiting(now time.Time) string {
 	switch {
--- a/rollout/judgment.go
+++ b/rollout/judgment.go
@@ -18,13 +18,18 @@
 	// of 2.4 to 2.8, depending on where in their buckets the two are.
 	slowBuckets = 6
 	// minMedianAnswers is the number of answers of the old version on a route below which its median is not used. The
-	// median of 10 answers has an error of about a bucket.
-	minMedianAnswers = 10
+	// median of 8 answers has an error of about a bucket.
+	minMedianAnswers = 8
 
 	// trialSignificance and finalSignificance are the values of z above which a difference is significant: during the
 	// trial, in which it is looked at up to twice a second, and once at its end.
 	trialSignificance = 4
 	finalSignificance = 2.5
+	// finalRouteSignificance is finalSignificance for single routes, of which any may exceed it by chance.
+	finalRouteSignificance = 2.6
+	// minStratumAnswers is the number of answers of the new version on a route below which periods are joined. Periods with
+	// one or two compare almost nothing.
+	minStratumAnswers = 4
 	// trialFailures and finalFailures are the differences of the shares of failures, below which a version is not bad.
 	trialFailures = 0.03
 	finalFailures = 0.015
@@ -190,32 +195,27 @@
 	Reason string
 }
 
-// Judge compares the new version with the old one. Each stratum has the counts of one period. With final, the trial has
-// ended and the judgment is made once; otherwise it is repeated and must be surer.
-func Judge(strata []Counts, final bool) Verdict {
-	significance, leastFailures := float64(trialSignificance), trialFailures
-	if final {
-		significance, leastFailures = finalSignificance, finalFailures
-	}
+// Evidence is what is known of both versions.
+type Evidence struct {
+	// Strata are the counts of one period each.
+	Strata []Counts
+	// Targets are the results of the targets of the new version.
+	Targets map[string]Results
+}
+
+// Judge compares the new version with the old one. With final, the trial has ended and the judgment is made once;
+// otherwise it is repeated and must be surer.
+func (e Evidence) Judge(final bool) Verdict {
 	whole := Counts{}
-	for _, stratum := range strata {
+	for _, stratum := range e.Strata {
 		whole.add(stratum, 1)
 	}
+	routes := slices.Sorted(maps.Keys(whole))
 	var allFailures, allSlow stratumSum
-	judge := func(route string, failures, slow stratumSum) Verdict {
-		if z, excess := failures.z(), failures.excess(); z > significance && excess > leastFailures && failures.count >= minFailures {
-			return verdict(route, "failures", failures, z, excess)
-		}
-		if z, excess := slow.z(), slow.excess(); z > significance && excess > minSlow {
-			return verdict(route, "slow answers", slow, z, excess)
-		}
-		return Verdict{}
-	}
-	for _, route := range slices.Sorted(maps.Keys(whole)) {
+	for _, route := range routes {
 		median, measured := whole[route].Old.median(minMedianAnswers)
 		var failures, slow stratumSum
-		for _, stratum := range strata {
-			results := stratum[route]
+		for _, results := range e.periods(route) {
 			failures.add(results.New.Answers, results.New.Failures, results.Old.Answers, results.Old.Failures)
 			if measured {
 				n1, x1 := results.New.measured(median + slowBuckets)
@@ -223,13 +223,64 @@
 				slow.add(n1, x1, n0, x0)
 			}
 		}
-		if v := judge("route "+route, failures, slow); v.Bad {
+		if v := e.judge("route "+route, failures, slow, final, len(routes) > 1); v.Bad {
 			return v
 		}
 		allFailures.merge(failures)
 		allSlow.merge(slow)
 	}
-	return judge("all routes", allFailures, allSlow)
+	return e.judge("all routes", allFailures, allSlow, final, false)
+}
+
+// periods returns the results of a route in successive periods, joined so that each has enough answers of the new version.
+func (e Evidence) periods(route string) []Comparison {
+	var periods []Comparison
+	for _, stratum := range e.Strata {
+		last := len(periods) - 1
+		if last < 0 || periods[last].New.Answers >= minStratumAnswers {
+			periods = append(periods, Comparison{})
+			last++
+		}
+		results := stratum[route]
+		periods[last].Old.add(results.Old, 1)
+		periods[last].New.add(results.New, 1)
+	}
+	if last := len(periods) - 1; last > 0 && periods[last].New.Answers < minStratumAnswers {
+		periods[last-1].Old.add(periods[last].Old, 1)
+		periods[last-1].New.add(periods[last].New, 1)
+		periods = periods[:last]
+	}
+	return periods
+}
+
+// judge applies the limits to the comparison of one route, one of many, or of all.
+func (e Evidence) judge(where string, failures, slow stratumSum, final, oneOfMany bool) Verdict {
+	significance, leastFailures := float64(trialSignificance), trialFailures
+	if final {
+		significance, leastFailures = finalSignificance, finalFailures
+		if oneOfMany {
+			significance = finalRouteSignificance
+		}
+	}
+	if z, excess := failures.z(), failures.excess(); z > significance && excess > leastFailures && failures.count >= minFailures &&
+		e.failsWithoutWorstTarget() {
+		return verdict(where, "failures", failures, z, excess)
+	}
+	if z, excess := slow.z(), slow.excess(); z > significance && excess > minSlow {
+		return verdict(where, "slow answers", slow, z, excess)
+	}
+	return Verdict{}
+}
+
+// failsWithoutWorstTarget reports whether the new version has enough failures besides those of the target that has most. A
+// single broken target gets a larger part of the few requests of the new version than one of the old version gets of its.
+func (e Evidence) failsWithoutWorstTarget() bool {
+	sum, worst := 0, 0
+	for _, t := range e.Targets {
+		sum += t.Failures
+		worst = max(worst, t.Failures)
+	}
+	return len(e.Targets) < 2 || sum-worst >= minFailures
 }
 
 func verdict(where, what string, s stratumSum, z, excess float64) Verdict {
--- a/rollout/message.go
+++ b/rollout/message.go
@@ -69,6 +69,9 @@
 	// Attempts at the new version.
 	Taken int `json:"taken"`
 
+	// Results of the targets of the new version, without latencies.
+	Targets map[string]Results `json:"targets,omitempty,omitzero"`
+
 	// Version that the order names.
 	To string `json:"to"`
 }
--- a/rollout/participant.go
+++ b/rollout/participant.go
@@ -19,9 +19,15 @@
 	// unknownWait is how long an entry that started with an order sends nothing to the service while it does not know the
 	// phase. A coordinator usually answers within the interval of the reports.
 	unknownWait = 2 * time.Second
-	// rotations is the number of groups of new targets that get the requests, one after the other. With one group, the
-	// trial would not notice a fault of single machines; with many, none would run under its load for long.
-	rotations = 4
+	// minGroup is the number of targets of the new version that get requests at the same time, or more if there are many.
+	// The load of three is read before a selection, so a target that is slow for a moment is avoided as among the old
+	// ones. With one or two, slow machines look like a slow version.
+	minGroup = 3
+	// maxRoutePart is the part of the requests of a route that the new version gets at most. Beyond it, too little of the old
+	// version would be left to compare with.
+	maxRoutePart = 1.0 / 3
+	// groupTime is how long a group gets the requests. Even in a trial of 8 s, each target of a usual service has its turn.
+	groupTime = time.Second
 	// canceledFactor is the factor by which the time of an attempt counts that was canceled because a hedge was faster:
 	// its answer would have taken longer.
 	canceledFactor = 1.5
@@ -64,6 +70,8 @@
 	requests, taken           map[string]int
 	totalRequests, totalTaken int
 	counts                    Counts
+	// targets are the results of the targets of the new version.
+	targets map[string]Results
 	// evidence is why this entry suspended on its own.
 	evidence string
 }
@@ -80,6 +88,7 @@
 		requests:  map[string]int{},
 		taken:     map[string]int{},
 		counts:    Counts{},
+		targets:   map[string]Results{},
 	}
 }
 
@@ -173,18 +182,18 @@
 	return true
 }
 
-// Allowance returns how many attempts the new version may have had by now. Its whole is bounded for each entry, so that
-// the sum over all entries is, whatever they know of each other.
-func (p *Participant) allowance(now time.Time) float64 {
+// allowance returns how many attempts the new version may have had by now: its part of the requests and its part of the
+// slack. It is bounded for each entry, so that the sum over all entries is, whatever they know of each other.
+func (p *Participant) allowance(now time.Time) (share, slack float64) {
 	if p.entries == 0 {
-		return 0
+		return 0, 0
 	}
 	progress := 1.0
 	if trial := p.order.Trial(); trial > 0 {
 		progress = min(max(float64(now.Sub(p.startedAt))/float64(trial), 0), 1)
 	}
-	return shareFraction*p.bounds.Share*float64(p.totalRequests) +
-		slackFraction*p.bounds.Slack/float64(p.entries)*progress
+	return shareFraction * p.bounds.Share * float64(p.totalRequests),
+		slackFraction * p.bounds.Slack / float64(p.entries) * progress
 }
 
 // mayExpose reports whether the new version may get any requests now.
@@ -199,12 +208,15 @@
 	if !p.mayExpose(now) || p.totalRequests == 0 {
 		return false
 	}
-	allowance := p.allowance(now)
-	if float64(p.totalTaken+1) > allowance+p.offset {
+	share, slack := p.allowance(now)
+	if float64(p.totalTaken+1) > share+slack+p.offset {
 		return false
 	}
-	// A route with its part of the requests has its part of the allowance. Rounding up lets rare routes take part.
-	return float64(p.taken[route]) <= allowance*float64(p.requests[route])/float64(p.totalRequests)
+	// A route has its part of the share, and as much of the slack as any other: a fault on a rare route would remain unseen
+	// otherwise. Rounding up lets routes take part that have less than one request of each.
+	share *= float64(p.requests[route]) / float64(p.totalRequests)
+	part := share + slack/float64(max(len(p.requests), 1))
+	return float64(p.taken[route]) <= min(part, maxRoutePart*float64(p.requests[route]))
 }
 
 // MaySend implements route.TrialBudget: it reports whether an attempt at the new version may still be written.
@@ -239,16 +251,13 @@
 		return 0, 0
 	}
 	part := shareFraction * p.bounds.Share * float64(targets)
-	count = min(max(int(part+0.999), 1), targets)
-	turn := 0
-	if trial := p.order.Trial(); trial > 0 {
-		turn = int(max(now.Sub(p.startedAt), 0) * rotations / trial)
-	}
+	count = min(max(int(part+0.999), minGroup), targets)
+	turn := int(max(now.Sub(p.startedAt), 0) / groupTime)
 	return turn * count % targets, count
 }
 
 // Record counts the result of an attempt. Latencies of cold targets do not count.
-func (p *Participant) Record(version, route string, outcome Outcome, latency time.Duration, cold bool) {
+func (p *Participant) Record(target, version, route string, outcome Outcome, latency time.Duration, cold bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if outcome == Uncounted || IsFinal(p.phase) || version != p.order.To && len(p.base) > 0 && !slices.Contains(p.base, version) {
@@ -258,6 +267,12 @@
 	r := &results.Old
 	if version == p.order.To {
 		r = &results.New
+		t := p.targets[target]
+		t.Answers++
+		if outcome == Failed {
+			t.Failures++
+		}
+		p.targets[target] = t
 	}
 	r.Answers++
 	switch {
@@ -278,7 +293,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if (p.phase == Trial{}) {
-		if v := Judge([]Counts{p.counts}, false); v.Bad && p.advance(Suspended{}) {
+		own := Evidence{
+			Strata:  []Counts{p.counts},
+			Targets: p.targets,
+		}
+		if v := own.Judge(false); v.Bad && p.advance(Suspended{}) {
 			p.evidence = v.Reason
 		}
 	}
@@ -295,6 +314,7 @@
 		Requests:    p.totalRequests,
 		Taken:       p.totalTaken,
 		Inflight:    inflight,
+		Targets:     maps.Clone(p.targets),
 		Routes:      routes,
 	}
 }
@@ -321,13 +341,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	total := p.counts.total()
+	share, slack := p.allowance(now)
 	s := Status{
 		Order:    p.order,
 		Phase:    p.phase,
 		Base:     slices.Clone(p.base),
 		Requests: p.totalRequests,
 		Taken:    p.totalTaken,
-		Allowed:  p.allowance(now),
+		Allowed:  share + slack,
 		Old:      total.Old,
 		New:      total.New,
 		Evidence: p.evidence,
