--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -234,59 +234,23 @@
 		}
 	}
 	p := s.participant
-	to, base := p.Order().To, p.Base()
-	registered := r.registeredVersions(service)
-	if p.Waits(now) && len(registered) > 1 && slices.Contains(registered, to) {
-		return route.NoVersions{}
-	}
-	if base == nil {
-		base = r.presumedBase(p, inService, registered)
-	}
+	policy := p.Policy(now, inService, r.registeredVersions(service))
 	only := route.OnlyVersions{
-		Versions: base,
+		Versions: policy.Versions,
+		Never:    policy.Never,
 	}
-	switch p.Phase().(type) {
-	case rollout.Promote, rollout.Done:
-		only.Versions = []string{to}
-		only.Never = without(base, to)
-		return only
-	case rollout.RolledBack:
-		if !slices.Contains(base, to) {
-			only.Never = []string{to}
+	switch {
+	case policy.Wait:
+		return route.NoVersions{}
+	case policy.Trial:
+		return route.TrialVersion{
+			OnlyVersions: only,
+			To:           p.Order().To,
+			Seed:         p.Seed(),
+			Budget:       p,
 		}
-		return only
-	case rollout.Suspended:
-		only.Never = []string{to}
-	}
-	if p.Removed() && !slices.Contains(base, to) {
-		only.Never = []string{to}
-	}
-	if slices.Contains(base, to) {
-		return only
 	}
-	return route.TrialVersion{
-		OnlyVersions: only,
-		To:           to,
-		Seed:         p.Seed(),
-		Budget:       p,
-	}
-}
-
-// presumedBase returns the versions in service while no coordinator has named them. An entry that was in operation before
-// the order knows them. Another one uses what is not the ordered version, if there is any.
-func (r *rollouts) presumedBase(p *rollout.Participant, inService, registered []string) []string {
-	to := p.Order().To
-	if p.Running() {
-		return inService
-	}
-	if others := without(registered, to); len(others) > 0 {
-		return others
-	}
-	return inService
-}
-
-func without(list []string, x string) []string {
-	return slices.DeleteFunc(slices.Clone(list), func(y string) bool { return x == y })
+	return only
 }
 
 // registeredVersions returns the versions of the registered targets of a service.
--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -40,6 +40,9 @@
 	maxPromotedFailures = 0.5
 	// pollInterval is the interval at which a coordinator that does not hear all members reads the row.
 	pollInterval = time.Second
+	// maxStepGap is the time between two steps above which the coordinator reads the row, because it was paused. Others
+	// take over after three seconds of silence.
+	maxStepGap = 4 * ReportInterval
 	// minRetryDelay is the delay after a failed call to the store. It doubles with each further one.
 	minRetryDelay = 500 * time.Millisecond
 	maxRetryDelay = 2 * time.Second
@@ -127,6 +130,8 @@
 	// promoted are the results before.
 	promoted Comparison
 	view     View
+	// steppedAt is the time of the last Step.
+	steppedAt time.Time
 }
 
 // NewCoordinator returns the coordinator of a roll-out. known is the phase that this entry obeys since an era of the store,
@@ -171,8 +176,12 @@
 		Phase: c.Phase().String(),
 	}
 	if c.row == nil {
+		reply.Base = c.knownBase
 		return reply
 	}
+	if c.wasPaused(now) {
+		return &Reply{}
+	}
 	reply.Base = c.row.Base
 	reply.Entries = max(c.row.Entries, c.view.Known, 1)
 	reply.Age = max(now.Sub(c.startedAt()), 0)
@@ -292,7 +301,11 @@
 // Step looks at what is known and returns what to do next.
 func (c *Coordinator) Step(now time.Time, view View) Action {
 	slices.SortFunc(view.Members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
-	c.view = view
+	if c.wasPaused(now) {
+		// Another entry may have taken over meanwhile.
+		c.read, c.row = false, nil
+	}
+	c.view, c.steppedAt = view, now
 	c.closeStratum(now)
 	if c.calling {
 		return Wait{}
@@ -308,6 +321,11 @@
 	return action
 }
 
+// wasPaused reports whether the process was paused since the last Step.
+func (c *Coordinator) wasPaused(now time.Time) bool {
+	return !c.steppedAt.IsZero() && now.Sub(c.steppedAt) > maxStepGap
+}
+
 // closeStratum ends the open stratum once it is long enough.
 func (c *Coordinator) closeStratum(now time.Time) {
 	if c.stratumAt.IsZero() {
--- a/rollout/participant.go
+++ b/rollout/participant.go
@@ -192,7 +192,8 @@
 	if trial := p.order.Trial(); trial > 0 {
 		progress = min(max(float64(now.Sub(p.startedAt))/float64(trial), 0), 1)
 	}
-	return shareFraction * p.bounds.Share * float64(p.totalRequests),
+	// The request in question counts as well: with 189 entries, most get only one during a trial.
+	return shareFraction * p.bounds.Share * float64(p.totalRequests+1),
 		slackFraction * p.bounds.Slack / float64(p.entries) * progress
 }
 
@@ -205,7 +206,7 @@
 func (p *Participant) MayTake(now time.Time, route string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.mayExpose(now) || p.totalRequests == 0 {
+	if !p.mayExpose(now) {
 		return false
 	}
 	share, slack := p.allowance(now)
@@ -214,9 +215,10 @@
 	}
 	// A route has its part of the share, and as much of the slack as any other: a fault on a rare route would remain unseen
 	// otherwise. Rounding up lets routes take part that have less than one request of each.
-	share *= float64(p.requests[route]) / float64(p.totalRequests)
+	requests := float64(p.requests[route] + 1)
+	share *= requests / float64(p.totalRequests+1)
 	part := share + slack/float64(max(len(p.requests), 1))
-	return float64(p.taken[route]) <= min(part, maxRoutePart*float64(p.requests[route]))
+	return float64(p.taken[route]) <= min(part, maxRoutePart*requests)
 }
 
 // MaySend implements route.TrialBudget: it reports whether an attempt at the new version may still be written.
