--- a/cmd/skylarkbeam/fleet_status.go
+++ b/cmd/skylarkbeam/fleet_status.go
@@ -43,6 +43,8 @@
 	Version  uint64                `json:"version"`
 	Behind   []string              `json:"behind"`
 	Services []entry.ServiceStatus `json:"services"`
+	// Rollouts are the roll-outs as their coordinators see them.
+	Rollouts []entry.RolloutStatus `json:"rollouts,omitempty"`
 	// Rates are the refusals, retries and outcomes per second, by kind and reason.
 	Rates   map[string]float64 `json:"rates"`
 	Entries []outlier          `json:"entries"`
@@ -161,6 +163,11 @@
 			use = condition(s)
 			f.Version = max(f.Version, s.BaseVersion)
 			f.addServices(s.Services)
+			for _, r := range s.Rollouts {
+				if r.Whole {
+					f.Rollouts = append(f.Rollouts, r)
+				}
+			}
 			entries = append(entries, f.addRates(m, before, after))
 			for _, t := range s.TargetStatuses {
 				useOf(targets, t.Target, t.Service).add(t.RoutingState)
@@ -302,6 +309,7 @@
 	for _, s := range f.Services {
 		fmt.Fprintf(w, "service\t%s: %s; %d calls at targets, %d waiting\n", s.Service, uses(s.Targets), s.InFlight, s.Waiting)
 	}
+	printRollouts(w, f.Rollouts)
 	for _, name := range slices.Sorted(maps.Keys(f.Rates)) {
 		if f.Rates[name] > 0 {
 			fmt.Fprintf(w, "rate\t%s: %.1f per second\n", name, f.Rates[name])
--- a/cmd/skylarkbeam/status.go
+++ b/cmd/skylarkbeam/status.go
@@ -96,6 +96,7 @@
 		fmt.Fprintf(w, "service\t%s: %s; %d calls at targets, %d waiting\n",
 			service.Service, uses(service.Targets), service.InFlight, service.Waiting)
 	}
+	printRollouts(w, s.Rollouts)
 	for _, p := range s.TargetStatuses {
 		fmt.Fprintf(w, "target\t%s of %s: %s, owner %s\n", p.Target, p.Service, p.RoutingState, p.Owner)
 	}
@@ -111,6 +112,26 @@
 	w.Flush()
 }
 
+// printRollouts prints the roll-outs that operators have ordered.
+func printRollouts(out io.Writer, rollouts []entry.RolloutStatus) {
+	for _, r := range rollouts {
+		counts := "at this entry"
+		if r.Whole {
+			counts = "at all entries"
+		}
+		fmt.Fprintf(out, "roll-out\t%s to %s in %s: %s, coordinated by %s\n", r.Service, r.To, r.Duration, r.Phase, r.Coordinator)
+		fmt.Fprintf(out, "\t%s: %d of %d requests to the new version, bound %.0f\n", counts, r.Taken, r.Requests, r.Allowed)
+		fmt.Fprintf(out, "\t%s: %d of %d failed, median %s\n", r.To, r.New.Failures, r.New.Answers, r.New.Median)
+		fmt.Fprintf(out, "\t%s: %d of %d failed, median %s\n", list(r.Base), r.Old.Failures, r.Old.Answers, r.Old.Median)
+		if r.Reason != "" {
+			fmt.Fprintf(out, "\treason: %s\n", r.Reason)
+		}
+		if r.Waiting != "" {
+			fmt.Fprintf(out, "\twaits for %s\n", r.Waiting)
+		}
+	}
+}
+
 // condition says in a few words whether the entry takes calls, and why not.
 func condition(s *entry.Status) string {
 	switch {
--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -51,6 +51,10 @@
 	state    *fleet.State
 	bounds   rollout.Bounds
 	versions rollout.Versions
+	// pending means that the versions in service may change without a change of the targets.
+	pending bool
+	// policies are the policies that were last set, by service.
+	policies map[string]route.VersionPolicy
 	services map[string]*serviceRollout
 	// held are the versions that are held back, by service, as they were last logged.
 	held map[string]string
@@ -75,6 +79,7 @@
 	r := &rollouts{
 		entry:    e,
 		services: map[string]*serviceRollout{},
+		policies: map[string]route.VersionPolicy{},
 		held:     map[string]string{},
 		wake:     make(chan struct{}, 1),
 	}
@@ -130,6 +135,7 @@
 	}
 	r.state, r.versions = nil, rollout.Versions{}
 	clear(r.services)
+	clear(r.policies)
 	clear(r.held)
 	r.active.Store(&map[string]*rollout.Participant{})
 }
@@ -143,7 +149,7 @@
 			StartedAt: t.StartedAt,
 		})
 	}
-	r.versions.Update(now, targets)
+	r.pending = r.versions.Update(now, targets)
 }
 
 // applyOrder takes over an order that is new, or the same one in another row.
@@ -188,7 +194,10 @@
 		r.active.Store(&active)
 	}
 	for _, service := range r.versions.Services() {
-		r.entry.table.SetVersionPolicy(service, r.policy(now, service))
+		if policy := r.policy(now, service); !equalPolicies(policy, r.policies[service]) {
+			r.policies[service] = policy
+			r.entry.table.SetVersionPolicy(service, policy)
+		}
 	}
 	r.logHeld()
 }
@@ -253,6 +262,24 @@
 	return only
 }
 
+// equalPolicies reports whether two policies are the same, so that the table need not apply one again.
+func equalPolicies(a, b route.VersionPolicy) bool {
+	equal := func(a, b route.OnlyVersions) bool {
+		return slices.Equal(a.Versions, b.Versions) && slices.Equal(a.Never, b.Never)
+	}
+	switch a := a.(type) {
+	case route.OnlyVersions:
+		b, ok := b.(route.OnlyVersions)
+		return ok && equal(a, b)
+	case route.TrialVersion:
+		b, ok := b.(route.TrialVersion)
+		return ok && equal(a.OnlyVersions, b.OnlyVersions) && a.To == b.To && a.Seed == b.Seed && a.Budget == b.Budget
+	case route.NoVersions:
+		return b == route.NoVersions{}
+	}
+	return false
+}
+
 // registeredVersions returns the versions of the registered targets of a service.
 func (r *rollouts) registeredVersions(service string) []string {
 	var versions []string
@@ -314,7 +341,7 @@
 func (r *rollouts) step() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.state == nil {
+	if r.state == nil || len(r.services) == 0 && !r.pending {
 		return
 	}
 	now := r.entry.timers.Now()
@@ -329,7 +356,11 @@
 			s.coordinator = nil
 		default:
 			s.coordinator = nil
-			if coordinator.Name != "" && !s.reporting && now.Sub(s.reportedAt) >= rollout.ReportInterval-rolloutStepInterval/2 {
+			interval := rollout.ReportInterval - rolloutStepInterval/2
+			if (s.participant.Phase() == rollout.Unknown{}) {
+				interval = 0 // Requests may wait for the answer.
+			}
+			if coordinator.Name != "" && !s.reporting && now.Sub(s.reportedAt) >= interval {
 				r.report(now, s, coordinator)
 			}
 		}
--- a/rollout/judgment.go
+++ b/rollout/judgment.go
@@ -122,7 +122,6 @@
 func (c Counts) add(other Counts, factor int) {
 	for route, results := range other {
 		sum := c[route]
-		sum.Old, sum.New = sum.Old.clone(), sum.New.clone()
 		sum.Old.add(results.Old, factor)
 		sum.New.add(results.New, factor)
 		c[route] = sum
--- a/rollout/participant.go
+++ b/rollout/participant.go
@@ -17,8 +17,8 @@
 	// contactTimeout is the time without a reply of a coordinator after which an entry sends nothing to the new version.
 	contactTimeout = 2 * time.Second
 	// unknownWait is how long an entry that started with an order sends nothing to the service while it does not know the
-	// phase. A coordinator usually answers within the interval of the reports.
-	unknownWait = 2 * time.Second
+	// phase. A coordinator usually answers at once; after a restart of the whole fleet, there is one only after 1.5 s.
+	unknownWait = 3 * time.Second
 	// minGroup is the number of targets of the new version that get requests at the same time, or more if there are many.
 	// The load of three is read before a selection, so a target that is slow for a moment is avoided as among the old
 	// ones. With one or two, slow machines look like a slow version.
--- a/rollout/versions.go
+++ b/rollout/versions.go
@@ -31,8 +31,8 @@
 }
 
 // Update takes the targets that are registered now. Of a service that is new, the version of the target that started first
-// is in service.
-func (v *Versions) Update(now time.Time, targets []Target) {
+// is in service. It returns true if another update is due without a change of the targets.
+func (v *Versions) Update(now time.Time, targets []Target) (pending bool) {
 	if v.services == nil {
 		v.services = map[string]*serviceVersions{}
 	}
@@ -55,11 +55,14 @@
 		case present[service]:
 			s.absentSince = time.Time{}
 		case s.absentSince.IsZero():
-			s.absentSince = now
+			s.absentSince, pending = now, true
 		case now.Sub(s.absentSince) >= adoptionDelay:
 			v.Set(service, []string{t.Version})
+		default:
+			pending = true
 		}
 	}
+	return pending
 }
 
 // Set sets the versions in service of a service, after a roll-out has ended.
