Document roll-outs for operators, and concentrate every third group of a trial

With three targets at a time, those of a service of ten ran under a quarter of their load, so a version that fails only under load was put in service. Every third group is now as small as the part of the requests.

--- a/entry/call_log.go
+++ b/entry/call_log.go
@@ -44,7 +44,7 @@
 // logPlaced logs the choice of a target and the load values that it is based on.
 func (e *Entry) logPlaced(c *call, p *route.Permit) {
 	e.logCall(zapcore.DebugLevel, c, msgPlaced, func() []zap.Field {
-		return []zap.Field{
+		fields := []zap.Field{
 			zap.String("target", p.Target),
 			zap.String("domain", p.Domain),
 			zap.Int32("attempt", c.runs.Load()),
@@ -56,6 +56,10 @@
 			zap.Duration("expected", p.Estimate.ExpectedLatency),
 			zap.Bool("cold", p.Estimate.Cold),
 		}
+		if e.rollouts.concerns(c.service.name) {
+			fields = append(fields, zap.String("version", p.Version))
+		}
+		return fields
 	})
 }
 
--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -514,6 +514,9 @@
 	return &rollout.Reply{}
 }
 
+// concerns reports whether a roll-out of a service is running.
+func (r *rollouts) concerns(service string) bool { return (*r.active.Load())[service] != nil }
+
 // record counts the result of an attempt for the roll-out of its service.
 func (r *rollouts) record(c *call, permit *route.Permit, result route.Result, running bool) {
 	p := (*r.active.Load())[c.service.name]
--- a/rollout/exposure_test.go
+++ b/rollout/exposure_test.go
@@ -71,6 +71,34 @@
 	}
 }
 
+// Guards against a trial in which no target of the new version runs under its load, or in which some have no turn.
+func TestGroups(t *testing.T) {
+	now := time.Unix(0, 0)
+	for _, targets := range []int{1, 2, 3, 4, 10, 40} {
+		p := NewParticipant(now, NewOrder("s", "v2", 60, 1, 0), Bounds{
+			Share: 0.1,
+		}, true)
+		p.Hear(now, &Reply{
+			Phase: Trial{}.String(),
+		})
+		used := map[int]bool{}
+		smallest := targets
+		for at := time.Duration(0); at < 39*time.Second; at += groupTime {
+			first, count := p.Group(now.Add(at), targets)
+			assert.Assert(t, first >= 0 && first < targets && count > 0 && count <= targets)
+			smallest = min(smallest, count)
+			for i := range count {
+				used[(first+i)%targets] = true
+			}
+		}
+		assert.Equal(t, len(used), targets)
+		assert.Equal(t, smallest, max(1, (8*targets+99)/100))
+	}
+	p := NewParticipant(now, NewOrder("s", "v2", 60, 1, 0), Bounds{}, true)
+	_, count := p.Group(now, 0)
+	assert.Equal(t, count, 0)
+}
+
 // Guards against requests to a bad version after the time in which it must be rolled back.
 func TestRollbackTime(t *testing.T) {
 	for _, rate := range []float64{0.5, 4, 40} {
--- a/rollout/judgment.go
+++ b/rollout/judgment.go
@@ -1,11 +1,15 @@
 package rollout
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"math"
 	"slices"
+	"strconv"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -48,6 +52,47 @@
 	return min(int(bucketsPerOctave*math.Log2(ms)), latencyBuckets-1)
 }
 
+// Latencies are numbers of answers by latency bucket. In JSON, only buckets with answers are written: most entries of a large
+// fleet have a few answers on each route.
+type Latencies []int
+
+// MarshalJSON writes pairs of a bucket and its number of answers.
+func (l Latencies) MarshalJSON() ([]byte, error) {
+	text := []byte{'['}
+	for bucket, n := range l {
+		if n == 0 {
+			continue
+		}
+		if len(text) > 1 {
+			text = append(text, ',')
+		}
+		text = strconv.AppendInt(text, int64(bucket), 10)
+		text = append(text, ',')
+		text = strconv.AppendInt(text, int64(n), 10)
+	}
+	return append(text, ']'), nil
+}
+
+// UnmarshalJSON reads what MarshalJSON writes.
+func (l *Latencies) UnmarshalJSON(data []byte) error {
+	var pairs []int
+	if err := json.Unmarshal(data, &pairs); err != nil {
+		return err
+	}
+	*l = nil
+	for i := 0; i+1 < len(pairs); i += 2 {
+		bucket := pairs[i]
+		if bucket < 0 || bucket >= latencyBuckets {
+			return errors.Newf("there is no latency bucket %d", bucket)
+		}
+		for len(*l) <= bucket {
+			*l = append(*l, 0)
+		}
+		(*l)[bucket] += pairs[i+1]
+	}
+	return nil
+}
+
 // bucketLatency returns the latency in the middle of a bucket.
 func bucketLatency(bucket int) time.Duration {
 	return time.Duration(math.Exp2((float64(bucket)+0.5)/bucketsPerOctave) * float64(time.Millisecond))
--- a/rollout/message.go
+++ b/rollout/message.go
@@ -84,6 +84,7 @@
 	// Failures corresponds to the JSON schema field "failures".
 	Failures int `json:"failures"`
 
-	// Answers by latency; see LatencyBucket.
-	Latencies []int `json:"latencies,omitempty,omitzero"`
+	// Answers by latency: pairs of a bucket and its number of answers; see
+	// LatencyBucket.
+	Latencies Latencies `json:"latencies,omitempty,omitzero"`
 }
--- a/rollout/order_test.go
+++ b/rollout/order_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -166,6 +167,17 @@
 	assert.Assert(t, took > maxTrial && took < maxTrial+5*time.Second, "took %v", took)
 }
 
+// Guards against evidence that is lost on the way to the coordinator.
+func TestReportJSON(t *testing.T) {
+	report := newBenchReports(1, "v2")[0]
+	data, err := json.Marshal(report)
+	assert.NilError(t, err)
+	var read Report
+	assert.NilError(t, json.Unmarshal(data, &read))
+	assert.DeepEqual(t, read, *report)
+	assert.Assert(t, json.Unmarshal([]byte(`{"answers":1,"failures":0,"latencies":[64,1]}`), &Results{}) != nil)
+}
+
 // Guards against a service that is without targets after its only versions have been replaced without an order, or while the
 // registrations lapse for a moment.
 func TestVersionsInService(t *testing.T) {
--- a/rollout/participant.go
+++ b/rollout/participant.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -26,6 +27,11 @@
 	// maxRoutePart is the part of the requests of a route that the new version gets at most. Beyond it, too little of the old
 	// version would be left to compare with.
 	maxRoutePart = 1.0 / 3
+	// fullLoadTurns is the number of turns of which one has a group that is as small as the new version's part of the
+	// requests, so that its targets run under the load that they will have. In each turn, slow machines would look like a slow
+	// version: if one in five is slow at any moment, a third of the turns add 7 points to the share of slow answers, of which
+	// minSlow allows 15.
+	fullLoadTurns = 3
 	// groupTime is how long a group gets the requests. Even in a trial of 8 s, each target of a usual service has its turn.
 	groupTime = time.Second
 	// canceledFactor is the factor by which the time of an attempt counts that was canceled because a hedge was faster:
@@ -253,9 +259,13 @@
 		return 0, 0
 	}
 	part := shareFraction * p.bounds.Share * float64(targets)
-	count = min(max(int(part+0.999), minGroup), targets)
+	full := max(int(math.Ceil(part)), 1)
 	turn := int(max(now.Sub(p.startedAt), 0) / groupTime)
-	return turn * count % targets, count
+	count = full
+	if turn%fullLoadTurns != fullLoadTurns-1 {
+		count = max(full, minGroup)
+	}
+	return turn * max(full, minGroup) % targets, min(count, targets)
 }
 
 // Record counts the result of an attempt. Latencies of cold targets do not count.
