Do not take slow machines or a few failures for a bad version

A group of which all say that they are slow leaves its calls to other new targets, slow answers need four, and the excess is judged by its binomial probability.

--- a/rollout/judgment.go
+++ b/rollout/judgment.go
@@ -25,12 +25,13 @@
 	// median of 8 answers has an error of about a bucket.
 	minMedianAnswers = 8
 
-	// trialSignificance and finalSignificance are the values of z above which a difference is significant: during the
-	// trial, in which it is looked at up to twice a second, and once at its end.
-	trialSignificance = 4
-	finalSignificance = 2.5
-	// finalRouteSignificance is finalSignificance for single routes, of which any may exceed it by chance.
-	finalRouteSignificance = 2.6
+	// trialChance and finalChance are the probabilities of a difference by chance below which it counts: during the trial, in
+	// which it is looked at up to four times a second, and once at its end. finalRouteChance is that of a single route, of
+	// which any may differ by chance. The first is the probability of a z of 4, the others those
+	// of about 2.4 and 2.5; see the table of error rates in docs/design/rollouts.md.
+	trialChance      = 3.2e-5
+	finalChance      = 0.008
+	finalRouteChance = 0.006
 	// minStratumAnswers is the number of answers of the new version on a route below which periods are joined. Periods with
 	// one or two compare almost nothing.
 	minStratumAnswers = 4
@@ -41,6 +42,8 @@
 	minFailures = 3
 	// minSlow is the difference of the shares of slow answers below which a version is not bad.
 	minSlow = 0.15
+	// minSlowAnswers is the number of slow answers below which a version is not bad. Two were enough for a false alarm.
+	minSlowAnswers = 4
 )
 
 // LatencyBucket returns the bucket of a latency in Results.
@@ -185,9 +188,10 @@
 
 // stratumSum is a stratified comparison of two shares, after Mantel and Haenszel.
 type stratumSum struct {
-	observed, expected, variance float64
-	difference, weight           float64
-	count                        int
+	observed, expected float64
+	difference, weight float64
+	// total is the number of both versions that were compared, count that of the new one.
+	total, count int
 }
 
 // add adds a stratum: of n1 answers of the new version, x1 have the property, and of n0 of the old one, x0.
@@ -200,7 +204,7 @@
 	n := a + b
 	s.observed += float64(x1)
 	s.expected += a * m / n
-	s.variance += a * b * m * (n - m) / (n * n * (n - 1))
+	s.total += x1 + x0
 	w := a * b / n
 	s.weight += w
 	s.difference += w * (float64(x1)/a - float64(x0)/b)
@@ -209,19 +213,36 @@
 func (s *stratumSum) merge(other stratumSum) {
 	s.observed += other.observed
 	s.expected += other.expected
-	s.variance += other.variance
+	s.total += other.total
 	s.difference += other.difference
 	s.weight += other.weight
 	s.count += other.count
 }
 
-// z returns the significance of a higher share of the new version, with the correction for continuity: counts are small
-// at first.
-func (s *stratumSum) z() float64 {
-	if excess := s.observed - s.expected - 0.5; excess > 0 && s.variance > 0 {
-		return excess / math.Sqrt(s.variance)
+// chance returns the probability that the new version has at least as many by chance, if both versions have the same share.
+// Each of all those counted is one of the new version with the same probability, so their number has a binomial distribution.
+// The usual z of the difference is too high for few: 5 failures in 102 answers beside 15 in 860 have a z of 2.9, which would
+// be a chance of 0.2%, but happen in 1%.
+func (s *stratumSum) chance() float64 {
+	if s.observed <= s.expected || s.total == 0 {
+		return 1
 	}
-	return 0
+	n, p := float64(s.total), s.expected/float64(s.total)
+	if p >= 1 {
+		return 1
+	}
+	logGamma := func(x float64) float64 {
+		y, _ := math.Lgamma(x + 1)
+		return y
+	}
+	k := s.observed
+	term := math.Exp(logGamma(n) - logGamma(k) - logGamma(n-k) + k*math.Log(p) + (n-k)*math.Log1p(-p))
+	sum := 0.0
+	for ; k <= n && term > sum*1e-9; k++ {
+		sum += term
+		term *= (n - k) / (k + 1) * p / (1 - p)
+	}
+	return min(sum, 1)
 }
 
 // excess returns the difference of the shares.
@@ -257,15 +278,17 @@
 	routes := slices.Sorted(maps.Keys(whole))
 	var allFailures, allSlow stratumSum
 	for _, route := range routes {
-		median, measured := whole[route].Old.median(minMedianAnswers)
+		// Without a median of the old version, no answer counts as slow.
+		slowFrom := latencyBuckets
+		if median, ok := whole[route].Old.median(minMedianAnswers); ok {
+			slowFrom = median + slowBuckets
+		}
 		var failures, slow stratumSum
 		for _, results := range e.periods(route) {
 			failures.add(results.New.Answers, results.New.Failures, results.Old.Answers, results.Old.Failures)
-			if measured {
-				n1, x1 := results.New.measured(median + slowBuckets)
-				n0, x0 := results.Old.measured(median + slowBuckets)
-				slow.add(n1, x1, n0, x0)
-			}
+			n1, x1 := results.New.measured(slowFrom)
+			n0, x0 := results.Old.measured(slowFrom)
+			slow.add(n1, x1, n0, x0)
 		}
 		if v := e.judge("route "+route, failures, slow, final, len(routes) > 1); v.Bad {
 			return v
@@ -299,19 +322,19 @@
 
 // judge applies the limits to the comparison of one route, one of many, or of all.
 func (e Evidence) judge(where string, failures, slow stratumSum, final, oneOfMany bool) Verdict {
-	significance, leastFailures := float64(trialSignificance), trialFailures
+	limit, leastFailures := trialChance, trialFailures
 	if final {
-		significance, leastFailures = finalSignificance, finalFailures
+		limit, leastFailures = finalChance, finalFailures
 		if oneOfMany {
-			significance = finalRouteSignificance
+			limit = finalRouteChance
 		}
 	}
-	if z, excess := failures.z(), failures.excess(); z > significance && excess > leastFailures && failures.count >= minFailures &&
+	if chance, excess := failures.chance(), failures.excess(); chance < limit && excess > leastFailures && failures.count >= minFailures &&
 		e.failsWithoutWorstTarget() {
-		return verdict(where, "failures", failures, z, excess)
+		return verdict(where, "failures", failures, chance, excess)
 	}
-	if z, excess := slow.z(), slow.excess(); z > significance && excess > minSlow {
-		return verdict(where, "slow answers", slow, z, excess)
+	if chance, excess := slow.chance(), slow.excess(); chance < limit && excess > minSlow && slow.count >= minSlowAnswers {
+		return verdict(where, "slow answers", slow, chance, excess)
 	}
 	return Verdict{}
 }
@@ -327,10 +350,10 @@
 	return len(e.Targets) < 2 || sum-worst >= minFailures
 }
 
-func verdict(where, what string, s stratumSum, z, excess float64) Verdict {
+func verdict(where, what string, s stratumSum, chance, excess float64) Verdict {
 	return Verdict{
 		Bad: true,
-		Reason: fmt.Sprintf("%s: %d %s of the new version, %.1f expected, share higher by %.3f, z %.1f",
-			where, s.count, what, s.expected, excess, z),
+		Reason: fmt.Sprintf("%s: %d %s of the new version, %.1f expected, share higher by %.3f, by chance in %.2g",
+			where, s.count, what, s.expected, excess, chance),
 	}
 }
--- a/route/version.go
+++ b/route/version.go
@@ -152,13 +152,41 @@
 		return nil
 	}
 	ejecting := s.mayEject(now)
-	var list []*target
+	usable := func(t *target) bool { return t.usableInTrial(now) && !(ejecting && t.isEjected(now, q.Idempotent)) }
+	var list, slow, others []*target
 	for t := range s.trialGroup(now, p) {
-		if t.usableInTrial(now) && !(ejecting && t.isEjected(now, q.Idempotent)) {
+		if !usable(t) {
+			continue
+		}
+		if t.saysSlow(now) {
+			slow = append(slow, t)
+		} else {
 			list = append(list, t)
 		}
 	}
-	return list
+	if len(list) > 0 || len(slow) == 0 {
+		return list
+	}
+	// The old version has more targets to choose from when some are slow for a moment. If all of the new version are, that
+	// tells of the version.
+	for _, t := range s.versions.trial {
+		if usable(t) && !t.saysSlow(now) {
+			others = append(others, t)
+		}
+	}
+	if len(others) > 0 {
+		return others
+	}
+	return slow
+}
+
+// minSaidSlowdown is the slowdown that a target reports above which a trial avoids it for a while. Answers that take as long
+// count as slow.
+const minSaidSlowdown = 2
+
+// saysSlow reports whether the target said a moment ago that it is slow.
+func (t *target) saysSlow(now time.Time) bool {
+	return t.slowdown > minSaidSlowdown && now.Sub(t.reportedAt) < slowPeriod
 }
 
 // trialGroup returns the targets of the new version that get calls now.
--- a/route/version_test.go
+++ b/route/version_test.go
@@ -197,3 +197,26 @@
 	}))
 	assert.DeepEqual(t, pickVersions(t, table, 50, queryAged(0)), map[string]int{"1": 50})
 }
+
+// Guards against slow answers of a trial that come from single machines: while the group of the trial says that it is slow, others
+// of the version get the calls, as among the old targets. If all say so, the version is slow.
+func TestTrialAvoidsSlowTargets(t *testing.T) {
+	table := registeredTable(versionTargets("1", "2")...)
+	table.SetVersionPolicy("stock", trialOf(&testBudget{
+		left: 1000,
+	}))
+	first, _ := table.Pick(epoch, "stock", queryAged(0))
+	second, _ := table.Pick(epoch, "stock", queryAged(0))
+	assert.Assert(t, first.Target != second.Target, "the group has two targets")
+	for _, p := range []*Permit{first, second} {
+		p.Done(epoch, succeededAfter(10*time.Millisecond))
+		observeLoad(table, epoch, p.Target, 0, 5)
+	}
+	p, _ := table.Pick(epoch, "stock", queryAged(0))
+	assert.Equal(t, p.Version, "2")
+	assert.Assert(t, p.Target != first.Target && p.Target != second.Target)
+	p.Done(epoch, succeededAfter(10*time.Millisecond))
+	observeLoad(table, epoch, p.Target, 0, 5)
+	p, _ = table.Pick(epoch, "stock", queryAged(0))
+	assert.Equal(t, p.Version, "2", "all targets of the version are slow")
+}
