Read a next request only behind a whole body

Cause: a connection of a caller went on reading requests as soon as a body had ended, also after a body that was given up (Expect: 100-continue, not asked for) or could not be read.

Change: only a body that was read to its end is followed by another request.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"time"
 
@@ -21,9 +20,11 @@
 	stallTime = 30 * time.Second
 	// lastCall is how long a connection that is to end still reads requests that may be on their way already.
 	lastCall = 5 * time.Millisecond
-	// lingerTime is how long a connection is read after its last response. Closing it with unread bytes would reset it,
-	// and the caller could lose the response.
-	lingerTime = 500 * time.Millisecond
+	// lingerTime is how long a connection is read after its last response, while no bytes come. Closing it with unread
+	// bytes would reset it, and the caller could lose the response. maxLingerTime is the limit for bytes that do come, as
+	// of a body that nobody reads: 64 MB take 2 s at the 256 Mbit/s from which on bodies are not paced.
+	lingerTime    = 500 * time.Millisecond
+	maxLingerTime = 2 * time.Second
 )
 
 // conn is one connection of a caller. One goroutine reads requests, and one for each request writes its response.
@@ -107,8 +108,15 @@
 	if !ok || tcp.CloseWrite() != nil {
 		return
 	}
-	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.Copy(io.Discard, c.nc) // Whatever comes is not answered any more.
+	limit := time.Now().Add(maxLingerTime)
+	for {
+		now := time.Now()
+		_ = c.nc.SetReadDeadline(now.Add(min(lingerTime, limit.Sub(now))))
+		n, err := io.CopyN(io.Discard, c.nc, maxDiscardBytes) // Whatever comes is not answered any more.
+		if err != nil && (n == 0 || !errors.Is(err, os.ErrDeadlineExceeded)) {
+			return
+		}
+	}
 }
 
 // abort ends the connection at once.
@@ -158,13 +166,11 @@
 	}
 	body := newBody(req, r)
 	req.Body = body
+	r.request = body
 	c.tasks.Go(func() { c.handle(r, req, body) })
-	select {
-	case <-body.done:
-	case <-c.ctx.Done():
-		return false
-	}
-	return !req.Close
+	// Nothing else reads the connection until then. A connection that is aborted fails the reads of the body.
+	<-body.done
+	return body.whole && !req.Close && c.ctx.Err() == nil
 }
 
 // await waits for the first byte of the next request, and for room to handle it.
@@ -323,59 +329,3 @@
 	h.left -= n
 	return n, err
 }
-
-// body is the body of a request. The next request on the connection is read once it was read to its end or given up.
-type body struct {
-	src io.ReadCloser
-	// expected says that the caller waits for a sign before it sends the body.
-	expected bool
-	response *response
-	once     sync.Once
-	done     chan struct{}
-}
-
-func newBody(req *http.Request, r *response) *body {
-	b := &body{
-		src:      req.Body,
-		expected: strings.EqualFold(req.Header.Get("Expect"), "100-continue"),
-		response: r,
-		done:     make(chan struct{}),
-	}
-	if req.Body == nil || req.Body == http.NoBody {
-		b.src = http.NoBody
-		b.end()
-	}
-	return b
-}
-
-func (b *body) end() { b.once.Do(func() { close(b.done) }) }
-
-// Read implements io.Reader.
-func (b *body) Read(p []byte) (int, error) {
-	if b.expected {
-		b.expected = false
-		b.response.proceed()
-	}
-	n, err := b.src.Read(p)
-	if err != nil {
-		b.end()
-	}
-	return n, err
-}
-
-// Close reads the rest of the body, so that the next request can be read.
-func (b *body) Close() error {
-	defer b.end()
-	select {
-	case <-b.done:
-		return nil
-	default:
-	}
-	if b.expected {
-		// The caller was never asked for the body and cannot tell whether to send it.
-		b.response.conn.finish()
-		return nil
-	}
-	_, err := io.Copy(io.Discard, b.src)
-	return err
-}
--- a/caller/response.go
+++ b/caller/response.go
@@ -17,6 +17,8 @@
 type response struct {
 	conn *conn
 	req  *http.Request
+	// request is the body of the request; nil if its head could not be read.
+	request *body
 	// turn is closed when the response before this one has been written, written when this one has.
 	turn    <-chan struct{}
 	written chan struct{}
@@ -130,7 +132,7 @@
 	if r.length < 0 && r.chunked() {
 		r.header.Set("Transfer-Encoding", "chunked")
 	}
-	wanted := r.req.Close || strings.EqualFold(r.header.Get("Connection"), "close") || r.length < 0 && r.bodyAllowed() && !r.chunked()
+	wanted := r.request != nil && r.request.endsConnection() || r.req.Close || strings.EqualFold(r.header.Get("Connection"), "close") || r.length < 0 && r.bodyAllowed() && !r.chunked()
 	r.header.Del("Connection")
 	if r.conn.endsWith(r, wanted) {
 		r.header.Set("Connection", "close")
