Refuse heads that two readers would end at different bytes

Cause: http.ReadRequest takes Content-Length beside Transfer-Encoding, Transfer-Encoding in HTTP/1.0, folded fields and white space behind a field name; the checks of the server of net/http come after it.

Change: checkHead reads the bytes of the head once more and refuses these with 400; the connection ends.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -139,7 +139,7 @@
 		return false
 	}
 	limits := c.server.opts.Limits()
-	c.head.left = limits.MaxHeaderBytes
+	c.head.begin(c.br, limits.MaxHeaderBytes)
 	late := time.Now().Add(limits.ReadHeaderTimeout)
 	_ = c.nc.SetReadDeadline(late)
 	req, err := http.ReadRequest(c.br)
@@ -150,10 +150,10 @@
 	if err != nil && !time.Now().Before(late) {
 		err = os.ErrDeadlineExceeded
 	}
-	c.head.left = -1
+	raw := c.head.end(c.br)
 	_ = c.nc.SetReadDeadline(time.Time{})
-	if err == nil && req.Host == "" && req.ProtoAtLeast(1, 1) {
-		err = errNoHost
+	if err == nil {
+		err = checkHead(req, raw)
 	}
 	if err != nil {
 		c.reject(err)
@@ -304,28 +304,3 @@
 	r.finish()
 	c.end(r)
 }
-
-var (
-	errHeadTooLarge = errors.New("the head of the request is too large")
-	errNoHost       = errors.New("the request names no host")
-)
-
-// headReader bounds the bytes that are read for a head.
-type headReader struct {
-	src io.Reader
-	// left is what may still be read for the head; negative if there is no limit.
-	left int
-}
-
-// Read implements io.Reader.
-func (h *headReader) Read(p []byte) (int, error) {
-	if h.left < 0 {
-		return h.src.Read(p)
-	}
-	if h.left == 0 {
-		return 0, errHeadTooLarge
-	}
-	n, err := h.src.Read(p[:min(len(p), h.left)])
-	h.left -= n
-	return n, err
-}
--- /dev/null
+++ b/caller/head.go
@@ -0,0 +1,88 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+var (
+	errHeadTooLarge = errors.New("the head of the request is too large")
+	errNoHost       = errors.New("the request names no host")
+	errVersion      = errors.New("the request is not of HTTP/1")
+	errFraming      = errors.New("the request says in two ways how long its body is")
+	errField        = errors.New("the request has a malformed field")
+)
+
+// maxKeptHead is the size from which on the copy of a head is not kept for the next one.
+const maxKeptHead = 2 * bufferSize
+
+// headReader bounds the bytes that are read for a head and keeps a copy of them.
+type headReader struct {
+	src io.Reader
+	// left is what may still be read for the head; negative if there is no limit.
+	left int
+	// seen are the bytes that were read since the head began, and those that were buffered then.
+	seen []byte
+}
+
+// Read implements io.Reader.
+func (h *headReader) Read(p []byte) (int, error) {
+	if h.left < 0 {
+		return h.src.Read(p)
+	}
+	if h.left == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := h.src.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	h.seen = append(h.seen, p[:n]...)
+	return n, err
+}
+
+// begin begins a head of up to limit bytes, which br reads from the headReader.
+func (h *headReader) begin(br *bufio.Reader, limit int) {
+	buffered, _ := br.Peek(br.Buffered()) // What is buffered can be peeked at.
+	h.left = limit
+	h.seen = append(h.seen[:0], buffered...)
+}
+
+// end ends the head and returns its bytes, which are valid until the next call of begin.
+func (h *headReader) end(br *bufio.Reader) []byte {
+	h.left = -1
+	raw := h.seen[:len(h.seen)-br.Buffered()]
+	if cap(h.seen) > maxKeptHead {
+		h.seen = nil
+	}
+	return raw
+}
+
+// checkHead refuses heads that http.ReadRequest accepts although another reader of the same bytes could find another end
+// of the request in them, or other fields (RFC 9112, 2.2, 5.1, 5.2, 6.1 and 6.3). raw are the bytes of the head.
+func checkHead(req *http.Request, raw []byte) error {
+	if req.ProtoMajor != 1 {
+		return errVersion
+	}
+	if req.Host == "" && req.ProtoAtLeast(1, 1) {
+		return errNoHost
+	}
+	var encoded, measured bool
+	_, fields, _ := bytes.Cut(raw, []byte("\n")) // Behind the request line.
+	for line := range bytes.Lines(fields) {
+		line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		// White space before a name folds the field before it, and behind a name it hides the field from http.ReadRequest.
+		if bytes.ContainsAny(line, "\r\x00") || bytes.ContainsAny(name, " \t") {
+			return errField
+		}
+		encoded = encoded || bytes.EqualFold(name, []byte("Transfer-Encoding"))
+		measured = measured || bytes.EqualFold(name, []byte("Content-Length"))
+	}
+	if encoded && (measured || !req.ProtoAtLeast(1, 1)) {
+		return errFraming
+	}
+	return nil
+}
