Compare routes with the path as it was sent

A prefix with encoded bytes never matched.

Change: routes and service paths are compared with the bytes of the request line.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -155,6 +155,9 @@
 	if err == nil {
 		err = checkHead(req, raw)
 	}
+	if err == nil {
+		err = normalizeTarget(req)
+	}
 	if err != nil {
 		c.reject(err)
 		return false
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -124,14 +124,16 @@
 }
 
 // findService returns the service and the policy for a request. It looks for a route first, then for the path of a
-// service.
+// service. Both are compared with the path as the caller sent it, which is the one that the target gets: a decoded
+// path can belong to another route.
 func (snap *snapshot) findService(r *http.Request) (*service, callPolicy, bool) {
-	if name, ok := snap.routes.Find(r.Host, r.URL.Path); ok {
+	path := requestPath(r)
+	if name, ok := snap.routes.Find(r.Host, path); ok {
 		state := snap.routeStates[name]
 		s := snap.services[state.split.nextService()]
 		return s, state.policy, s != nil
 	}
-	name, ok := snap.paths.Find(r.URL.Path)
+	name, ok := snap.paths.Find(path)
 	if !ok {
 		return nil, callPolicy{}, false
 	}
--- a/setting/settings_test.go
+++ b/setting/settings_test.go
@@ -155,6 +155,9 @@
 			s.Routes["r1"] = route("a.example", "/", "beds")
 			s.Routes["r2"] = route("A.example", "/", "beds")
 		}),
+		"encoded route": faulty("", func(s *Settings) { s.Routes["r"] = route("a.example", "/stays%2Ftides/%C3%A4/", "beds") }),
+		"half encoded route": faulty("routes.r.path: \"/stays%2/\" is not a path prefix such as \"/stock/\"",
+			func(s *Settings) { s.Routes["r"] = route("a.example", "/stays%2/", "beds") }),
 		"route without weight": faulty("routes.r.parts: must have at least one service with a weight above 0", func(s *Settings) {
 			s.Routes["r"] = route("a.example", "/", "beds")
 			s.Routes["r"].Parts["beds"] = 0
--- a/setting/validator.go
+++ b/setting/validator.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"net/netip"
+	"net/url"
 	"path"
 	"slices"
 	"strings"
@@ -258,7 +259,7 @@
 		if clean != "/" {
 			clean += "/"
 		}
-		if route.Path != clean || !strings.HasPrefix(route.Path, "/") || strings.ContainsAny(route.Path, "?#%\\ \t\r\n") {
+		if route.Path != clean || !strings.HasPrefix(route.Path, "/") || strings.ContainsAny(route.Path, "?#\\ \t\r\n") || !encoded(route.Path) {
 			v.refuse(field+".path", nil, "%q is not a path prefix such as \"/stock/\"", route.Path)
 		}
 		key := strings.ToLower(route.Host) + route.Path
@@ -273,6 +274,12 @@
 	}
 }
 
+// encoded reports whether each percent sign in a path begins an encoded byte (RFC 3986, 2.1).
+func encoded(path string) bool {
+	_, err := url.PathUnescape(path)
+	return err == nil
+}
+
 func (v *validator) parts(field string, route Route) {
 	if len(route.WeightedServices()) == 0 {
 		v.refuse(field+".parts", nil, "must have at least one service with a weight above 0")
