Pass paths on byte for byte

Change: calls, digests of calls with a key and log lines take the target from the request line, and package target writes the request line itself.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -134,7 +134,7 @@
 	return &target.Call{
 		ID:         c.id,
 		Method:     c.request.Method,
-		Path:       c.request.URL.RequestURI(),
+		Path:       c.request.RequestURI,
 		Host:       c.request.Host,
 		Header:     c.request.Header,
 		Body:       c.body,
--- a/entry/call.go
+++ b/entry/call.go
@@ -281,7 +281,7 @@
 
 func (c *call) requestDigest() string {
 	h := sha256.New()
-	io.WriteString(h, c.request.Method+" "+c.request.URL.RequestURI()+"\n")
+	io.WriteString(h, c.request.Method+" "+c.request.RequestURI+"\n")
 	h.Write(c.body)
 	return hex.EncodeToString(h.Sum(nil))
 }
--- a/entry/call_log.go
+++ b/entry/call_log.go
@@ -110,7 +110,7 @@
 		zap.String("text", refusal.Message),
 		zap.String("request", e.protocol.RequestID(r)),
 		zap.String("host", r.Host),
-		zap.String("path", r.URL.Path),
+		zap.String("path", printablePath(r)),
 		zap.Uint64("state", e.snapshot.Load().version),
 	)
 }
--- a/target/conn.go
+++ b/target/conn.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/url"
 	"slices"
-	"strings"
 	"syscall"
 	"time"
 
@@ -55,6 +54,8 @@
 	headBytesLeft int64 // bytes that may still be read for the response head; negative if unlimited
 	req           http.Request
 	url           url.URL
+	path          string // of the request, with its query, as the caller sent it
+	writer        requestWriter
 	header        http.Header
 	body          requestBody
 	// previousID is the ID of the previous attempt, whose response may arrive twice.
@@ -126,18 +127,10 @@
 
 // prepareRequest fills in the request. It replaces all fields left by the previous request.
 func (c *conn) prepareRequest(protocol Protocol, call *Call, host, id string, remaining time.Duration) error {
-	if strings.HasPrefix(call.Path, "//") {
-		// url.URL.RequestURI would put a scheme before an opaque part of this form.
-		u, err := url.ParseRequestURI(call.Path)
-		if err != nil {
-			return err
-		}
-		c.url = *u
-	} else {
-		c.url = url.URL{
-			Opaque: call.Path,
-		}
+	c.url = url.URL{
+		Opaque: "/", // Stands for the path, see requestWriter.
 	}
+	c.path = call.Path
 	copyRequestHeader(c.header, call.Header)
 	protocol.SetRequestHeader(c.header, Attempt{
 		ID:        id,
@@ -177,7 +170,12 @@
 		c.body.Reset(nil)
 		c.beforeWrite, c.reserve = nil, nil
 	}()
-	if err := c.req.Write(c.bw); err != nil {
+	c.writer = requestWriter{
+		Writer: c.bw,
+		method: c.req.Method,
+		path:   c.path,
+	}
+	if err := c.req.Write(&c.writer); err != nil {
 		return err
 	}
 	return c.bw.Flush()
