Route requests whose paths an entry has itself

Cause: paths under /skylarkbeam/ were answered by the entry before the routes were looked at, and at the control address /metrics too, also for calls that another entry forwards.

Change: on a platform with a directory the address for callers has no paths of its own. Forwarded calls are told by their id. check refuses a native route under /skylarkbeam/.

--- a/entry/handlers.go
+++ b/entry/handlers.go
@@ -3,12 +3,17 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strings"
 
 	restful "github.com/emicklei/go-restful/v3"
 )
 
-// callerHandler serves the caller address: the address list under /skylarkbeam/, and calls under all other paths.
+// callerHandler serves the caller address: the address list under /skylarkbeam/ unless the platform has a directory, and
+// calls under all other paths.
 func (e *Entry) callerHandler() http.Handler {
+	if e.opts.NoAddressList {
+		return http.HandlerFunc(e.serveCall)
+	}
 	container := restful.NewContainer()
 	service := new(restful.WebService)
 	service.Path(controlPath).Produces(restful.MIME_JSON)
@@ -18,7 +23,7 @@
 }
 
 // controlHandler serves the control address: requests of other entries and operators under /skylarkbeam/, metrics
-// under /metrics, and calls relayed by other entries under all other paths.
+// under /metrics, and calls relayed by other entries, which have an ID and may have any path.
 func (e *Entry) controlHandler() http.Handler {
 	container := restful.NewContainer()
 	service := new(restful.WebService)
@@ -31,20 +36,23 @@
 	service.Route(service.POST("restore").To(e.serveRestore))
 	container.Add(e.fleet.Service())
 	container.Add(service)
-	relays := routeByPrefix(container, e.serveRelay)
+	system := routeByPrefix(container, e.serveRelay)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/metrics" {
+		switch {
+		case r.Header.Get(headerRequest) != "":
+			e.serveRelay(w, r)
+		case r.URL.Path == "/metrics":
 			e.metrics.WritePrometheus(w)
-			return
+		default:
+			system.ServeHTTP(w, r)
 		}
-		relays.ServeHTTP(w, r)
 	})
 }
 
 // routeByPrefix sends requests under controlPath to one handler and all others to another.
 func routeByPrefix(system http.Handler, calls http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if len(r.URL.Path) >= len(controlPath) && r.URL.Path[:len(controlPath)] == controlPath {
+		if strings.HasPrefix(requestPath(r), controlPath) {
 			system.ServeHTTP(w, r)
 			return
 		}
--- a/entry/headers.go
+++ b/entry/headers.go
@@ -27,5 +27,6 @@
 	outcomeFailed   = "failed"
 )
 
-// controlPath is the prefix of the paths that the entry itself serves. No service can use it.
+// controlPath is the prefix of the paths that the entry itself serves. No service and no route of the settings can use it;
+// a desired state can, see Options.NoAddressList.
 const controlPath = "/skylarkbeam/"
--- a/entry/options.go
+++ b/entry/options.go
@@ -39,6 +39,9 @@
 	// NewFleet returns the entry's connection to the fleet, which then has registered targets only. The default is a
 	// fleet.Fleet that stores its accepted state on Platform.
 	NewFleet func(FleetOptions) Fleet
+	// NoAddressList leaves the address list out at CallerAddress, because the platform tells callers the addresses of
+	// entries. All paths there then belong to routes.
+	NoAddressList bool
 	// ExtraListeners are served beside those for callers and for control, for example for health checks of a
 	// platform.
 	ExtraListeners []ExtraListener
--- a/setting/settings_test.go
+++ b/setting/settings_test.go
@@ -158,6 +158,9 @@
 		"encoded route": faulty("", func(s *Settings) { s.Routes["r"] = route("a.example", "/stays%2Ftides/%C3%A4/", "beds") }),
 		"half encoded route": faulty("routes.r.path: \"/stays%2/\" is not a path prefix such as \"/stock/\"",
 			func(s *Settings) { s.Routes["r"] = route("a.example", "/stays%2/", "beds") }),
+		"own route": faulty("routes.r.path: /skylarkbeam is answered by the entries themselves",
+			func(s *Settings) { s.Routes["r"] = route("a.example", "/skylarkbeam/addresses/", "beds") }),
+		"route named like own": faulty("", func(s *Settings) { s.Routes["r"] = route("a.example", "/skylarkbeams/", "beds") }),
 		"route without weight": faulty("routes.r.parts: must have at least one service with a weight above 0", func(s *Settings) {
 			s.Routes["r"] = route("a.example", "/", "beds")
 			s.Routes["r"].Parts["beds"] = 0
--- a/setting/validator.go
+++ b/setting/validator.go
@@ -262,6 +262,9 @@
 		if route.Path != clean || !strings.HasPrefix(route.Path, "/") || strings.ContainsAny(route.Path, "?#\\ \t\r\n") || !encoded(route.Path) {
 			v.refuse(field+".path", nil, "%q is not a path prefix such as \"/stock/\"", route.Path)
 		}
+		if under(strings.TrimSuffix(route.Path, "/"), ownPath) {
+			v.refuse(field+".path", nil, "%s is answered by the entries themselves", ownPath)
+		}
 		key := strings.ToLower(route.Host) + route.Path
 		if other, ok := seen[key]; ok {
 			v.refuse(field+".path", []string{other + ".path", field + ".host", other + ".host"}, "is also the path of %s", other)
