Write no response after one that was left out

Cause: a response that fails because the connection ends passes on its turn, and the response behind it chose at random between its turn and the end. A caller that had closed only its direction got it as the first one.

Change: a response is written only while the connection has not ended.

--- a/caller/response.go
+++ b/caller/response.go
@@ -101,10 +101,7 @@
 	if r.headed || r.failed != nil {
 		return r.failed
 	}
-	select {
-	case <-r.turn:
-	case <-r.conn.ctx.Done():
-		r.failed = r.conn.ctx.Err()
+	if r.failed = r.awaitTurn(); r.failed != nil {
 		return r.failed
 	}
 	r.writeHead()
@@ -116,6 +113,17 @@
 	return r.write(held)
 }
 
+// awaitTurn waits until the responses before this one have been written. It fails if the connection ends meanwhile, also if
+// the turn has come: then a response before this one was left out, or is still being written, and a caller that closed only
+// its direction of the connection would take this one for that.
+func (r *response) awaitTurn() error {
+	select {
+	case <-r.turn:
+	case <-r.conn.ctx.Done():
+	}
+	return r.conn.ctx.Err()
+}
+
 // writeHead writes the head.
 func (r *response) writeHead() {
 	r.headed = true
@@ -147,9 +155,7 @@
 
 // proceed tells a caller that waits for it to send the body of its request.
 func (r *response) proceed() {
-	select {
-	case <-r.turn:
-	case <-r.conn.ctx.Done():
+	if r.awaitTurn() != nil {
 		return
 	}
 	r.conn.bw.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
