Refuse requests without a valid host

Cause: http.ReadRequest takes any bytes for a host, and accepts an absolute target without a field Host or without a host; RFC 9112, 3.2 asks for 400.

Change: checkHead and normalizeTarget refuse these.

Result: 3 of the 4 new cases of TestAmbiguousHead fail before (a field without a name got 400 already), all pass after.

--- a/caller/head.go
+++ b/caller/head.go
@@ -5,13 +5,14 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
 
 var (
 	errHeadTooLarge = errors.New("the head of the request is too large")
-	errNoHost       = errors.New("the request names no host")
+	errHost         = errors.New("the request names no host")
 	errVersion      = errors.New("the request is not of HTTP/1")
 	errFraming      = errors.New("the request says in two ways how long its body is")
 	errField        = errors.New("the request has a malformed field")
@@ -66,23 +67,37 @@
 	if req.ProtoMajor != 1 {
 		return errVersion
 	}
-	if req.Host == "" && req.ProtoAtLeast(1, 1) {
-		return errNoHost
-	}
-	var encoded, measured bool
+	var encoded, measured, named bool
 	_, fields, _ := bytes.Cut(raw, []byte("\n")) // Behind the request line.
 	for line := range bytes.Lines(fields) {
 		line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+		if len(line) == 0 {
+			break
+		}
 		name, _, _ := bytes.Cut(line, []byte(":"))
 		// White space before a name folds the field before it, and behind a name it hides the field from http.ReadRequest.
-		if bytes.ContainsAny(line, "\r\x00") || bytes.ContainsAny(name, " \t") {
+		if bytes.ContainsAny(name, " \t") || bytes.ContainsAny(line, "\r\x00") {
 			return errField
 		}
 		encoded = encoded || bytes.EqualFold(name, []byte("Transfer-Encoding"))
 		measured = measured || bytes.EqualFold(name, []byte("Content-Length"))
+		named = named || bytes.EqualFold(name, []byte("Host"))
+	}
+	if req.ProtoAtLeast(1, 1) && !named || named && !validHost(req.Host) {
+		return errHost
 	}
 	if encoded && (measured || !req.ProtoAtLeast(1, 1)) {
 		return errFraming
 	}
 	return nil
 }
+
+// validHost reports whether a field Host can be one (RFC 9112, 3.2). What its bytes mean is left to the routes.
+func validHost(host string) bool {
+	for _, b := range []byte(host) {
+		if b <= ' ' || b >= 0x7f {
+			return false
+		}
+	}
+	return host != "" && !strings.ContainsAny(host, "/?#@\\")
+}
--- a/caller/head_test.go
+++ b/caller/head_test.go
@@ -27,6 +27,10 @@
 		"bare CR":             get("/read", "X-Note: a\rContent-Length: 5") + quoted,
 		"NUL":                 get("/read", "X-Note: a\x00b") + quoted,
 		"another version":     strings.Replace(get("/read"), "HTTP/1.1", "HTTP/3.0", 1) + quoted,
+		"nameless field":      get("/read", ": a") + quoted,
+		"host with a path":    "GET /read HTTP/1.1\r\nHost: a.example/b\r\n\r\n" + quoted,
+		"absolute, no field":  "GET http://a.example/read HTTP/1.1\r\n\r\n" + quoted,
+		"absolute, no host":   strings.Replace(get("/read"), "/read", "http:///read", 1) + quoted,
 		"no host":             "GET /read HTTP/1.1\r\n\r\n" + quoted,
 		"two hosts":           get("/read", "Host: b.example") + quoted,
 	}
--- a/caller/target.go
+++ b/caller/target.go
@@ -25,7 +25,7 @@
 		// The absolute form, whose host http.ReadRequest has taken.
 		target = rest[min(len(rest), len(req.URL.Host)):]
 		switch {
-		case !strings.HasPrefix(rest, req.URL.Host):
+		case req.URL.Host == "" || !strings.HasPrefix(rest, req.URL.Host):
 			return errTarget
 		case target == "" && req.Method == http.MethodOptions:
 			return errTarget // Another way to write "*" (RFC 9112, 3.2.4).
