Refuse responses without a valid status

Cause: http.ReadResponse takes 000, 099 and +20 for statuses, and everything below 200 was skipped like an informational response; the body was then read as the response. Statuses of 600 and above reached the caller.

Change: a status that is not from 100 to 599, or is 101, is no response: the outcome is unknown (broken) and the connection is closed.

--- a/target/conn.go
+++ b/target/conn.go
@@ -192,6 +192,13 @@
 	return c.nc.SetReadDeadline(c.deadline)
 }
 
+// validStatus reports whether a response has a status that can be its last or an informational one: three digits from 100
+// to 599 (RFC 9110, 15). http.ReadResponse takes any three bytes that are a number, such as "+20". 101 would end the
+// protocol that the pool speaks.
+func validStatus(resp *http.Response) bool {
+	return resp.StatusCode >= 100 && resp.StatusCode <= 599 && resp.StatusCode != http.StatusSwitchingProtocols
+}
+
 // readResponse reads the head of the response to the prepared request. It skips informational responses.
 func (c *conn) readResponse() (*http.Response, error) {
 	c.headBytesLeft = maxHeadBytes
@@ -204,8 +211,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("target switched protocols")
+		if !validStatus(resp) {
+			return nil, errNoResponse
 		}
 		if resp.StatusCode >= 200 {
 			return resp, nil
