--- a/caller/conn.go
+++ b/caller/conn.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"time"
 
@@ -21,9 +20,11 @@
 	stallTime = 30 * time.Second
 	// lastCall is how long a connection that is to end still reads requests that may be on their way already.
 	lastCall = 5 * time.Millisecond
-	// lingerTime is how long a connection is read after its last response. Closing it with unread bytes would reset it,
-	// and the caller could lose the response.
-	lingerTime = 500 * time.Millisecond
+	// lingerTime is how long a connection is read after its last response, while no bytes come. Closing it with unread
+	// bytes would reset it, and the caller could lose the response. maxLingerTime is the limit for bytes that do come, as
+	// of a body that nobody reads: 64 MB take 2 s at the 256 Mbit/s from which on bodies are not paced.
+	lingerTime    = 500 * time.Millisecond
+	maxLingerTime = 2 * time.Second
 )
 
 // conn is one connection of a caller. One goroutine reads requests, and one for each request writes its response.
@@ -107,8 +108,15 @@
 	if !ok || tcp.CloseWrite() != nil {
 		return
 	}
-	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.Copy(io.Discard, c.nc) // Whatever comes is not answered any more.
+	limit := time.Now().Add(maxLingerTime)
+	for {
+		now := time.Now()
+		_ = c.nc.SetReadDeadline(now.Add(min(lingerTime, limit.Sub(now))))
+		n, err := io.CopyN(io.Discard, c.nc, maxDiscardBytes) // Whatever comes is not answered any more.
+		if err != nil && (n == 0 || !errors.Is(err, os.ErrDeadlineExceeded)) {
+			return
+		}
+	}
 }
 
 // abort ends the connection at once.
@@ -131,7 +139,7 @@
 		return false
 	}
 	limits := c.server.opts.Limits()
-	c.head.left = limits.MaxHeaderBytes
+	c.head.begin(c.br, limits.MaxHeaderBytes)
 	late := time.Now().Add(limits.ReadHeaderTimeout)
 	_ = c.nc.SetReadDeadline(late)
 	req, err := http.ReadRequest(c.br)
@@ -142,10 +150,13 @@
 	if err != nil && !time.Now().Before(late) {
 		err = os.ErrDeadlineExceeded
 	}
-	c.head.left = -1
+	raw := c.head.end(c.br)
 	_ = c.nc.SetReadDeadline(time.Time{})
-	if err == nil && req.Host == "" && req.ProtoAtLeast(1, 1) {
-		err = errNoHost
+	if err == nil {
+		err = checkHead(req, raw)
+	}
+	if err == nil {
+		err = normalizeTarget(req)
 	}
 	if err != nil {
 		c.reject(err)
@@ -158,13 +169,11 @@
 	}
 	body := newBody(req, r)
 	req.Body = body
+	r.request = body
 	c.tasks.Go(func() { c.handle(r, req, body) })
-	select {
-	case <-body.done:
-	case <-c.ctx.Done():
-		return false
-	}
-	return !req.Close
+	// Nothing else reads the connection until then. A connection that is aborted fails the reads of the body.
+	<-body.done
+	return body.whole && !req.Close && c.ctx.Err() == nil
 }
 
 // await waits for the first byte of the next request, and for room to handle it.
@@ -298,84 +307,3 @@
 	r.finish()
 	c.end(r)
 }
-
-var (
-	errHeadTooLarge = errors.New("the head of the request is too large")
-	errNoHost       = errors.New("the request names no host")
-)
-
-// headReader bounds the bytes that are read for a head.
-type headReader struct {
-	src io.Reader
-	// left is what may still be read for the head; negative if there is no limit.
-	left int
-}
-
-// Read implements io.Reader.
-func (h *headReader) Read(p []byte) (int, error) {
-	if h.left < 0 {
-		return h.src.Read(p)
-	}
-	if h.left == 0 {
-		return 0, errHeadTooLarge
-	}
-	n, err := h.src.Read(p[:min(len(p), h.left)])
-	h.left -= n
-	return n, err
-}
-
-// body is the body of a request. The next request on the connection is read once it was read to its end or given up.
-type body struct {
-	src io.ReadCloser
-	// expected says that the caller waits for a sign before it sends the body.
-	expected bool
-	response *response
-	once     sync.Once
-	done     chan struct{}
-}
-
-func newBody(req *http.Request, r *response) *body {
-	b := &body{
-		src:      req.Body,
-		expected: strings.EqualFold(req.Header.Get("Expect"), "100-continue"),
-		response: r,
-		done:     make(chan struct{}),
-	}
-	if req.Body == nil || req.Body == http.NoBody {
-		b.src = http.NoBody
-		b.end()
-	}
-	return b
-}
-
-func (b *body) end() { b.once.Do(func() { close(b.done) }) }
-
-// Read implements io.Reader.
-func (b *body) Read(p []byte) (int, error) {
-	if b.expected {
-		b.expected = false
-		b.response.proceed()
-	}
-	n, err := b.src.Read(p)
-	if err != nil {
-		b.end()
-	}
-	return n, err
-}
-
-// Close reads the rest of the body, so that the next request can be read.
-func (b *body) Close() error {
-	defer b.end()
-	select {
-	case <-b.done:
-		return nil
-	default:
-	}
-	if b.expected {
-		// The caller was never asked for the body and cannot tell whether to send it.
-		b.response.conn.finish()
-		return nil
-	}
-	_, err := io.Copy(io.Discard, b.src)
-	return err
-}
