Count an answer 410 of the store as an answer

recordStoreResult counted feed.ErrCompacted like a call without an answer, so that one failed call and one 410 made a reader detached. It now ends a run of failures. TestMissingHistory fails before the change and passes after it.

--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"skylarkbeam/feed"
@@ -203,7 +204,8 @@
 func (f *Follower) recordStoreResult(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if err == nil || f.ctx.Err() != nil {
+	// Without the history that a watch needs, the store answers nevertheless.
+	if err == nil || errors.Is(err, feed.ErrCompacted) || f.ctx.Err() != nil {
 		f.storeFailures = 0
 	} else {
 		f.storeFailures++
