Use a changed grace period

The entry had the grace period by value from its start, while a reload logged a change as applied. The stop now asks for it when it begins. TestGracePeriodReload fails before the change (a stay of 2 s instead of 0.67 s) and passes after it.

--- a/entry/options.go
+++ b/entry/options.go
@@ -42,8 +42,9 @@
 	// ExtraListeners are served beside those for callers and for control, for example for health checks of a
 	// platform.
 	ExtraListeners []ExtraListener
-	// GracePeriod bounds the duration of a shutdown. With zero, a shutdown lasts until all calls have ended.
-	GracePeriod time.Duration
+	// GracePeriod returns the bound on the duration of a shutdown that begins now. If it is nil or returns zero, a shutdown
+	// lasts until all calls have ended.
+	GracePeriod func() time.Duration
 	// Bandwidth is the bandwidth of the machine's network link in each direction, in bytes per second. With zero,
 	// large bodies are not paced.
 	Bandwidth float64
--- a/entry/server.go
+++ b/entry/server.go
@@ -117,16 +117,16 @@
 	e.leaving.Store(true)
 	e.fleet.Leave()
 	acceptTime := e.AddressTTL() + leavePropagationTime
-	if e.opts.GracePeriod > 0 {
+	if grace := e.gracePeriod(); grace > 0 {
 		// The process is killed at the end of the grace period. A call accepted late in it could not be answered, so
 		// a refused connection is better for callers that still use the address.
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, e.opts.GracePeriod-graceExitMargin)
+		ctx, cancel = context.WithTimeout(ctx, grace-graceExitMargin)
 		defer cancel()
-		acceptTime = min(e.AddressTTL(), e.opts.GracePeriod/graceAcceptDivisor)
-		dispatchEnd := e.timers.Now().Add(time.Duration(graceDispatchFraction * float64(e.opts.GracePeriod)))
+		acceptTime = min(e.AddressTTL(), grace/graceAcceptDivisor)
+		dispatchEnd := e.timers.Now().Add(time.Duration(graceDispatchFraction * float64(grace)))
 		e.dispatchEnd.Store(&dispatchEnd)
-		answer := time.AfterFunc(e.opts.GracePeriod-graceExitMargin-graceAnswerMargin, e.endCalls)
+		answer := time.AfterFunc(grace-graceExitMargin-graceAnswerMargin, e.endCalls)
 		defer answer.Stop()
 		e.callerServer.Drain()
 	}
@@ -143,6 +143,14 @@
 	e.Close()
 }
 
+// gracePeriod returns the bound on the duration of a shutdown that begins now, or zero if there is none.
+func (e *Entry) gracePeriod() time.Duration {
+	if e.opts.GracePeriod == nil {
+		return 0
+	}
+	return e.opts.GracePeriod()
+}
+
 // dispatchEnded reports whether a shutdown has ended the dispatch of calls.
 func (e *Entry) dispatchEnded(now time.Time) bool {
 	end := e.dispatchEnd.Load()
@@ -171,7 +179,7 @@
 func (e *Entry) Close() {
 	e.stopOnce.Do(func() {
 		limit := closeTimeout
-		if e.opts.GracePeriod > 0 {
+		if e.gracePeriod() > 0 {
 			limit = graceExitMargin
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), limit)
