Let entries read the store again after an outage

Entries that an outage had detached never called the store again and followed each other, so the loss of the readers kept an old desired state in force. Whoever is followed now reads the store itself, detachment ends when the store has answered another entry, and a lost reader is noticed within a second.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -25,11 +25,6 @@
 	// peerFetchDelay is how long an entry that learns of a newer table from a peer waits for its own request to
 	// deliver it. It is longer than the delays between requests of this entry and of the reader.
 	peerFetchDelay = 500 * time.Millisecond
-	// stateWatchTimeout limits one watch request for the desired state. Its response shows that the store answers;
-	// when it fails, all other requests to the store are repeated. A reader that is cut off from the store without an
-	// error must notice in time for its followers to learn of each change within 3 s from another reader: it takes one
-	// watch that has just begun, one repeat, and the time that the client of the store allows for each response.
-	stateWatchTimeout = time.Second
 	// startupDelay is how long a process waits after its start before it owns targets. By then it knows the other
 	// members.
 	startupDelay = 1500 * time.Millisecond
@@ -125,9 +120,10 @@
 	// fetching contains the tables that are being fetched from a peer, fetchingMembers is set while the members are.
 	fetching        map[string]bool
 	fetchingMembers bool
-	// storeFailures is the number of consecutive failed calls to the store. attachment is canceled when they make this
-	// entry detached, and then replaced.
-	storeFailures    int
+	// contact is what this entry learns from its calls to the store. attachment is canceled when they make this entry
+	// detached, and then replaced. storeAnsweredAt is when the store last answered another entry.
+	contact          storeContact
+	storeAnsweredAt  time.Time
 	attachment       context.Context
 	cancelAttachment context.CancelFunc
 	// storeLostAt is when consecutive calls of an entry to the store last failed, by failure domain.
@@ -139,6 +135,9 @@
 	// watchRequests holds the watch requests in flight by ID.
 	watchRequests map[int]watchRequest
 	lastWatchID   int
+	// followers is the number of watches of other entries in progress, the last of which ended at followedAt.
+	followers  int
+	followedAt time.Time
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -163,6 +162,13 @@
 	// rowsFailedAt is when the member last failed to answer a request for rows, or a greeting while it was the reader.
 	rowsFailedAt    time.Time
 	greetingPending bool
+	// greetedAt is when this entry last sent a greeting to the member, repliedAt when it last got one from it.
+	greetedAt time.Time
+	repliedAt time.Time
+	// detachedAt is when the member last said whether it reaches the store, detachments how often it did not, each time
+	// after it had been taken for a candidate for a reader.
+	detachedAt  time.Time
+	detachments int
 	// rolls contains the hashes of the member's rolls by failure domain, as of its last greeting.
 	rolls map[string]uint64
 	// greetingRank orders the members as neighbors of this entry, readerRank as readers of the store.
@@ -253,29 +259,6 @@
 
 func (f *Follower) now() time.Time { return f.opt.Timers.Now() }
 
-func (f *Follower) followTable(table *feed.Table) {
-	field := zap.String("table", table.Name())
-	watchTimeout := time.Duration(feed.DefaultWatchTimeout)
-	if table.Name() == f.opt.Tables[0] {
-		watchTimeout = stateWatchTimeout
-	}
-	feed.Follow(f.ctx, feed.Options{
-		WatchTimeout: watchTimeout,
-		Table:        table,
-		Source: upstream{
-			follower: f,
-		},
-		Timers:       f.opt.Timers,
-		BatchDelay:   f.batchDelay,
-		OnChange:     f.rebuild,
-		OnDisconnect: func(err error) { f.log.Warn("the store does not answer", field, zap.Error(err)) },
-		OnReconnect: func(outage time.Duration) {
-			f.log.Info("the store answers again", field, zap.Duration("away", outage))
-		},
-		Logger: f.log,
-	})
-}
-
 // rebuildAfter rebuilds the state after a delay, unless that is about to happen sooner. The caller holds rebuildMu.
 func (f *Follower) rebuildAfter(now time.Time, delay time.Duration) {
 	at := now.Add(delay)
--- a/fleet/follower_test.go
+++ b/fleet/follower_test.go
@@ -227,6 +227,8 @@
 	cut   map[netip.AddrPort]bool
 	// isolated entries neither send nor receive greetings.
 	isolated map[netip.AddrPort]bool
+	// dark entries answer nothing, and requests to them wait for their timeout.
+	dark map[netip.AddrPort]bool
 	// remoteGreetings is the number of greetings between failure domains.
 	remoteGreetings int
 }
@@ -240,7 +242,22 @@
 	return nil, errors.New("cut off")
 }
 
-func (tr *memoryTransport) Greet(_ context.Context, to netip.AddrPort, g *Greeting) (*Greeting, error) {
+// awaitLight waits for the end of ctx if the entry is dark.
+func (tr *memoryTransport) awaitLight(ctx context.Context, to netip.AddrPort) error {
+	tr.mu.Lock()
+	dark := tr.dark[to]
+	tr.mu.Unlock()
+	if dark {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return nil
+}
+
+func (tr *memoryTransport) Greet(ctx context.Context, to netip.AddrPort, g *Greeting) (*Greeting, error) {
+	if err := tr.awaitLight(ctx, to); err != nil {
+		return nil, err
+	}
 	p, err := tr.find(to)
 	if err != nil {
 		return nil, err
@@ -257,7 +274,10 @@
 	return p.replyTo(g), nil
 }
 
-func (tr *memoryTransport) Members(_ context.Context, to netip.AddrPort) (*Roll, error) {
+func (tr *memoryTransport) Members(ctx context.Context, to netip.AddrPort) (*Roll, error) {
+	if err := tr.awaitLight(ctx, to); err != nil {
+		return nil, err
+	}
 	p, err := tr.find(to)
 	if err != nil {
 		return nil, err
@@ -266,6 +286,9 @@
 }
 
 func (tr *memoryTransport) Rows(ctx context.Context, to netip.AddrPort, table string, after uint64, wait time.Duration) (*feed.Batch, error) {
+	if err := tr.awaitLight(ctx, to); err != nil {
+		return nil, err
+	}
 	p, err := tr.find(to)
 	if err != nil {
 		return nil, err
@@ -274,6 +297,9 @@
 		return nil, errors.New("stopped")
 	}
 	b := p.watchRows(ctx, p.tables[table], after, wait)
+	if err := tr.awaitLight(ctx, to); err != nil {
+		return nil, err
+	}
 	return &b, nil
 }
 
@@ -301,6 +327,7 @@
 		peers:    map[netip.AddrPort]*Follower{},
 		cut:      map[netip.AddrPort]bool{},
 		isolated: map[netip.AddrPort]bool{},
+		dark:     map[netip.AddrPort]bool{},
 	}
 }
 
--- a/fleet/followerhttp.go
+++ b/fleet/followerhttp.go
@@ -65,9 +65,8 @@
 		return
 	}
 	wait, err := time.ParseDuration(req.QueryParameter("wait"))
-	if err != nil || wait <= 0 {
-		writeCompressed(resp, table.ChangesSince(after))
-		return
+	if err != nil {
+		wait = 0
 	}
 	writeCompressed(resp, f.watchRows(req.Request.Context(), table, after, wait))
 }
--- a/fleet/greeting.go
+++ b/fleet/greeting.go
@@ -50,6 +50,8 @@
 	// neighbors are the members of the own failure domain that are greeted in this round, one at each step.
 	neighbors []string
 	step      int
+	// readers are the entries that follow the store, as of the beginning of this round or later.
+	readers []string
 	// remoteAt is when the next member of another domain is due. remoteTurn counts those greeted before, from a random
 	// number, because entries that start together would otherwise all greet the same domain.
 	remoteAt   time.Time
@@ -104,7 +106,7 @@
 // greetOnce greets a member that startGreetings has returned.
 func (f *Follower) greetOnce(to peerAddress) {
 	defer f.finishGreeting(to.name)
-	ctx, cancel := context.WithTimeout(f.ctx, peerTimeout)
+	ctx, cancel := context.WithTimeout(f.ctx, f.greetingTimeout(to.name))
 	defer cancel()
 	if err := f.greet(ctx, to); err != nil {
 		f.log.Debug("greeting a peer failed", zap.String("peer", to.name), zap.Error(err))
@@ -120,18 +122,6 @@
 	}
 }
 
-// abandonReader makes the entry follow another reader if it follows this one, which has failed to answer a greeting. Its
-// watch request may otherwise wait for a response until the member counts as silent.
-func (f *Follower) abandonReader(to peerAddress, err error) {
-	f.mu.RLock()
-	follows := f.followsMember(to.name)
-	f.mu.RUnlock()
-	if follows {
-		f.recordPeerFailure(to, err)
-		f.cancelStaleWatches()
-	}
-}
-
 // dueGreetings returns the members to greet at this step, which it marks as being greeted, and whether a round begins.
 func (f *Follower) dueGreetings() (due []peerAddress, newRound bool) {
 	f.mu.Lock()
@@ -142,11 +132,13 @@
 	if newRound {
 		f.updateLosses(now)
 		f.plan.neighbors = f.nearestMembers(now, f.self.Domain, maxNeighbors)
-		names = append(names, f.silentMember(now), f.readerNotGreeted())
+		f.plan.readers = f.readerNames(now)
+		names = append(names, f.silentMember(now))
 	}
 	if i := f.plan.step % maxNeighbors; i < len(f.plan.neighbors) {
 		names = append(names, f.plan.neighbors[i])
 	}
+	names = append(names, f.readersDue(now)...)
 	f.plan.step++
 	if !now.Before(f.plan.remoteAt) {
 		names = append(names, f.nextRemote(now))
@@ -168,6 +160,7 @@
 			continue
 		}
 		m.greetingPending = true
+		m.greetedAt = f.now()
 		list = append(list, peerAddress{
 			name:    name,
 			control: m.record.Control,
@@ -246,17 +239,6 @@
 	return names[f.random.IntN(len(names))]
 }
 
-// readerNotGreeted returns the reader that this entry follows, unless it is one of the neighbors, or "" if there is none.
-// The caller holds the lock.
-func (f *Follower) readerNotGreeted() string {
-	for _, w := range f.watchRequests {
-		if w.reader != "" && !slices.Contains(f.plan.neighbors, w.reader) {
-			return w.reader
-		}
-	}
-	return ""
-}
-
 // nextRemote returns the next member of another failure domain, or "" if there is none. Consecutive greetings go to
 // different domains. The caller holds the lock.
 func (f *Follower) nextRemote(now time.Time) string {
@@ -299,16 +281,6 @@
 	return 3*mean/4 + time.Duration(f.random.Int64N(int64(mean/2)))
 }
 
-// followsMember reports whether this entry watches the rows of the member. The caller holds the lock.
-func (f *Follower) followsMember(name string) bool {
-	for _, w := range f.watchRequests {
-		if w.reader == name {
-			return true
-		}
-	}
-	return false
-}
-
 func laterTime(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -361,12 +333,13 @@
 	defer f.mu.Unlock()
 	now := f.now()
 	g := &Greeting{
-		Entry:  f.opt.Name,
-		Record: f.self,
-		Tables: map[string]uint64{},
-		Heard:  map[string]int{},
-		Ages:   map[string]DomainAges{},
-		Lost:   f.recentStoreLosses(now),
+		Entry:    f.opt.Name,
+		Record:   f.self,
+		Tables:   map[string]uint64{},
+		Heard:    map[string]int{},
+		Ages:     map[string]DomainAges{},
+		Lost:     f.recentStoreLosses(now),
+		Answered: f.storeAnswerAge(now),
 	}
 	if f.leaving {
 		g.Record.State = RecordStateLeaving
@@ -476,9 +449,7 @@
 	if m.record.Domain != g.Record.Domain {
 		f.rolls = nil
 	}
-	for domain, tenths := range g.Lost {
-		f.recordStoreLoss(domain, at.Add(-time.Duration(tenths)*silenceUnit))
-	}
+	f.recordReader(m, g, at)
 	m.record = g.Record
 	m.heardAt = laterTime(m.heardAt, at)
 	m.rolls = g.rolls()
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -83,6 +83,10 @@
 	// When the sender last heard the members, by failure domain.
 	Ages map[string]DomainAges `json:"ages,omitempty,omitzero"`
 
+	// Time since the store last answered the sender, in tenths of a second and at
+	// least 1; absent if that was not a moment ago.
+	Answered int `json:"answered,omitempty,omitzero"`
+
 	// Entry corresponds to the JSON schema field "entry".
 	Entry string `json:"entry"`
 
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -4,29 +4,21 @@
 	"cmp"
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"skylarkbeam/feed"
 )
 
 const (
-	// readerCount is the number of entries that follow the store directly; the others follow these. Calls to the store
-	// are charged, and three readers survive the loss of any two.
-	readerCount = 3
 	// readerTimeout is the silence after which a member no longer counts as a reader.
 	readerTimeout = 2500 * time.Millisecond
 	// peerWatchTimeout limits one watch request to a peer.
 	peerWatchTimeout = 10 * time.Second
 	// peerRetryDelay is how long an entry does not follow a peer that failed to answer.
 	peerRetryDelay = 2 * time.Second
-	// detachAfterFailures is the number of consecutive failed calls to the store after which an entry reports to the
-	// others that it cannot reach the store.
-	detachAfterFailures = 2
 	// peerBatchDelay is the delay between requests to a peer, which are not charged.
 	peerBatchDelay = 20 * time.Millisecond
 )
@@ -49,70 +41,64 @@
 		}
 		f.recordPeerFailure(to, err)
 	}
+	sentAt := f.now()
 	batch, err := f.opt.Store.Read(ctx, table)
-	f.recordStoreResult(err)
+	f.recordStoreResult(sentAt, err)
 	return batch, err
 }
 
 // Watch implements feed.Source.
 func (u upstream) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (feed.Batch, error) {
 	f := u.follower
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	f.awaitSettled(ctx)
-	if to, ok := f.reader(); ok {
-		defer f.trackWatch(to.name, cancel)()
-		ctx, cancel := context.WithTimeout(ctx, peerWatchTimeout+peerTimeout)
-		defer cancel()
-		sentAt := f.now()
-		batch, err := f.opt.Transport.Rows(ctx, to.control, table, after, peerWatchTimeout)
-		if err == nil {
-			if len(batch.Rows) == 0 && f.now().Sub(sentAt) < peerWatchTimeout {
-				f.greetReaders()
-			}
-			return *batch, nil
-		}
-		f.recordPeerFailure(to, err)
-		// Report no change instead of an error, because the peer may just have had none for the whole wait. Nothing is
-		// lost: the next request asks another peer for the changes after the same version.
-		return feed.Batch{
-			Version: after,
-		}, nil
+	watch, cancel := context.WithCancel(ctx)
+	defer cancel()
+	to, ok := f.reader()
+	if ok && !f.isConfirmed(to.name) {
+		f.confirmReaders(ctx)
+		to, ok = f.reader()
+	}
+	if ok {
+		return f.watchReader(ctx, watch, cancel, to, table, after), nil
 	}
 	defer f.trackWatch("", cancel)()
-	batch, err := f.opt.Store.Watch(ctx, table, after, wait)
-	if err != nil && f.ctx.Err() == nil && ctx.Err() != nil {
-		// The request was canceled because this entry is no longer a reader or because another request failed.
+	sentAt := f.now()
+	batch, err := f.opt.Store.Watch(watch, table, after, wait)
+	if err != nil && ctx.Err() == nil && watch.Err() != nil {
+		// The request was canceled because this entry is no longer a reader or because the store may have lost it.
 		return feed.Batch{
 			Version: after,
 		}, nil
 	}
-	f.recordStoreResult(err)
+	f.recordStoreResult(sentAt, err)
 	return batch, err
 }
 
-// watchRows answers the watch request of an entry that follows this one. If this entry loses the store or stops meanwhile,
-// the response comes at once and without a change, so that the other can follow another reader.
-func (f *Follower) watchRows(ctx context.Context, table *feed.Table, after uint64, wait time.Duration) feed.Batch {
-	f.mu.RLock()
-	attachment := f.attachment
-	f.mu.RUnlock()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer context.AfterFunc(attachment, cancel)()
-	return table.Watch(ctx, after, min(wait, peerWatchTimeout))
-}
-
-// greetReaders greets the entries that this one takes for readers, to learn which of them reach the store.
-func (f *Follower) greetReaders() {
-	f.mu.Lock()
-	due := f.startGreetings(f.readerNames(f.now()))
-	f.mu.Unlock()
-	var greetings sync.WaitGroup
-	for _, to := range due {
-		greetings.Go(func() { f.greetOnce(to) })
+// watchReader watches a table of a reader. It reports no change instead of an error, because the reader may just have had
+// none for the whole wait. Nothing is lost: the next request asks another reader for the changes after the same version.
+func (f *Follower) watchReader(
+	ctx, watch context.Context, cancel context.CancelFunc, to peerAddress, table string, after uint64,
+) feed.Batch {
+	untrack := f.trackWatch(to.name, cancel)
+	sentAt := f.now()
+	limited, cancelLimited := context.WithTimeout(watch, peerWatchTimeout+peerTimeout)
+	defer cancelLimited()
+	batch, err := f.opt.Transport.Rows(limited, to.control, table, after, peerWatchTimeout)
+	untrack()
+	switch {
+	case err != nil && watch.Err() == nil:
+		f.recordPeerFailure(to, err)
+	case err == nil && (len(batch.Rows) > 0 || f.now().Sub(sentAt) >= peerWatchTimeout):
+		return *batch
 	}
-	greetings.Wait()
+	// The reader is lost, has lost the store, or is no longer the one to follow.
+	f.confirmReaders(ctx)
+	if err != nil {
+		return feed.Batch{
+			Version: after,
+		}
+	}
+	return *batch
 }
 
 // reader returns the member to follow; ok is false if this entry must call the store itself.
@@ -120,7 +106,7 @@
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	now := f.now()
-	if !f.settled(now) {
+	if !f.settled(now) || f.isFollowed(now) {
 		return peerAddress{}, false
 	}
 	names := f.readerNames(now)
@@ -148,88 +134,29 @@
 	return slices.Contains(f.readerNames(now), f.opt.Name)
 }
 
-// readerNames returns the entries that follow the store, from the point of view of this entry: those with the lowest
-// ranks among the entries that are heard and reach the store. The first of each failure domain comes first, because the
-// others in the domain follow it and traffic between domains is charged. The caller holds the lock.
+// readerNames returns the entries that follow the store, from the point of view of this entry, which are chosen among the
+// entries that are heard. The caller holds the lock.
 func (f *Follower) readerNames(now time.Time) []string {
-	type candidate struct {
-		name, domain string
-		rank         uint64
-	}
-	var attached, all []candidate
-	add := func(c candidate, detached bool) {
-		all = append(all, c)
-		if !detached {
-			attached = append(attached, c)
-		}
-	}
+	var candidates []readerCandidate
 	if !f.leaving {
-		add(candidate{
-			name:   f.opt.Name,
-			domain: f.self.Domain,
-			rank:   readerRank(f.opt.Name),
-		}, f.self.Detached)
+		candidates = append(candidates, readerCandidate{
+			name:     f.opt.Name,
+			domain:   f.self.Domain,
+			rank:     readerRank(f.opt.Name),
+			detached: f.contact.gaveUp(),
+		})
 	}
 	for name, m := range f.members {
 		if m.record.State == RecordStateActive && now.Sub(m.heardAt) < readerTimeout && now.Sub(m.rowsFailedAt) >= peerRetryDelay {
-			add(candidate{
-				name:   name,
-				domain: m.record.Domain,
-				rank:   m.readerRank,
-			}, m.record.Detached)
-		}
-	}
-	if len(attached) > 0 {
-		all = attached
-	}
-	slices.SortFunc(all, func(a, b candidate) int { return cmp.Compare(a.rank, b.rank) })
-	domains := map[string]bool{}
-	var first, rest []string
-	for _, c := range all {
-		if domains[c.domain] {
-			rest = append(rest, c.name)
-		} else {
-			domains[c.domain] = true
-			first = append(first, c.name)
-		}
-	}
-	list := append(first, rest...)
-	return list[:min(len(list), readerCount)]
-}
-
-// readerRank orders the entries as readers of the store, alike at all entries.
-func readerRank(name string) uint64 { return xxhash.Sum64String("reader\x00" + name) }
-
-// recordStoreResult records the result of a call to the store.
-func (f *Follower) recordStoreResult(err error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	// Without the history that a watch needs, the store answers nevertheless.
-	if err == nil || errors.Is(err, feed.ErrCompacted) || f.ctx.Err() != nil {
-		f.storeFailures = 0
-	} else {
-		f.storeFailures++
-	}
-	if f.storeFailures == 1 {
-		// The store may have lost the other requests in flight, so they are repeated.
-		for _, w := range f.watchRequests {
-			if w.reader == "" {
-				w.cancel()
-			}
-		}
-	}
-	detached := f.storeFailures >= detachAfterFailures
-	if detached {
-		f.recordStoreLoss(f.self.Domain, f.now())
-	}
-	if detached != f.self.Detached {
-		f.self.Detached = detached
-		if detached {
-			f.cancelAttachment()
-			f.attachment, f.cancelAttachment = context.WithCancel(f.ctx)
+			candidates = append(candidates, readerCandidate{
+				name:     name,
+				domain:   m.record.Domain,
+				rank:     m.readerRank,
+				detached: f.isDetached(m, now),
+			})
 		}
-		f.log.Info("contact with the store changed", zap.Bool("detached", detached))
 	}
+	return chooseReaders(candidates)
 }
 
 // recordPeerFailure records that a peer did not answer.
@@ -245,30 +172,6 @@
 	}
 }
 
-// trackWatch records a watch request to the named reader, or to the store if the name is empty, so that it can be
-// canceled when another reader is to be used. The returned function removes the record.
-func (f *Follower) trackWatch(name string, cancel context.CancelFunc) func() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.lastWatchID++
-	id := f.lastWatchID
-	f.watchRequests[id] = watchRequest{
-		reader: name,
-		cancel: cancel,
-	}
-	return func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		delete(f.watchRequests, id)
-	}
-}
-
-// watchRequest is a watch request in flight. The reader is empty if it goes to the store.
-type watchRequest struct {
-	reader string
-	cancel context.CancelFunc
-}
-
 // cancelStaleWatches cancels the watch requests that do not go to the current reader.
 func (f *Follower) cancelStaleWatches() {
 	to, _ := f.reader()
--- a/fleet/upstream_test.go
+++ b/fleet/upstream_test.go
@@ -177,12 +177,12 @@
 	return b, err
 }
 
-// Guards against a change that entries learn of later than 3 s after its acknowledgment because the readers are cut off from
+// Guards against a change that entries learn of later than 2 s after its acknowledgment because the readers are cut off from
 // the store without an error. Load: all three readers of 20 entries lose the store right before the change, at any time of
 // their watches.
 func TestReadersLoseStore(t *testing.T) {
-	const entries, bound = 20, 3 * time.Second
-	for at := 5 * time.Second; at < 7*time.Second; at += 400 * time.Millisecond {
+	const entries, bound = 20, 2 * time.Second
+	for at := 5 * time.Second; at < 7*time.Second; at += 100 * time.Millisecond {
 		t.Run(at.String(), func(t *testing.T) {
 			simulation.Run(t, func(t *testing.T) {
 				store := newMemoryStore("op", "servers", "entries")
