Repeat watches that the store may have lost

An outage that ended right after the first failed call left a watch of the registry that the store did not know of and that was trusted for 15 s. Watches are now also repeated at the first answer after a failure, and when an answer names a newer version of the store than the watch should know of.

--- /dev/null
+++ b/fleet/lostwatch_test.go
@@ -0,0 +1,68 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkbeam/simulation"
+)
+
+// learnTime is the time within which all entries must learn of a change of the registry. The rest of testDrainTime is left
+// for the calls that are on their way to a target that leaves.
+const learnTime = testDrainTime - 500*time.Millisecond
+
+// checkLearned changes the registry and checks that all entries learn of it within learnTime.
+func checkLearned(t *testing.T, store *outageStore, list []*Follower, key string) {
+	t.Helper()
+	store.set("servers", key, "x")
+	time.Sleep(learnTime)
+	for _, f := range list {
+		known := slices.ContainsFunc(f.State().RegisteredTargets, func(r RegisteredTarget) bool { return r.Name == key })
+		assert.Check(t, known, "%s has not learned of %s", f.opt.Name, key)
+	}
+}
+
+// Guards against watches of the registry that an outage has made the store forget and that entries wait for: requests reach
+// targets that have left. Load: silent outages of each length that the client of the store can tell apart, after a
+// change at which the readers began their watches together.
+func TestOutageLosesWatches(t *testing.T) {
+	for length := 100 * time.Millisecond; length <= 4*time.Second; length += 20 * time.Millisecond {
+		t.Run(fmt.Sprint(length), func(t *testing.T) {
+			simulation.Run(t, func(t *testing.T) {
+				store := newOutageStore(newMemoryStore("op", "servers", "entries"))
+				_, list := startFollowers(t, 6, func(int) Store { return store })
+				time.Sleep(7 * time.Second)
+				store.set("op", "config", "1")
+				time.Sleep(1600 * time.Millisecond)
+				store.begin(true)
+				time.Sleep(length)
+				store.end()
+				// Entries are connected 3 s after the end of the outage.
+				time.Sleep(3 * time.Second)
+				checkLearned(t, store, list, "i-1")
+				checkLearned(t, store, list, "i-2")
+			})
+		})
+	}
+}
+
+// Guards against a watch that is lost without an outage, such as by an outage that ends before another call is made: no
+// call fails, so only the version of the store shows it. The store forgets the watches of the registry at any time between
+// two answers.
+func TestLostWatches(t *testing.T) {
+	for after := time.Duration(0); after < 1500*time.Millisecond; after += 100 * time.Millisecond {
+		t.Run(fmt.Sprint(after), func(t *testing.T) {
+			simulation.Run(t, func(t *testing.T) {
+				store := newOutageStore(newMemoryStore("op", "servers", "entries"))
+				_, list := startFollowers(t, 6, func(int) Store { return store })
+				time.Sleep(5*time.Second + after)
+				store.lose("servers")
+				checkLearned(t, store, list, "i-1")
+			})
+		})
+	}
+}
--- a/fleet/outage_test.go
+++ b/fleet/outage_test.go
@@ -19,12 +19,12 @@
 		_, list := startFollowers(t, 1, func(int) Store { return store })
 		f := list[0]
 		time.Sleep(3 * time.Second)
-		f.recordStoreResult(f.now(), errors.New("down"))
-		f.recordStoreResult(f.now(), errors.Wrap(feed.ErrCompacted, "watch"))
+		f.recordStoreResult(f.now(), feed.Batch{}, errors.New("down"))
+		f.recordStoreResult(f.now(), feed.Batch{}, errors.Wrap(feed.ErrCompacted, "watch"))
 		assert.Assert(t, !f.self.Detached)
-		f.recordStoreResult(f.now(), errors.New("down"))
+		f.recordStoreResult(f.now(), feed.Batch{}, errors.New("down"))
 		assert.Assert(t, !f.self.Detached, "the failures are not consecutive")
-		f.recordStoreResult(f.now(), errors.New("down"))
+		f.recordStoreResult(f.now(), feed.Batch{}, errors.New("down"))
 		assert.Assert(t, f.self.Detached)
 	})
 }
--- a/fleet/storecontact.go
+++ b/fleet/storecontact.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"skylarkbeam/feed"
+)
 
 const (
 	// detachAfterFailures is the number of consecutive failed calls to the store after which an entry leaves the reading
@@ -29,13 +33,18 @@
 	detached    bool
 	detachedAt  time.Time
 	detachments int
+	// version is the latest version of the store that an answer has named.
+	version uint64
 }
 
-// recordAnswer records an answer.
-func (c *storeContact) recordAnswer(now time.Time) {
+// recordAnswer records an answer and reports whether calls had failed before it.
+func (c *storeContact) recordAnswer(now time.Time) (recovered bool) {
+	recovered = c.failures > 0
 	*c = storeContact{
 		answeredAt: now,
+		version:    c.version,
 	}
+	return recovered
 }
 
 // recordFailure records the failure of a call that was sent at a time, and reports whether it is the first one.
@@ -69,3 +78,23 @@
 	c.detached = false
 	return true
 }
+
+// recordVersion records the version of the store in an answer, and reports whether the store has changes that the answer
+// does not have: versions increase by one with each transaction, whatever the table.
+func (c *storeContact) recordVersion(b feed.Batch) (missing bool) {
+	known := c.version
+	if b.Version <= known {
+		return false
+	}
+	c.version = b.Version
+	if known == 0 || b.Whole {
+		return false
+	}
+	seen := map[uint64]bool{}
+	for _, row := range b.Rows {
+		if row.Version > known {
+			seen[row.Version] = true
+		}
+	}
+	return uint64(len(seen)) < b.Version-known
+}
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -4,22 +4,48 @@
 	"context"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"skylarkbeam/feed"
 )
 
-// stateWatchTimeout limits one watch request for the desired state. Its response shows that the store answers; when it fails,
-// all other requests to the store are repeated. With the time that the client of the store allows for a response, a reader
-// that is cut off without an error notices 1.7 s after a change at the latest, which leaves its followers 0.3 s of the 2 s
-// within which the change must be in force.
-const stateWatchTimeout = time.Second
+// A watch that the store has lost cannot be told from one without changes. Three signs show that a watch may be lost:
+//
+//   - Another call to the store fails: all watches are sent again.
+//   - A call is answered after others have failed: all watches are sent again, because those that were sent while the
+//     store was out of reach are lost although the connection lives.
+//   - An answer names a version of the store that is newer than the watch, and the changes up to it are not known: the
+//     watch is sent again after watchGrace. The watch of the desired state is answered at least every stateWatchTimeout,
+//     also without a change, so the watches of all other tables can be long.
+//
+// In calm, none of them costs a call.
+
+const (
+	// stateWatchTimeout limits one watch request for the desired state. Its response shows that the store answers, and
+	// which version it has. A change is noticed stateWatchTimeout, watchGrace and one call after it at the latest, or, if
+	// that watch is lost as well, when the client of the store gives it up after 1.7 s. Both leave time of the 2 s after
+	// which a target that leaves must not get requests.
+	stateWatchTimeout = time.Second
+	// watchGrace is how long the answer of a watch may be later than the answer of another one. Answers to different
+	// connections arrive within milliseconds of each other.
+	watchGrace = 200 * time.Millisecond
+)
 
 // watchRequest is a watch request in flight. The reader is empty if it goes to the store.
 type watchRequest struct {
 	reader string
 	cancel context.CancelFunc
+	// version is the version of the store that was known when the request was sent, wait the time for which it waits for
+	// a change.
+	version uint64
+	wait    time.Duration
+}
+
+// repeatedWatches counts the watches that were sent again by their reason.
+func repeatedWatches(set *metrics.Set, reason string) *metrics.Counter {
+	return set.GetOrCreateCounter(`skylarkbeam_store_watches_repeated_total{reason="` + reason + `"}`)
 }
 
 func (f *Follower) followTable(table *feed.Table) {
@@ -46,7 +72,7 @@
 }
 
 // recordStoreResult records the result of a call to the store.
-func (f *Follower) recordStoreResult(sentAt time.Time, err error) {
+func (f *Follower) recordStoreResult(sentAt time.Time, batch feed.Batch, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
@@ -55,11 +81,15 @@
 		return
 	case err == nil, errors.Is(err, feed.ErrCompacted):
 		// Without the history that a watch needs, the store answers nevertheless.
-		f.contact.recordAnswer(now)
+		if f.contact.recordAnswer(now) {
+			f.repeatWatches("recovered", func(watchRequest) bool { return true })
+		}
+		if err == nil && f.contact.recordVersion(batch) {
+			f.checkWatches(batch.Version)
+		}
 	default:
 		if f.contact.recordFailure(now, sentAt) {
-			// The store may have lost the other requests in flight.
-			f.cancelWatchesTo("")
+			f.repeatWatches("failure", func(watchRequest) bool { return true })
 		}
 		if f.contact.gaveUp() {
 			f.recordStoreLoss(f.self.Domain, now)
@@ -81,16 +111,44 @@
 	f.log.Info("contact with the store changed", zap.Bool("detached", f.self.Detached))
 }
 
+// checkWatches repeats the watches that should have returned the changes up to a version of the store and have not done so
+// within watchGrace. The caller holds the lock.
+func (f *Follower) checkWatches(version uint64) {
+	outdated := func(w watchRequest) bool { return w.wait > stateWatchTimeout && w.version < version }
+	for _, w := range f.watchRequests {
+		if w.reader == "" && outdated(w) {
+			time.AfterFunc(watchGrace, func() {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.repeatWatches("outdated", outdated)
+			})
+			return
+		}
+	}
+}
+
+// repeatWatches cancels watches at the store, which are then sent again. The caller holds the lock.
+func (f *Follower) repeatWatches(reason string, match func(watchRequest) bool) {
+	for _, w := range f.watchRequests {
+		if w.reader == "" && match(w) {
+			repeatedWatches(f.opt.Metrics, reason).Inc()
+			w.cancel()
+		}
+	}
+}
+
 // trackWatch records a watch request to the named reader, or to the store if the name is empty, so that it can be
 // canceled when another reader is to be used. The returned function removes the record.
-func (f *Follower) trackWatch(name string, cancel context.CancelFunc) func() {
+func (f *Follower) trackWatch(name string, wait time.Duration, cancel context.CancelFunc) func() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lastWatchID++
 	id := f.lastWatchID
 	f.watchRequests[id] = watchRequest{
-		reader: name,
-		cancel: cancel,
+		reader:  name,
+		cancel:  cancel,
+		version: f.contact.version,
+		wait:    wait,
 	}
 	return func() {
 		f.mu.Lock()
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -43,7 +43,7 @@
 	}
 	sentAt := f.now()
 	batch, err := f.opt.Store.Read(ctx, table)
-	f.recordStoreResult(sentAt, err)
+	f.recordStoreResult(sentAt, batch, err)
 	return batch, err
 }
 
@@ -61,7 +61,7 @@
 	if ok {
 		return f.watchReader(ctx, watch, cancel, to, table, after), nil
 	}
-	defer f.trackWatch("", cancel)()
+	defer f.trackWatch("", wait, cancel)()
 	sentAt := f.now()
 	batch, err := f.opt.Store.Watch(watch, table, after, wait)
 	if err != nil && ctx.Err() == nil && watch.Err() != nil {
@@ -70,7 +70,7 @@
 			Version: after,
 		}, nil
 	}
-	f.recordStoreResult(sentAt, err)
+	f.recordStoreResult(sentAt, batch, err)
 	return batch, err
 }
 
@@ -79,7 +79,7 @@
 func (f *Follower) watchReader(
 	ctx, watch context.Context, cancel context.CancelFunc, to peerAddress, table string, after uint64,
 ) feed.Batch {
-	untrack := f.trackWatch(to.name, cancel)
+	untrack := f.trackWatch(to.name, peerWatchTimeout, cancel)
 	sentAt := f.now()
 	limited, cancelLimited := context.WithTimeout(watch, peerWatchTimeout+peerTimeout)
 	defer cancelLimited()
