Check what an entry concludes from its calls to the store

A whole table accounts for no change of others, so the watches are checked after it as well. The first of each failure domain by rank is chosen among the readers that are left. TestStoreContact, TestStoreVersions and TestChooseReaders pass.

--- a/fleet/readerchoice.go
+++ b/fleet/readerchoice.go
@@ -32,9 +32,6 @@
 // among all if none does. The first of each failure domain comes first, because the others in the domain follow it and
 // traffic between domains is charged.
 func chooseReaders(candidates []readerCandidate) []string {
-	slices.SortFunc(candidates, func(a, b readerCandidate) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.name, b.name))
-	})
 	candidates = spreadDomains(candidates)
 	candidates = candidates[:min(len(candidates), maxReaderCandidates)]
 	attached := slices.DeleteFunc(slices.Clone(candidates), func(c readerCandidate) bool { return c.detached })
@@ -48,8 +45,11 @@
 	return names
 }
 
-// spreadDomains moves the first candidate of each failure domain to the front.
+// spreadDomains sorts the candidates by rank, the first of each failure domain before all others.
 func spreadDomains(candidates []readerCandidate) []readerCandidate {
+	slices.SortFunc(candidates, func(a, b readerCandidate) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.name, b.name))
+	})
 	domains := map[string]bool{}
 	var first, rest []readerCandidate
 	for _, c := range candidates {
--- a/fleet/storecontact.go
+++ b/fleet/storecontact.go
@@ -88,7 +88,8 @@
 	}
 	c.version = b.Version
 	if known == 0 || b.Whole {
-		return false
+		// A whole table does not have its deletions.
+		return known > 0
 	}
 	seen := map[uint64]bool{}
 	for _, row := range b.Rows {
