End calls that certainly do not run when their callers disconnect

A call now has a second context, which ends with its caller, for everything that it waits for while it runs nowhere: load reads, the queue, another target after a refusal, a connection, another entry. An attempt leaves it when its first byte is written. A retry that was taken for such a call is returned to the bucket that it was taken from. The log line of a caller that left says where the call waited, and skylarkbeam_callers_gone_total counts it.

A call with a key that is forwarded to another entry still continues, because the claim is held here and its outcome would stay unknown.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -49,8 +49,10 @@
 	m.BeforeWrite = e.dispatchRefusal
 	m.Reserve = permit.Reserve
 	m.Repeat = c.isRetry || retry
+	stop := func() {}
 	finish := func(r route.Result, running bool) {
 		release()
+		stop()
 		now := e.timers.Now()
 		r.Latency = now.Sub(start)
 		e.metrics.recordAttempt(c.service.name, r.Latency)
@@ -78,9 +80,13 @@
 		// If the pool sent a second copy after a first-byte timeout, both copies would run at once.
 		m.Idempotent = false
 		return e.attemptDetached(ctx, deadline, func(ctx context.Context) outcome.Outcome {
+			ctx, stop = c.endWithCaller(ctx, m)
 			return settle(ctx, p.Send(ctx, m))
 		})
 	}
+	if !c.idempotent {
+		ctx, stop = c.endWithCaller(ctx, m)
+	}
 	return settle(ctx, p.Send(ctx, m))
 }
 
--- a/entry/call.go
+++ b/entry/call.go
@@ -44,6 +44,10 @@
 	// when the call has its response.
 	baseCtx context.Context
 	cancel  context.CancelFunc
+	// waiting is the context while the call certainly does not run anywhere. It ends when the caller disconnects. place is
+	// where the call waits then.
+	waiting context.Context
+	place   place
 	tried   []string
 	// triedArray backs tried, to avoid an allocation for most calls.
 	triedArray [2]string
@@ -162,16 +166,10 @@
 	case outcome.Leaving:
 		return leavingRefusal()
 	}
-	ctx := c.request.Context()
-	if !c.idempotent && c.key != "" {
-		// A caller that disconnects retries the call and then gets the recorded response. If the call were canceled,
-		// its outcome would stay unknown.
-		ctx = context.WithoutCancel(ctx)
-	}
-	c.baseCtx = ctx
-	ctx, c.cancel = context.WithDeadline(ctx, c.deadline)
-	defer c.cancel()
-	finish, refusal := e.admit(ctx, c)
+	ctx, release := c.setContexts(c.request.Context())
+	defer release()
+	c.place = c.waitPlace()
+	finish, refusal := e.admit(c.waiting, c)
 	if refusal != nil {
 		return refusal
 	}
@@ -179,12 +177,6 @@
 	if !c.idempotent && !c.relayed && c.key != "" {
 		return e.handleClaimed(ctx, w, c)
 	}
-	if !c.idempotent {
-		// From here on the call may run. Canceling it when the caller disconnects could leave it partially run.
-		c.baseCtx = context.WithoutCancel(ctx)
-		ctx, c.cancel = context.WithDeadline(c.baseCtx, c.deadline)
-		defer c.cancel()
-	}
 	switch o := e.runCall(ctx, c).(type) {
 	case *response:
 		e.writeResponse(w, c, o)
@@ -237,6 +229,9 @@
 
 // handleClaimed runs a non-idempotent call under a claim.
 func (e *Entry) handleClaimed(ctx context.Context, w http.ResponseWriter, c *call) *Refusal {
+	c.place = placeClaim
+	// The claim is acquired also if the caller leaves meanwhile: a write to the table that is cut off may have been
+	// performed, and the key would stay claimed.
 	switch d := e.claims.Acquire(ctx, c.claimKey(), c.requestDigest()).(type) {
 	case *claim.Granted:
 		c.claim = d.Claim
--- a/entry/call_log.go
+++ b/entry/call_log.go
@@ -87,8 +87,12 @@
 	if refusal.NotRun() {
 		msg = msgRefused
 	}
+	waiting := zap.Skip()
 	if c.request.Context().Err() != nil {
 		msg = msgGone
+		if refusal.NotRun() {
+			waiting = e.recordGone(c)
+		}
 	}
 	e.logCall(zapcore.InfoLevel, c, msg, func() []zap.Field {
 		return []zap.Field{
@@ -97,6 +101,7 @@
 			zap.Int32("runs", c.runs.Load()),
 			zap.Int("attempts", len(c.tried)),
 			zap.String("text", refusal.Message),
+			waiting,
 		}
 	})
 }
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -13,6 +13,7 @@
 // returns the first complete response, or the outcome of the first attempt.
 func (e *Entry) attemptWithHedge(ctx context.Context, c *call, permit *route.Permit) outcome.Outcome {
 	c.tried = append(c.tried, permit.Target)
+	c.place = placeConnection
 	retry := c.unknownReason != ""
 	delay, ok := e.table.HedgeDelay(c.service.name, permit.Estimate)
 	if !c.idempotent || c.isRetry || !ok || c.policy.attempts < 2 {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -36,6 +36,8 @@
 	invalidLimits   *metrics.Counter
 	targetsLeaving  *metrics.Counter
 	targetPauses    *metrics.Counter
+	// callersGone counts calls that did not run because their callers left, by where they waited.
+	callersGone map[place]*metrics.Counter
 }
 
 // Results of load reads, as label values.
@@ -71,6 +73,10 @@
 		targetsLeaving:  set.NewCounter("skylarkbeam_targets_leaving_total"),
 		targetPauses:    set.NewCounter("skylarkbeam_target_pauses_total"),
 		invalidLimits:   set.NewCounter("skylarkbeam_invalid_limits_total"),
+		callersGone:     map[place]*metrics.Counter{},
+	}
+	for _, at := range places {
+		m.callersGone[at] = set.NewCounter(fmt.Sprintf("skylarkbeam_callers_gone_total{waiting=%q}", at))
 	}
 	for _, result := range []string{loadReadAnswered, loadReadLate, loadReadOverBudget} {
 		m.loadReads[result] = set.NewCounter(fmt.Sprintf("skylarkbeam_load_reads_total{result=%q}", result))
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -28,8 +28,14 @@
 // this entry may not use any target, for example after a restart of the whole deployment, when all targets are cold.
 // It returns notRun if no other entry can help.
 func (e *Entry) relayCall(ctx context.Context, c *call, notRun *outcome.NotRun, peers []fleet.Member) outcome.Outcome {
+	if c.key == "" {
+		// The other entry ends the call when its connection is closed, unless the call may run. With a key, this entry
+		// would not learn which, and the key would stay claimed.
+		ctx = c.waiting
+	}
 	for _, m := range peers {
-		if ctx.Err() != nil {
+		c.place = placeRelay
+		if c.waiting.Err() != nil {
 			break
 		}
 		e.metrics.relays.Inc()
--- a/entry/run.go
+++ b/entry/run.go
@@ -49,7 +49,7 @@
 
 // runLocally is runCall without relaying the call to other entries.
 func (e *Entry) runLocally(ctx context.Context, c *call) outcome.Outcome {
-	permit, reason := e.pickFirst(ctx, c)
+	permit, reason := e.pickFirst(c)
 	if permit == nil {
 		return &outcome.NotRun{
 			Reason:     reason,
@@ -73,9 +73,9 @@
 		}
 		if e.exemptFromRetryBudget(retryReason) && c.unsentAttempts < maxUnsentRetries {
 			c.unsentAttempts++
-			permit, _ = e.pickFirst(ctx, c)
+			permit, _ = e.pickFirst(c)
 		} else {
-			permit = e.pickRetry(ctx, c)
+			permit = e.pickRetry(c)
 		}
 		if permit == nil {
 			return result
@@ -102,13 +102,13 @@
 
 // pickFirst selects the target for the first attempt, or for a retry that is exempt from the retry budget. It waits
 // while all targets are at capacity, because admission has established that the call can still meet its deadline.
-func (e *Entry) pickFirst(ctx context.Context, c *call) (*route.Permit, outcome.Reason) {
+func (e *Entry) pickFirst(c *call) (*route.Permit, outcome.Reason) {
 	if permit := c.permit; permit != nil {
 		c.permit = nil
 		return permit, ""
 	}
 	if c.snapshot.registered {
-		permit, refusal := e.waitForTarget(ctx, c)
+		permit, refusal := e.waitForTarget(c.waiting, c)
 		if refusal != nil {
 			return nil, refusal.Reason
 		}
@@ -124,26 +124,31 @@
 			return nil, outcome.Deadline
 		}
 		wait := time.NewTimer(capacityPollInterval)
+		c.place = c.waitPlace()
 		select {
 		case <-wait.C:
-		case <-ctx.Done():
+		case <-c.waiting.Done():
 			wait.Stop()
+			if c.gone() {
+				return nil, outcome.Canceled
+			}
 			return nil, outcome.Deadline
 		}
 	}
 }
 
 // pickRetry selects the target for another attempt. It returns nil if there is to be none.
-func (e *Entry) pickRetry(ctx context.Context, c *call) *route.Permit {
+func (e *Entry) pickRetry(c *call) *route.Permit {
 	now := e.timers.Now()
-	if ctx.Err() != nil || !now.Before(c.deadline) || !c.hasAttemptsLeft() || e.dispatchRefusal(now) != "" {
+	if c.waiting.Err() != nil || !now.Before(c.deadline) || !c.hasAttemptsLeft() || e.dispatchRefusal(now) != "" {
 		return nil
 	}
 	if c.snapshot.registered {
 		if !e.table.SpendRetry(now, c.service.name) {
 			return nil
 		}
-		permit, _ := e.waitForTarget(ctx, c)
+		permit, _ := e.waitForTarget(c.waiting, c)
+		e.refund(c, now, permit)
 		return permit
 	}
 	return e.table.Retry(now, c.service.name, c.query(now))
--- a/entry/service_queue.go
+++ b/entry/service_queue.go
@@ -74,6 +74,7 @@
 	queued := c.queuedCall(now, e.table.ServiceTime(q.service, c.query(now)))
 	q.RecordArrival(now, queued)
 	if q.Len() == 0 {
+		c.place = placeLoad
 		permit, reason := e.readLoadsAndChoose(ctx, c)
 		if permit != nil {
 			return permit, nil
@@ -82,6 +83,7 @@
 			return nil, e.placementRefusal(c, reason)
 		}
 	}
+	c.place = c.waitPlace()
 	q.SetExpectedThroughput(e.table.ExpectedThroughput(now, q.service, c.query(now)))
 	waiter, refusal := q.Enqueue(e.timers.Now(), queued)
 	if refusal != nil {
@@ -135,6 +137,9 @@
 // readLoadsAndChoose refreshes the load of the targets that may be chosen, and chooses one.
 func (e *Entry) readLoadsAndChoose(ctx context.Context, c *call) (*route.Permit, outcome.Reason) {
 	e.refreshLoads(ctx, c)
+	if ctx.Err() == context.Canceled {
+		return nil, outcome.Canceled
+	}
 	return e.chooseTarget(c)
 }
 
