--- a/caller/conn.go
+++ b/caller/conn.go
@@ -95,6 +95,7 @@
 	defer c.server.ended(c)
 	for c.next() {
 	}
+	c.server.opts.Memory.ReleaseBytes(time.Now(), memory.Heads, c.head.memory.take())
 	c.watch()
 	if c.ctx.Err() == nil {
 		c.linger()
@@ -218,7 +219,7 @@
 			// A caller that always has a request on its way would be served until the process ends.
 			return false
 		case err == nil:
-			return true
+			return c.reserveRequest()
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			// The caller has gone, so nobody reads the responses that are still to come.
 			c.cancel()
--- a/caller/reading.go
+++ b/caller/reading.go
@@ -27,14 +27,24 @@
 	// within this time.
 	abandonBytes = 16 << 20
 	abandonTime  = 2 * time.Second
+	// pauseNoticed is how late the end of a sender's time must be noticed to show that this process did not run. A busy
+	// machine delays a goroutine by tens of milliseconds.
+	pauseNoticed = 200 * time.Millisecond
+	// freeRequests is the number of open requests of a connection that its own memory covers, and requestBytes what each
+	// further one reserves: a head, and a body or a response that waits.
+	freeRequests = 2
+	requestBytes = 2 * memory.FreeBytes
+	// retryReserve is the pause until a connection that waits for memory for a further request asks again.
+	retryReserve = 10 * time.Millisecond
 )
 
 // headMemory is the memory that the head of a request holds.
 type headMemory struct {
 	budget *memory.Budget
-	// most is the largest head; held is what is reserved.
-	most int
-	held int64
+	// most is the largest head; held is what is reserved for the head, and request for a request beside open ones.
+	most    int
+	held    int64
+	request int64
 }
 
 // reserve reserves memory for the largest head once a head is larger than what is free. left is what may still be read.
@@ -49,10 +59,34 @@
 	return true
 }
 
+// reserveRequest reserves memory for a further request beside open ones. The connection is not read while there is none, unless
+// few requests are open. It returns false if the connection has ended.
+func (c *conn) reserveRequest() bool {
+	for {
+		c.mu.Lock()
+		open := c.open
+		c.mu.Unlock()
+		if open < freeRequests {
+			return true
+		}
+		if c.server.opts.Memory.TryReserve(memory.Heads, requestBytes) {
+			c.head.memory.request = requestBytes
+			return true
+		}
+		pause := time.NewTimer(retryReserve)
+		select {
+		case <-pause.C:
+		case <-c.ctx.Done():
+			pause.Stop()
+			return false
+		}
+	}
+}
+
 // take returns what is reserved for the head that was read last.
 func (m *headMemory) take() int64 {
-	held := m.held
-	m.held = 0
+	held := m.held + m.request
+	m.held, m.request = 0, 0
 	return held
 }
 
@@ -66,21 +100,34 @@
 
 // Read implements io.Reader.
 func (w *bodyWatch) Read(p []byte) (int, error) {
+	for {
+		n, late, err := w.read(p)
+		if !late {
+			return n, err
+		}
+		// This process did not run for a while, so the bytes may have been there in time.
+		w.progress = memory.Progress{}
+	}
+}
+
+// read reads once. late reports whether the end of the time was noticed so late that the sender is not to blame.
+func (w *bodyWatch) read(p []byte) (n int, late bool, err error) {
 	start := time.Now()
 	limit := start.Add(w.progress.Left())
-	late := !w.until.IsZero() && w.until.Before(limit)
-	if late {
+	ends := !w.until.IsZero() && w.until.Before(limit)
+	if ends {
 		limit = w.until
 	}
 	if err := w.nc.SetReadDeadline(limit); err != nil {
-		return 0, err
+		return 0, false, err
 	}
-	n, err := w.nc.Read(p)
-	w.progress.Record(n, time.Since(start))
-	if errors.Is(err, os.ErrDeadlineExceeded) && !late {
-		err = ErrSlow
+	n, err = w.nc.Read(p)
+	now := time.Now()
+	w.progress.Record(n, now.Sub(start))
+	if ends || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, false, err
 	}
-	return n, err
+	return n, n == 0 && now.Sub(limit) > pauseNoticed, ErrSlow
 }
 
 // SetReadDeadline sets the time after which the body of the request is no longer waited for. It may be called by the handler
