--- a/caller/reading.go
+++ b/caller/reading.go
@@ -25,7 +25,7 @@
 	// abandonBytes and abandonTime bound what is read from a caller that still sends a body after the response to it and
 	// the end of the connection. A caller that does not read a response before it has sent everything gets it if it reads
 	// within this time.
-	abandonBytes = 16 << 20
+	abandonBytes = 4 << 20
 	abandonTime  = 2 * time.Second
 	// pauseNoticed is how late the end of a sender's time must be noticed to show that this process did not run. A busy
 	// machine delays a goroutine by tens of milliseconds.
--- a/entry/gone_test.go
+++ b/entry/gone_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"skylarkbeam/fleet"
+	"skylarkbeam/memory"
 	"skylarkbeam/outcome"
 	"skylarkbeam/target"
 )
@@ -81,3 +84,52 @@
 		assert.Assert(t, time.Since(began) < 5*time.Second)
 	}
 }
+
+// Guards against a booking that waits at another entry after its caller has disconnected: the other entry learns of it by the
+// end of the connection. With a key, the claim is held here, so the call goes on.
+func TestGoneForwarded(t *testing.T) {
+	for _, key := range []string{"", "k1"} {
+		arrived, ended := make(chan struct{}), make(chan struct{})
+		server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			close(arrived)
+			select {
+			case <-r.Context().Done():
+				close(ended)
+			case <-time.After(500 * time.Millisecond):
+			}
+		}))
+		defer server.Close()
+		e := bodyEntry(memory.DeriveLimits(defaultMemory))
+		e.peerPools = map[string]*peerPool{}
+		caller, leave := context.WithCancel(context.Background())
+		defer leave()
+		c := &call{
+			request:  httptest.NewRequestWithContext(caller, http.MethodPost, "/book/1", nil),
+			key:      key,
+			deadline: time.Now().Add(10 * time.Second),
+			place:    placeQueue,
+			snapshot: &snapshot{},
+		}
+		ctx, release := c.setContexts(caller)
+		defer release()
+		go func() {
+			<-arrived
+			leave()
+		}()
+		e.relayCall(ctx, c, &outcome.NotRun{
+			Reason: outcome.Cold,
+		}, []fleet.Member{
+			{
+				Name:    "entry-2",
+				Control: netip.MustParseAddrPort(server.Listener.Addr().String()),
+			},
+		})
+		assert.Equal(t, c.place, placeRelay)
+		select {
+		case <-ended:
+			assert.Equal(t, key, "", "the call with a key was cut off")
+		case <-time.After(time.Second):
+			assert.Assert(t, key != "", "the call goes on at the other entry")
+		}
+	}
+}
