Close connections whose requests do not arrive when there are too many

With as many half-sent bodies of a few bytes as there may be connections, each counted as a request and every new connection was closed. The one whose only request has been arriving for the longest time is closed instead; it has not run. A connection that ends while its body is read is no longer read by two goroutines (found by the race detector in TestConnectionLimit/body).

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -60,6 +60,8 @@
 	// many.
 	idleSince time.Time
 	evicted   bool
+	// receivingSince is the time since which the body of the last request is awaited; zero if none is.
+	receivingSince time.Time
 
 	// abandoned says that a body was not read to its end.
 	abandoned atomic.Bool
@@ -183,6 +185,7 @@
 	c.head.body = &bodyWatch{
 		nc: c.nc,
 	}
+	c.setReceiving(time.Now())
 	c.tasks.Go(func() {
 		defer release()
 		c.handle(r, req, body)
@@ -190,7 +193,10 @@
 	select {
 	case <-body.done:
 		c.head.body = nil
+		c.setReceiving(time.Time{})
 	case <-c.ctx.Done():
+		// The handler may be reading the body, which fails now. Nothing else may read the connection meanwhile.
+		<-body.done
 		return false
 	}
 	return !req.Close && !body.abandoned.Load()
--- a/caller/reading.go
+++ b/caller/reading.go
@@ -202,28 +202,49 @@
 }
 
 // evict returns the connection to close when a new one exceeds the limit: the one that has been without a request for the
-// longest time, or nil if all have one. The caller holds the lock of the server.
+// longest time, or else the one whose only request has been arriving for the longest time. It returns nil if all have one that
+// may run. The caller holds the lock of the server.
 func (s *Server) evict() *conn {
 	limit := s.opts.Memory.MaxConnections()
 	if limit == 0 || len(s.conns) < limit {
 		return nil
 	}
-	var longest *conn
-	var since time.Time
+	var idlest, slowest *conn
+	var idleSince, receivingSince time.Time
 	for c := range s.conns {
-		idle, from := c.idle()
-		if idle && (longest == nil || from.Before(since)) {
-			longest, since = c, from
+		idle, receiving := c.waitsSince()
+		if !idle.IsZero() && (idlest == nil || idle.Before(idleSince)) {
+			idlest, idleSince = c, idle
 		}
+		if !receiving.IsZero() && (slowest == nil || receiving.Before(receivingSince)) {
+			slowest, receivingSince = c, receiving
+		}
+	}
+	if idlest != nil {
+		return idlest
+	}
+	return slowest
+}
+
+// waitsSince returns since when the connection has been without a request, or since when the body of its only request has been
+// arriving. Both are zero if a request may run.
+func (c *conn) waitsSince() (idle, receiving time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.evicted:
+	case c.open == 0:
+		idle = c.idleSince
+	case c.open == 1:
+		receiving = c.receivingSince
 	}
-	return longest
+	return idle, receiving
 }
 
-// idle reports whether no request has been read whose response is not written, and since when.
-func (c *conn) idle() (bool, time.Time) {
+func (c *conn) setReceiving(since time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.open == 0 && !c.evicted, c.idleSince
+	c.receivingSince = since
 }
 
 // room makes room for a new connection. It returns false if there is none.
--- a/caller/reading_test.go
+++ b/caller/reading_test.go
@@ -63,8 +63,18 @@
 	})
 }
 
-// Guards against connections without a request that keep others out, and against a request that is cut to make room.
+// Guards against connections without a request, or with one that does not arrive, that keep others out, and against a request
+// that is cut to make room.
 func TestConnectionLimit(t *testing.T) {
+	for name, half := range map[string]string{
+		"head": "GET / HT",
+		"body": "POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 100\r\n\r\nabc",
+	} {
+		t.Run(name, func(t *testing.T) { testConnectionLimit(t, half) })
+	}
+}
+
+func testConnectionLimit(t *testing.T, half string) {
 	limits := small()
 	limits.Connections = 5
 	release := make(chan struct{})
@@ -72,6 +82,7 @@
 		if r.URL.Path == "/slow" {
 			<-release
 		}
+		_, _ = io.Copy(io.Discard, r.Body) // Half a body is never whole.
 		fmt.Fprint(w, "whole")
 	})
 	busy := dial(t, address)
@@ -80,7 +91,7 @@
 	var idle []net.Conn
 	for range 20 {
 		c := dial(t, address)
-		fmt.Fprint(c, "GET / HT") // Half a head.
+		fmt.Fprint(c, half)
 		idle = append(idle, c)
 	}
 	c := dial(t, address)
--- a/entry/body.go
+++ b/entry/body.go
@@ -98,15 +98,19 @@
 	if refusal := b.reserve(int64(n)); refusal != nil {
 		return refusal
 	}
-	// The caller may have left, or not have begun to send, when the reservation was granted.
-	var first [512]byte
-	read, err := io.ReadAtLeast(b.call.request.Body, first[:min(n, len(first))], 1)
-	if err != nil {
-		return b.readRefusal(err)
+	var first []byte
+	if n > memory.SmallBody {
+		// The caller may have left, or not have begun to send, when the reservation was granted.
+		first = make([]byte, firstPiece)
+		read, err := io.ReadAtLeast(b.call.request.Body, first, 1)
+		if err != nil {
+			return b.readRefusal(err)
+		}
+		first = first[:read]
 	}
 	body := b.allocate(n)
-	copy(body, first[:read])
-	if _, err := io.ReadFull(b.call.request.Body, body[read:]); err != nil {
+	copy(body, first)
+	if _, err := io.ReadFull(b.call.request.Body, body[len(first):]); err != nil {
 		return b.readRefusal(err)
 	}
 	b.call.body.add(body)
