--- a/caller/body.go
+++ b/caller/body.go
@@ -8,13 +8,6 @@
 	"time"
 )
 
-const (
-	// maxDiscardBytes and discardTime bound what is read of a body after its response, so that the connection can carry
-	// the next request. A new connection costs less than reading more.
-	maxDiscardBytes = 256 << 10
-	discardTime     = time.Second
-)
-
 // body is the body of a request. Bytes behind it are read as the next request only if the body was read to its end.
 // Otherwise nothing tells where it ends, and the connection is closed after the response (RFC 9112, 9.3 and 9.6).
 //
@@ -102,12 +95,10 @@
 	}
 	whole := false
 	if !b.expected && b.length-b.read <= maxDiscardBytes {
-		nc := b.response.conn.nc
-		_ = nc.SetReadDeadline(time.Now().Add(discardTime))
+		_ = b.response.SetReadDeadline(time.Now().Add(discardTime))
 		// One byte more, because the copy sees the end of the body only when it reads beyond it.
 		_, err := io.CopyN(io.Discard, b.src, maxDiscardBytes+1)
 		whole = err == io.EOF
-		_ = nc.SetReadDeadline(time.Time{})
 	}
 	b.end(whole)
 	return nil
--- a/caller/conn.go
+++ b/caller/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"skylarkbeam/memory"
 )
 
 const (
@@ -54,6 +56,12 @@
 	last *response
 	// turn is closed when the response to the last request has been written.
 	turn chan struct{}
+	// idleSince is the time since which open is 0. evicted says that the connection is being closed because there are too
+	// many.
+	idleSince time.Time
+	evicted   bool
+	// receivingSince is the time since which the body of the last request is awaited; zero if none is.
+	receivingSince time.Time
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
@@ -64,11 +72,16 @@
 		head: &headReader{
 			src:  nc,
 			left: -1,
+			memory: headMemory{
+				budget: s.opts.Memory,
+			},
 		},
 		ctx:    ctx,
 		cancel: cancel,
 		slots:  make(chan struct{}, s.opts.MaxConcurrentRequests),
 		turn:   make(chan struct{}),
+
+		idleSince: time.Now(),
 	}
 	c.br = bufio.NewReaderSize(c.head, bufferSize)
 	c.bw = bufio.NewWriterSize(nc, bufferSize)
@@ -81,6 +94,7 @@
 	defer c.server.ended(c)
 	for c.next() {
 	}
+	c.server.opts.Memory.ReleaseBytes(time.Now(), memory.Heads, c.head.memory.take())
 	c.watch()
 	if c.ctx.Err() == nil {
 		c.linger()
@@ -108,15 +122,7 @@
 	if !ok || tcp.CloseWrite() != nil {
 		return
 	}
-	limit := time.Now().Add(maxLingerTime)
-	for {
-		now := time.Now()
-		_ = c.nc.SetReadDeadline(now.Add(min(lingerTime, limit.Sub(now))))
-		n, err := io.CopyN(io.Discard, c.nc, maxDiscardBytes) // Whatever comes is not answered any more.
-		if err != nil && (n == 0 || !errors.Is(err, os.ErrDeadlineExceeded)) {
-			return
-		}
-	}
+	c.drain()
 }
 
 // abort ends the connection at once.
@@ -140,6 +146,7 @@
 	}
 	limits := c.server.opts.Limits()
 	c.head.begin(c.br, limits.MaxHeaderBytes)
+	c.head.memory.most = limits.MaxHeaderBytes
 	late := time.Now().Add(limits.ReadHeaderTimeout)
 	_ = c.nc.SetReadDeadline(late)
 	req, err := http.ReadRequest(c.br)
@@ -147,6 +154,11 @@
 	if err != nil && c.head.left == 0 {
 		err = errHeadTooLarge
 	}
+	if c.head.refused {
+		err = errNoMemory
+	}
+	held := c.head.memory.take()
+	release := func() { c.server.opts.Memory.ReleaseBytes(time.Now(), memory.Heads, held) }
 	if err != nil && !time.Now().Before(late) {
 		err = os.ErrDeadlineExceeded
 	}
@@ -160,19 +172,30 @@
 	}
 	if err != nil {
 		c.reject(err)
+		release()
 		return false
 	}
 	req.RemoteAddr = c.nc.RemoteAddr().String()
 	r := c.begin(req)
 	if r == nil {
+		release()
 		return false
 	}
 	body := newBody(req, r)
 	req.Body = body
 	r.request = body
-	c.tasks.Go(func() { c.handle(r, req, body) })
+	c.head.body = &bodyWatch{
+		nc: c.nc,
+	}
+	c.setReceiving(time.Now())
+	c.tasks.Go(func() {
+		defer release()
+		c.handle(r, req, body)
+	})
 	// Nothing else reads the connection until then. A connection that is aborted fails the reads of the body.
 	<-body.done
+	c.head.body = nil
+	c.setReceiving(time.Time{})
 	return body.whole && !req.Close && c.ctx.Err() == nil
 }
 
@@ -199,7 +222,7 @@
 			// A caller that always has a request on its way would be served until the process ends.
 			return false
 		case err == nil:
-			return true
+			return c.reserveRequest()
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			// The caller has gone, so nobody reads the responses that are still to come.
 			c.cancel()
@@ -275,10 +298,12 @@
 
 // end notes that a response was written and starts the idle time if it was the last one.
 func (c *conn) end(r *response) {
+	r.releaseHeld()
 	close(r.written)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open--
+	c.idleSince = time.Now()
 	c.arm()
 }
 
@@ -288,6 +313,8 @@
 	switch {
 	case errors.Is(err, errHeadTooLarge):
 		status = http.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, errNoMemory):
+		status = http.StatusServiceUnavailable
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		status = http.StatusRequestTimeout
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
@@ -303,6 +330,10 @@
 	if r == nil {
 		return
 	}
+	if status == http.StatusServiceUnavailable {
+		// Heads are held for as long as their calls take, most for less than a second.
+		r.Header().Set("Retry-After", "1")
+	}
 	http.Error(r, http.StatusText(status), status)
 	r.finish()
 	c.end(r)
--- a/caller/head.go
+++ b/caller/head.go
@@ -28,16 +28,28 @@
 	left int
 	// seen are the bytes that were read since the head began, and those that were buffered then.
 	seen []byte
+	// memory is what heads hold. refused says that there was none for the head.
+	memory  headMemory
+	refused bool
+	// body bounds the time of a body that is being read; nil between bodies.
+	body *bodyWatch
 }
 
 // Read implements io.Reader.
 func (h *headReader) Read(p []byte) (int, error) {
+	if h.left < 0 && h.body != nil {
+		return h.body.Read(p)
+	}
 	if h.left < 0 {
 		return h.src.Read(p)
 	}
 	if h.left == 0 {
 		return 0, errHeadTooLarge
 	}
+	if !h.memory.reserve(h.left) {
+		h.refused = true
+		return 0, errNoMemory
+	}
 	n, err := h.src.Read(p[:min(len(p), h.left)])
 	h.left -= n
 	h.seen = append(h.seen, p[:n]...)
--- /dev/null
+++ b/caller/reading.go
@@ -0,0 +1,249 @@
+package caller
+
+import (
+	"io"
+	"net"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"skylarkbeam/memory"
+)
+
+// ErrSlow is returned by reads of a body whose sender delivers less than memory.Progress requires.
+var ErrSlow = errors.New("the body of the request arrives too slowly")
+
+// errNoMemory is the error of a head for which no memory is left.
+var errNoMemory = errors.New("no memory is left for the head of the request")
+
+const (
+	// maxDiscardBytes and discardTime bound the rest of a body that is read after the response, to keep the connection. A new
+	// connection costs less.
+	maxDiscardBytes = 256 << 10
+	discardTime     = time.Second
+	// abandonBytes bounds what is read from a caller that still sends a body after the response to it and the end of the
+	// connection. A body of 64 MB is the largest one of usual limits, and simple clients send it whole before they read.
+	abandonBytes = 64 << 20
+	// pauseNoticed is how late the end of a sender's time must be noticed to show that this process did not run. A busy
+	// machine delays a goroutine by tens of milliseconds.
+	pauseNoticed = 200 * time.Millisecond
+	// freeRequests is the number of open requests of a connection that its own memory covers, and requestBytes what each
+	// further one reserves: a head, and a body or a response that waits.
+	freeRequests = 2
+	requestBytes = 2 * memory.FreeBytes
+	// retryReserve is the pause until a connection that waits for memory for a further request asks again.
+	retryReserve = 10 * time.Millisecond
+)
+
+// headMemory is the memory that the head of a request holds.
+type headMemory struct {
+	budget *memory.Budget
+	// most is the largest head; held is what is reserved for the head, and request for a request beside open ones.
+	most    int
+	held    int64
+	request int64
+}
+
+// reserve reserves memory for the largest head once a head is larger than what is free. left is what may still be read.
+func (m *headMemory) reserve(left int) bool {
+	if m.held > 0 || m.most-left < memory.FreeBytes {
+		return true
+	}
+	if !m.budget.TryReserve(memory.Heads, int64(m.most)) {
+		return false
+	}
+	m.held = int64(m.most)
+	return true
+}
+
+// reserveRequest reserves memory for a further request beside open ones. The connection is not read while there is none, unless
+// few requests are open. It returns false if the connection has ended.
+func (c *conn) reserveRequest() bool {
+	for {
+		c.mu.Lock()
+		open := c.open
+		c.mu.Unlock()
+		if open < freeRequests {
+			return true
+		}
+		if c.server.opts.Memory.TryReserve(memory.Heads, requestBytes) {
+			c.head.memory.request = requestBytes
+			return true
+		}
+		pause := time.NewTimer(retryReserve)
+		select {
+		case <-pause.C:
+		case <-c.ctx.Done():
+			pause.Stop()
+			return false
+		}
+	}
+}
+
+// take returns what is reserved for the head that was read last.
+func (m *headMemory) take() int64 {
+	held := m.held + m.request
+	m.held, m.request = 0, 0
+	return held
+}
+
+// bodyWatch bounds the time for which the bytes of a body are waited for.
+type bodyWatch struct {
+	nc       net.Conn
+	progress memory.Progress
+	// until is the time after which the body is of no use; zero if there is none.
+	until time.Time
+}
+
+// Read implements io.Reader.
+func (w *bodyWatch) Read(p []byte) (int, error) {
+	for {
+		n, late, err := w.read(p)
+		if !late {
+			return n, err
+		}
+		// This process did not run for a while, so the bytes may have been there in time.
+		w.progress = memory.Progress{}
+	}
+}
+
+// read reads once. late reports whether the end of the time was noticed so late that the sender is not to blame.
+func (w *bodyWatch) read(p []byte) (n int, late bool, err error) {
+	start := time.Now()
+	limit := start.Add(w.progress.Left())
+	ends := !w.until.IsZero() && w.until.Before(limit)
+	if ends {
+		limit = w.until
+	}
+	if err := w.nc.SetReadDeadline(limit); err != nil {
+		return 0, false, err
+	}
+	n, err = w.nc.Read(p)
+	now := time.Now()
+	w.progress.Record(n, now.Sub(start))
+	if ends || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, false, err
+	}
+	return n, n == 0 && now.Sub(limit) > pauseNoticed, ErrSlow
+}
+
+// SetReadDeadline sets the time after which the body of the request is no longer waited for. It may be called by the handler
+// before it reads the body.
+func (r *response) SetReadDeadline(t time.Time) error {
+	if w := r.conn.head.body; w != nil {
+		w.until = t
+	}
+	return nil
+}
+
+// drain reads what a caller still sends after the last response, and discards it. It ends after a pause of lingerTime. A
+// caller that does not read a response before it has sent the whole body gets more time, within abandonBytes.
+func (c *conn) drain() {
+	limit, left := time.Now().Add(maxLingerTime), int64(abandonBytes)
+	for left > 0 {
+		now := time.Now()
+		_ = c.nc.SetReadDeadline(now.Add(min(lingerTime, limit.Sub(now))))
+		n, err := io.CopyN(io.Discard, c.nc, min(left, maxDiscardBytes)) // Whatever comes is not answered any more.
+		if err != nil && (n == 0 || !errors.Is(err, os.ErrDeadlineExceeded)) {
+			return
+		}
+		left -= n
+	}
+}
+
+// mayHold reports whether n more bytes of a response may be held until its turn.
+func (r *response) mayHold(n int) bool {
+	total := len(r.held) + n
+	if total > holdLimit {
+		return false
+	}
+	if total <= memory.FreeBytes || int64(total) <= r.reserved {
+		return true
+	}
+	// Room for what usually follows, so that each part does not reserve again.
+	more := min(max(int64(total), 2*r.reserved), holdLimit) - r.reserved
+	if !r.conn.server.opts.Memory.TryReserve(memory.Responses, more) {
+		return false
+	}
+	r.reserved += more
+	return true
+}
+
+// releaseHeld returns the memory of what was held.
+func (r *response) releaseHeld() {
+	r.conn.server.opts.Memory.ReleaseBytes(time.Now(), memory.Responses, r.reserved)
+	r.reserved = 0
+}
+
+// evict returns the connection to close when a new one exceeds the limit: the one that has been without a request for the
+// longest time, or else the one whose only request has been arriving for the longest time. It returns nil if all have one that
+// may run. The caller holds the lock of the server.
+func (s *Server) evict() *conn {
+	limit := s.opts.Memory.MaxConnections()
+	if limit == 0 || len(s.conns) < limit {
+		return nil
+	}
+	var idlest, slowest *conn
+	var idleSince, receivingSince time.Time
+	for c := range s.conns {
+		idle, receiving := c.waitsSince()
+		if !idle.IsZero() && (idlest == nil || idle.Before(idleSince)) {
+			idlest, idleSince = c, idle
+		}
+		if !receiving.IsZero() && (slowest == nil || receiving.Before(receivingSince)) {
+			slowest, receivingSince = c, receiving
+		}
+	}
+	if idlest != nil {
+		return idlest
+	}
+	return slowest
+}
+
+// waitsSince returns since when the connection has been without a request, or since when the body of its only request has been
+// arriving. Both are zero if a request may run.
+func (c *conn) waitsSince() (idle, receiving time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.evicted:
+	case c.open == 0:
+		idle = c.idleSince
+	case c.open == 1:
+		receiving = c.receivingSince
+	}
+	return idle, receiving
+}
+
+func (c *conn) setReceiving(since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.receivingSince = since
+}
+
+// room makes room for a new connection. It returns false if there is none.
+func (s *Server) room() bool {
+	s.mu.Lock()
+	limit := s.opts.Memory.MaxConnections()
+	full := limit > 0 && len(s.conns) >= limit
+	victim := s.evict()
+	if victim != nil {
+		victim.mu.Lock()
+		victim.evicted = true
+		victim.mu.Unlock()
+	}
+	s.mu.Unlock()
+	if !full {
+		return true
+	}
+	s.closedFull.Add(1)
+	if victim == nil {
+		return false
+	}
+	victim.abort()
+	return true
+}
+
+// ClosedFull returns the number of connections that were closed because there were too many.
+func (s *Server) ClosedFull() uint64 { return s.closedFull.Load() }
--- a/entry/call.go
+++ b/entry/call.go
@@ -31,7 +31,7 @@
 	caller        string
 	key           string
 	request       *http.Request
-	body          []byte
+	body          requestBody
 	deadline      time.Time
 	// idempotent calls may run more than once.
 	idempotent bool
@@ -44,6 +44,10 @@
 	// when the call has its response.
 	baseCtx context.Context
 	cancel  context.CancelFunc
+	// waiting is the context while the call certainly does not run anywhere. It ends when the caller disconnects. place is
+	// where the call waits then.
+	waiting context.Context
+	place   place
 	tried   []string
 	// triedArray backs tried, to avoid an allocation for most calls.
 	triedArray [2]string
@@ -77,6 +81,11 @@
 		w.Header().Set(headerRequest, id)
 	}
 	c, refusal := e.parseCall(start, r, relayed)
+	if refusal == nil {
+		var release func()
+		release, refusal = e.receiveBody(w, c)
+		defer release()
+	}
 	if refusal == nil {
 		refusal = e.handleCall(w, c)
 	}
@@ -133,25 +142,7 @@
 	if !c.idempotent && c.key == "" && !relayed && policy.requiresKey {
 		return nil, notRunRefusal(outcome.KeyMissing, 0, "a call with method "+r.Method+" needs the header "+headerKey)
 	}
-	return c, e.readBody(c)
-}
-
-func (e *Entry) readBody(c *call) *Refusal {
-	if c.request.Body == nil || c.request.ContentLength == 0 {
-		return nil
-	}
-	limit := c.snapshot.settings.Limits.Body
-	body, err := io.ReadAll(io.LimitReader(c.request.Body, int64(limit)+1))
-	if err != nil {
-		return notRunRefusal(outcome.Invalid, 0, "the request body could not be read")
-	}
-	if len(body) > limit {
-		refusal := notRunRefusal(outcome.Invalid, 0, "the request body is larger than limits.body")
-		refusal.Status = http.StatusRequestEntityTooLarge
-		return refusal
-	}
-	c.body = body
-	return nil
+	return c, nil
 }
 
 // handleCall admits a call, runs it and writes its response. A returned refusal has not been written yet.
@@ -162,16 +153,10 @@
 	case outcome.Leaving:
 		return leavingRefusal()
 	}
-	ctx := c.request.Context()
-	if !c.idempotent && c.key != "" {
-		// A caller that disconnects retries the call and then gets the recorded response. If the call were canceled,
-		// its outcome would stay unknown.
-		ctx = context.WithoutCancel(ctx)
-	}
-	c.baseCtx = ctx
-	ctx, c.cancel = context.WithDeadline(ctx, c.deadline)
-	defer c.cancel()
-	finish, refusal := e.admit(ctx, c)
+	ctx, release := c.setContexts(c.request.Context())
+	defer release()
+	c.place = c.waitPlace()
+	finish, refusal := e.admit(c.waiting, c)
 	if refusal != nil {
 		return refusal
 	}
@@ -179,12 +164,6 @@
 	if !c.idempotent && !c.relayed && c.key != "" {
 		return e.handleClaimed(ctx, w, c)
 	}
-	if !c.idempotent {
-		// From here on the call may run. Canceling it when the caller disconnects could leave it partially run.
-		c.baseCtx = context.WithoutCancel(ctx)
-		ctx, c.cancel = context.WithDeadline(c.baseCtx, c.deadline)
-		defer c.cancel()
-	}
 	switch o := e.runCall(ctx, c).(type) {
 	case *response:
 		e.writeResponse(w, c, o)
@@ -237,6 +216,9 @@
 
 // handleClaimed runs a non-idempotent call under a claim.
 func (e *Entry) handleClaimed(ctx context.Context, w http.ResponseWriter, c *call) *Refusal {
+	c.place = placeClaim
+	// The claim is acquired also if the caller leaves meanwhile: a write to the table that is cut off may have been
+	// performed, and the key would stay claimed.
 	switch d := e.claims.Acquire(ctx, c.claimKey(), c.requestDigest()).(type) {
 	case *claim.Granted:
 		c.claim = d.Claim
@@ -282,6 +264,8 @@
 func (c *call) requestDigest() string {
 	h := sha256.New()
 	io.WriteString(h, c.request.Method+" "+c.request.RequestURI+"\n")
-	h.Write(c.body)
+	for _, piece := range c.body.pieces {
+		h.Write(piece)
+	}
 	return hex.EncodeToString(h.Sum(nil))
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -40,6 +40,9 @@
 	rolloutReports        *metrics.Counter
 	rolloutReportFailures *metrics.Counter
 	rolloutStoreCalls     *metrics.Counter
+	// callersGone counts calls that did not run because their callers left, by where they waited.
+	callersGone map[place]*metrics.Counter
+	collections *metrics.Counter
 }
 
 // Results of load reads, as label values.
@@ -79,6 +82,11 @@
 		rolloutReports:        set.NewCounter("skylarkbeam_rollout_reports_total"),
 		rolloutReportFailures: set.NewCounter("skylarkbeam_rollout_report_failures_total"),
 		rolloutStoreCalls:     set.NewCounter("skylarkbeam_rollout_store_calls_total"),
+		callersGone:           map[place]*metrics.Counter{},
+		collections:           set.NewCounter("skylarkbeam_memory_collections_total"),
+	}
+	for _, at := range places {
+		m.callersGone[at] = set.NewCounter(fmt.Sprintf("skylarkbeam_callers_gone_total{waiting=%q}", at))
 	}
 	for _, result := range []string{loadReadAnswered, loadReadLate, loadReadOverBudget} {
 		m.loadReads[result] = set.NewCounter(fmt.Sprintf("skylarkbeam_load_reads_total{result=%q}", result))
