Give the stand-in for targets versions that are bad in part

The fault of a stand-in applied to each of its calls. It can now apply to a fraction of them and to one path, and the stand-in has a version, by flags and under /standin/. The tests of both packages pass.

--- a/cmd/standin-target/main.go
+++ b/cmd/standin-target/main.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -74,6 +75,17 @@
 	flags.DurationVar((*time.Duration)(&c.ColdDuration), "cold", 0, "how long a target is cold after its start")
 	flags.DurationVar((*time.Duration)(&c.ServiceTime), "work", time.Millisecond, "how long a call runs")
 	flags.DurationVar((*time.Duration)(&c.LoadReportAge), "stale", 0, "age of what load reads return")
+	flags.StringVar(&c.Version, "version", "", "`version` of the software that the targets stand for")
+	flags.Float64Var(&c.Slowdown, "slow", 1, "factor of the time that a call runs")
+	flags.Func("fault", "`name` of the fault of calls, as under /standin/", func(name string) error {
+		if !slices.Contains(standin.Faults, standin.Fault(name)) {
+			return errors.Newf("fault %q does not exist", name)
+		}
+		c.Fault = standin.Fault(name)
+		return nil
+	})
+	flags.Float64Var(&c.FaultShare, "share", 0, "fraction of the calls with the fault, 0 for all")
+	flags.StringVar(&c.FaultPath, "path", "", "beginning of the `path` of calls with the fault")
 	flags.BoolVar(&c.DiscardRuns, "forget", false, "do not record the runs of each call, which needs memory")
 	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("STANDIN")); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
--- a/cmd/standin-target/main_test.go
+++ b/cmd/standin-target/main_test.go
@@ -19,7 +19,9 @@
 	defer cancel()
 	r, w := io.Pipe()
 	ended := make(chan error, 1)
-	go func() { ended <- run(ctx, []string{"a=127.0.0.1:0", "b=127.0.0.1:0"}, w, io.Discard) }()
+	go func() {
+		ended <- run(ctx, []string{"-version=v2", "-fault=error", "-share=0.3", "-path=/b/", "-slow=2", "a=127.0.0.1:0", "b=127.0.0.1:0"}, w, io.Discard)
+	}()
 	lines := bufio.NewScanner(r)
 	for _, want := range []string{"a", "b"} {
 		assert.Assert(t, lines.Scan())
@@ -31,6 +33,7 @@
 		assert.NilError(t, err)
 		assert.NilError(t, resp.Body.Close())
 		assert.Assert(t, strings.Contains(string(data), `"name":"`+want+`"`))
+		assert.Assert(t, strings.Contains(string(data), `"version":"v2"`))
 	}
 	cancel()
 	assert.NilError(t, <-ended)
@@ -38,7 +41,7 @@
 
 // Guards against incorrect usage that does not get its own exit status.
 func TestUsage(t *testing.T) {
-	for _, args := range [][]string{{"-nosuch"}, {"name"}, {"a=nowhere"}, {"-slots=x"}} {
+	for _, args := range [][]string{{"-nosuch"}, {"name"}, {"a=nowhere"}, {"-slots=x"}, {"-fault=none"}} {
 		err := run(t.Context(), args, io.Discard, io.Discard)
 		assert.Assert(t, errors.Is(err, errUsage), "%v: %v", args, err)
 	}
--- a/standin/call.go
+++ b/standin/call.go
@@ -14,7 +14,7 @@
 const maxBody = 64 << 20
 
 func (t *Target) serveCall(w http.ResponseWriter, r *http.Request) {
-	fault := t.takeFault()
+	fault := t.takeFault(r.URL.Path)
 	t.mu.Lock()
 	t.counts.Calls++
 	t.mu.Unlock()
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -77,11 +79,16 @@
 	t.next = append(t.next, faults...)
 }
 
-func (t *Target) takeFault() Fault {
+// takeFault returns the fault of the next call, which has a path.
+func (t *Target) takeFault(path string) Fault {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.next) == 0 {
-		return t.switches.Fault
+		s := t.switches
+		if !strings.HasPrefix(path, s.FaultPath) || s.FaultShare > 0 && rand.Float64() >= s.FaultShare {
+			return FaultNone
+		}
+		return s.Fault
 	}
 	f := t.next[0]
 	t.next = t.next[1:]
--- a/standin/switches.go
+++ b/standin/switches.go
@@ -44,6 +44,12 @@
 	Paused bool `json:"freeze"`
 	// Fault applies to each call for which Next has set none.
 	Fault Fault `json:"fault"`
+	// FaultShare is the fraction of the calls to which Fault applies, and FaultPath the beginning of their paths; 0 and
+	// empty for all. With Slowdown, they make the versions of a service that a roll-out has to find out.
+	FaultShare float64 `json:"share"`
+	FaultPath  string  `json:"path"`
+	// Version is the version of the software that the target stands for.
+	Version string `json:"version"`
 	// ResponseDelay is how late the answers of FaultLate are.
 	ResponseDelay Duration `json:"delay"`
 	// LoadReportAge is the age of what a load read returns, except for the instance.
--- a/standin/target_test.go
+++ b/standin/target_test.go
@@ -237,3 +237,22 @@
 		assert.Assert(t, json.Valid([]byte(data)))
 	}
 }
+
+// Guards against a stand-in for a bad version that fails elsewhere than it is told to, or in all calls.
+func TestFaultyVersion(t *testing.T) {
+	target, c := start(t, Behavior{
+		Version:    "v2",
+		Fault:      FaultError,
+		FaultPath:  "/b/",
+		FaultShare: 0.5,
+	})
+	failed := 0
+	for range 100 {
+		assert.Equal(t, c.status("/a/x"), http.StatusOK)
+		if c.status("/b/x") == http.StatusInternalServerError {
+			failed++
+		}
+	}
+	assert.Assert(t, failed > 10 && failed < 90, "%d of 100 failed", failed)
+	assert.Equal(t, target.Behavior().Version, "v2")
+}
