--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -44,6 +44,9 @@
 	fleet RolloutFleet
 	// active are the roll-outs of which results are recorded, by service. The map is replaced and not modified.
 	active atomic.Pointer[map[string]*rollout.Participant]
+	// calls is canceled when the entry stops, which must not wait for a message or a call to the store.
+	calls       context.Context
+	cancelCalls context.CancelFunc
 
 	mu       sync.Mutex
 	enabled  bool
@@ -83,6 +86,7 @@
 		held:     map[string]string{},
 		wake:     make(chan struct{}, 1),
 	}
+	r.calls, r.cancelCalls = context.WithCancel(context.Background())
 	r.active.Store(&map[string]*rollout.Participant{})
 	r.fleet, _ = e.fleet.(RolloutFleet)
 	return r
@@ -380,7 +384,7 @@
 	message := r.ownReport(s)
 	r.entry.metrics.rolloutReports.Inc()
 	r.entry.tasks.Go(func() {
-		reply, err := r.fleet.ReportRollout(context.Background(), to.Address, message)
+		reply, err := r.fleet.ReportRollout(r.calls, to.Address, message)
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		s.reporting = false
@@ -443,7 +447,7 @@
 		}
 	}
 	r.entry.tasks.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), rolloutCallTimeout)
+		ctx, cancel := context.WithTimeout(r.calls, rolloutCallTimeout)
 		defer cancel()
 		r.entry.metrics.rolloutStoreCalls.Inc()
 		call(ctx, r.fleet.RolloutStore())
--- a/entry/server.go
+++ b/entry/server.go
@@ -177,6 +177,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), limit)
 		defer cancel()
 		e.callerServer.Close()
+		e.rollouts.cancelCalls()
 		if err := e.fleet.Close(ctx); err != nil {
 			e.log.Warn("cannot remove the entry from the member list in the table", zap.Error(err))
 		}
--- a/fleet/rollout.go
+++ b/fleet/rollout.go
@@ -90,8 +90,8 @@
 	return best[1]
 }
 
-// RolloutMembers returns the active members that are heard, this entry included, and the number of members that are not
-// known to have left.
+// RolloutMembers returns the members that are heard, this entry included, and the number of members that are not known to
+// have left. A member that is leaving is one of them for as long as it is heard, because its calls still run.
 func (f *Follower) RolloutMembers() (heard []rollout.Member, known int) {
 	now := f.now()
 	f.mu.RLock()
@@ -102,11 +102,12 @@
 	})
 	known = 1
 	for name, m := range f.members {
-		if m.record.State != RecordStateActive {
+		isHeard := now.Sub(m.heardAt) < ownerTimeout
+		if m.record.State != RecordStateActive && !(m.record.State == RecordStateLeaving && isHeard) {
 			continue
 		}
 		known++
-		if now.Sub(m.heardAt) < ownerTimeout {
+		if isHeard {
 			heard = append(heard, rollout.Member{
 				Name:        name,
 				Incarnation: m.record.Incarnation,
