--- a/caller/fuzz_test.go
+++ b/caller/fuzz_test.go
@@ -39,6 +39,7 @@
 	post("/early", chunk(quoted)+"0\r\n\r\n", "Transfer-Encoding: chunked") + get("/next"),
 	post("/read", chunk("a")+"x\r\n"+quoted, "Transfer-Encoding: chunked"),
 	post("/read", "5;a=b\r\nhello\r\n0\r\nTrailer: x\r\n\r\n", "Transfer-Encoding: chunked") + get("/next"),
+	post("/read", chunk("a")+"0\r\nTrailer name: x\r\n y\r\n\r\n", "Transfer-Encoding: chunked") + get("/next"),
 	post("/read", "0\r\n\r\n"+quoted, "Content-Length: 5", "Transfer-Encoding: chunked"),
 	post("/stays/tides%2F7", "a stay", "Content-Length: 6") + get("/stays/%2E%2E/tides") + get("//stays//tides/"),
 	get("/packs/keys|ferry") + get("/packs/keys%2Fferry|map") + get("/packs/f\u00e4hre") + get("/packs?map=a|b"),
