Authenticate requests by the keys of workspaces

The desired state may list workspaces with keys, which nothing read. Requests now need a key unless their route is open; targets get the name of the workspace and no key; a revoked key ends calls that wait, and retries. An entry that does not know a key first confirms that it has the newest desired state, and answers 503 otherwise.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -19,7 +19,7 @@
 // another attempt of the call may have run or may be running.
 func (e *Entry) attempt(ctx context.Context, c *call, permit *route.Permit, retry bool) outcome.Outcome {
 	start := e.timers.Now()
-	if reason := e.dispatchRefusal(start); reason != "" {
+	if reason := e.sendRefusal(c, start); reason != "" {
 		// The process may have been paused since the call was admitted, most likely while it waited for its claim.
 		return releaseUnused(permit, start, reason)
 	}
@@ -46,7 +46,8 @@
 	c.runs.Add(1)
 	e.logPlaced(c, permit)
 	m := c.message(permit.Instance, deadline.Sub(start))
-	m.BeforeWrite = e.dispatchRefusal
+	m.Workspace, _ = e.authorize(c)
+	m.BeforeWrite = func(now time.Time) outcome.Reason { return e.writeRefusalReason(c, now, m.Workspace) }
 	m.Reserve = permit.Reserve
 	m.Repeat = c.isRetry || retry
 	finish := func(r route.Result, running bool) {
@@ -138,6 +139,7 @@
 		Host:       c.request.Host,
 		Header:     c.request.Header,
 		Body:       c.body,
+		Keyed:      c.identity.keyed,
 		Idempotent: c.idempotent,
 		Instance:   instance,
 		Timeout:    timeout,
@@ -158,7 +160,7 @@
 		case outcome.Shed:
 			kind = route.Shed
 		case outcome.BudgetExhausted, outcome.QueueFull, outcome.Deadline, outcome.Leaving, outcome.Invalid,
-			outcome.RateLimited, outcome.Paused, outcome.Canceled:
+			outcome.RateLimited, outcome.Paused, outcome.Canceled, outcome.Unauthorized, outcome.Unconfirmed, outcome.Stale:
 			// The limits of this entry ended the attempt. Counting it as a failure would eject the target.
 			kind = route.Canceled
 		}
--- a/entry/call.go
+++ b/entry/call.go
@@ -58,6 +58,7 @@
 	// unknownReason is the reason of the last attempt whose outcome is unknown, empty if there is none.
 	unknownReason outcome.Reason
 	claim         *claim.Claim
+	workspaceState
 }
 
 // serveCall handles a call from a caller.
@@ -97,10 +98,12 @@
 	if snap.settings == nil {
 		return nil, notRunRefusal(outcome.Isolated, defaultRetryAfter, "this entry has no settings yet")
 	}
-	s, policy, ok := snap.findService(r)
-	if !ok {
-		return nil, notRunRefusal(outcome.UnknownService, 0, "no service has this path")
+	admitted, refusal := e.admitRequest(snap, r, relayed)
+	if refusal != nil {
+		return nil, refusal
 	}
+	snap = admitted.snapshot
+	s, policy := admitted.service, admitted.policy
 	metadata, refusal := e.protocol.ParseRequest(snap.settings, r)
 	if refusal != nil {
 		return nil, refusal
@@ -125,6 +128,9 @@
 		idempotent: policy.idempotent,
 		isRetry:    metadata.IsRetry,
 		relayed:    relayed,
+		workspaceState: workspaceState{
+			identity: admitted.identity,
+		},
 	}
 	if metadata.Timeout > 0 && policy.elapsed != nil {
 		c.elapsedBefore = policy.elapsed.Elapsed(now, metadata.Timeout)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -81,6 +81,8 @@
 	// hadContact is the contact state that was last logged.
 	hadContact atomic.Bool
 	inflight   atomic.Int64
+	// unconfirmed is the size of the requests that wait for a confirmation, in bytes.
+	unconfirmed atomic.Int64
 	// position is the position last passed to table.SetPosition.
 	position  struct{ index, count int }
 	loadReads loadReads
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -26,6 +26,11 @@
 	Members() []fleet.Member
 	PeerUsage(now time.Time) (usage map[string]map[string]float64, known bool)
 	CanProbe(now time.Time) bool
+	// Confirm returns once the state includes all changes that were acknowledged before the call. ContactAt returns when
+	// the entry last heard of the state, and RefreshContact asks for a sign of it.
+	Confirm(ctx context.Context) error
+	ContactAt() time.Time
+	RefreshContact() error
 	// Owns, Owner, WarmInstance and WarmFacts return what is known about cold targets. ReportInstance,
 	// ReportColdTransition and AnnounceWarm pass on what this entry has observed.
 	Owns(now time.Time, target string) (until time.Time, ok bool)
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -35,6 +35,13 @@
 			run:      e.closeIdleConnections,
 		},
 	}
+	if e.opts.NewFleet != nil {
+		jobs = append(jobs, job{
+			name:     "refresh contact for keys",
+			interval: contactInterval,
+			run:      e.refreshContact,
+		})
+	}
 	if e.opts.NewFleet == nil {
 		// A fleet of another kind has neither cold targets that entries warm up nor shares of callers.
 		jobs = append(jobs, job{
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -36,6 +36,7 @@
 	invalidLimits   *metrics.Counter
 	targetsLeaving  *metrics.Counter
 	targetPauses    *metrics.Counter
+	contactFailures *metrics.Counter
 }
 
 // Results of load reads, as label values.
@@ -70,6 +71,7 @@
 		limitsNamed:     set.NewCounter("skylarkbeam_limits_total"),
 		targetsLeaving:  set.NewCounter("skylarkbeam_targets_leaving_total"),
 		targetPauses:    set.NewCounter("skylarkbeam_target_pauses_total"),
+		contactFailures: set.NewCounter("skylarkbeam_contact_failures_total"),
 		invalidLimits:   set.NewCounter("skylarkbeam_invalid_limits_total"),
 	}
 	for _, result := range []string{loadReadAnswered, loadReadLate, loadReadOverBudget} {
--- a/entry/protocol.go
+++ b/entry/protocol.go
@@ -10,6 +10,7 @@
 	"skylarkbeam/outcome"
 	"skylarkbeam/setting"
 	"skylarkbeam/target"
+	"skylarkbeam/workspace"
 )
 
 // Protocol defines the headers exchanged with callers and targets. NativeProtocol is the protocol of this project; a
@@ -19,6 +20,8 @@
 	RequestID(r *http.Request) string
 	// ParseRequest reads the metadata of a call from the request. settings are those in force.
 	ParseRequest(settings *setting.Settings, r *http.Request) (CallMetadata, *Refusal)
+	// Credential returns what a request carries to name its workspace. It is used only if the settings have workspaces.
+	Credential(r *http.Request) workspace.Credential
 	// SetResponseHeader sets the header of the response to a caller from the header of a target's response.
 	SetResponseHeader(to, from http.Header)
 	// WriteRefusal writes the response to a call that has no response from a target.
@@ -81,6 +84,14 @@
 	return metadata, nil
 }
 
+// keyScheme is the authentication scheme of keys. Its letter case does not count (RFC 9110, 11.1).
+const keyScheme = "Bearer"
+
+// Credential implements Protocol.
+func (NativeProtocol) Credential(r *http.Request) workspace.Credential {
+	return workspace.ParseAuthorization(r.Header["Authorization"], keyScheme)
+}
+
 // SetResponseHeader implements Protocol.
 func (NativeProtocol) SetResponseHeader(to, from http.Header) {
 	for name, values := range from {
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -20,6 +20,8 @@
 		status = http.StatusTooManyRequests
 	case outcome.KeyMissing, outcome.UnknownCaller, outcome.Invalid:
 		status = http.StatusBadRequest
+	case outcome.Unauthorized:
+		status = http.StatusUnauthorized
 	case outcome.UnknownService:
 		status = http.StatusNotFound
 	case outcome.Conflict:
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -36,6 +36,11 @@
 		c.runs.Add(1)
 		timeout := c.deadline.Sub(e.timers.Now())
 		message := c.message("", timeout)
+		var reason outcome.Reason
+		if message.Workspace, reason = e.authorize(c); reason != "" {
+			c.runs.Add(-1)
+			break
+		}
 		message.Repeat = c.isRetry || c.unknownReason != ""
 		result := e.receiveOutcome(ctx, c, e.peerPool(m).Send(ctx, message), func(route.Result, bool) {})
 		if resp, ok := result.(*response); ok {
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -7,6 +7,7 @@
 
 	"skylarkbeam/setting"
 	"skylarkbeam/share"
+	"skylarkbeam/workspace"
 )
 
 // maxAttemptsWithoutRoute is the number of targets that may run a call without a route.
@@ -26,6 +27,8 @@
 	// latencyObjective is the time within which a response should arrive, or zero if the settings do not limit it.
 	latencyObjective time.Duration
 	priority         int
+	// open is set if calls need no key.
+	open bool
 	// elapsed estimates how long callers have waited before a call. It is nil for calls without a route.
 	elapsed *share.ElapsedEstimator
 }
@@ -81,8 +84,10 @@
 func (snap *snapshot) deriveRoutes(old *snapshot) {
 	if snap.settings == old.settings {
 		snap.paths, snap.routes, snap.routeStates = old.paths, old.routes, old.routeStates
+		snap.workspaces = old.workspaces
 		return
 	}
+	snap.workspaces = workspace.NewIndex(snap.settings.Workspaces)
 	snap.paths = snap.settings.PathIndex()
 	snap.routes = snap.settings.RouteIndex()
 	snap.routeStates = make(map[string]*routeState, len(snap.settings.Routes))
@@ -97,6 +102,7 @@
 				deadline:         time.Duration(spec.Deadline),
 				latencyObjective: time.Duration(spec.Aim),
 				priority:         spec.Rank,
+				open:             spec.Open,
 				elapsed:          share.NewElapsedEstimator(),
 			},
 			split: newTrafficSplit(spec),
--- a/entry/run.go
+++ b/entry/run.go
@@ -94,7 +94,7 @@
 	case outcome.InstanceChanged:
 		// A target that verifies the instance itself has received the call, though it did not run it.
 		return !e.protocol.TargetProtocol().Capabilities().VerifiesInstance
-	case outcome.BudgetExhausted, outcome.RateLimited, outcome.Paused, outcome.Dial, outcome.Leaving:
+	case outcome.BudgetExhausted, outcome.RateLimited, outcome.Paused, outcome.Dial, outcome.Leaving, outcome.Unconfirmed:
 		return true
 	}
 	return false
@@ -136,7 +136,7 @@
 // pickRetry selects the target for another attempt. It returns nil if there is to be none.
 func (e *Entry) pickRetry(ctx context.Context, c *call) *route.Permit {
 	now := e.timers.Now()
-	if ctx.Err() != nil || !now.Before(c.deadline) || !c.hasAttemptsLeft() || e.dispatchRefusal(now) != "" {
+	if ctx.Err() != nil || !now.Before(c.deadline) || !c.hasAttemptsLeft() || e.sendRefusal(c, now) != "" {
 		return nil
 	}
 	if c.snapshot.registered {
--- a/entry/service_queue.go
+++ b/entry/service_queue.go
@@ -125,7 +125,7 @@
 	}
 	return share.Call{
 		Caller:       c.caller,
-		Priority:     c.policy.priority,
+		Priority:     c.priority(),
 		SoftDeadline: softDeadline,
 		Deadline:     c.deadline,
 		ServiceTime:  serviceTime + networkMargin,
--- a/entry/snapshot.go
+++ b/entry/snapshot.go
@@ -13,6 +13,7 @@
 	"skylarkbeam/route"
 	"skylarkbeam/setting"
 	"skylarkbeam/share"
+	"skylarkbeam/workspace"
 )
 
 // defaultShare is the share of each caller if the settings name no callers.
@@ -35,6 +36,8 @@
 	targetCounts      map[string]int
 	drainedDomains    []string
 	routes            setting.RouteIndex
+	// workspaces is nil if requests need no key.
+	workspaces *workspace.Index
 	// routeStates holds the state of each route by name.
 	routeStates map[string]*routeState
 }
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -139,6 +139,7 @@
 	// watchRequests holds the watch requests in flight by ID.
 	watchRequests map[int]watchRequest
 	lastWatchID   int
+	confirm       confirmations
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -303,6 +304,8 @@
 		}
 	}
 	former := f.state.Load()
+	// Read before the rows, so that the state has all changes up to this version.
+	baseVersion := f.tables[f.opt.Tables[0]].LatestVersion()
 	next, err := f.opt.BuildState(former, f.tables)
 	if err != nil {
 		f.log.Error("the desired state cannot be read, the former one stays in force", zap.Error(err),
@@ -310,7 +313,7 @@
 		return
 	}
 	next.Version = former.Version + 1
-	next.BaseVersion = f.tables[f.opt.Tables[0]].LatestVersion()
+	next.BaseVersion = baseVersion
 	now := f.now()
 	outage := f.storeOutage(now)
 	if recheck := retainLapsed(now, former, next, retentionTime(outage, next.DrainTime)); recheck > 0 {
--- a/fleet/followerhttp.go
+++ b/fleet/followerhttp.go
@@ -29,6 +29,7 @@
 	service.Route(service.POST(greetPath).To(f.serveGreeting))
 	service.Route(service.GET(membersPath).To(f.serveMembers))
 	service.Route(service.GET(rowsPath).To(f.serveRows))
+	service.Route(service.GET(confirmPath).To(f.serveConfirm))
 	return service
 }
 
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -44,6 +44,7 @@
 		defer cancel()
 		batch, err := f.opt.Transport.Rows(ctx, to.control, table, 0, 0)
 		if err == nil {
+			f.recordContact(nil)
 			return *batch, nil
 		}
 		f.recordPeerFailure(to, err)
@@ -201,6 +202,7 @@
 
 // recordStoreResult records the result of a call to the store.
 func (f *Follower) recordStoreResult(err error) {
+	f.recordContact(err)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err == nil || f.ctx.Err() != nil {
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -32,6 +32,12 @@
 	UnknownCaller Reason = "caller"
 	// Leaving means that the entry or the target is shutting down.
 	Leaving Reason = "leaving"
+	// Unauthorized means that the key of the request is missing, unknown or revoked.
+	Unauthorized Reason = "unauthorized"
+	// Unconfirmed means that the entry does not know the key, or the path, and cannot tell whether it is behind.
+	Unconfirmed Reason = "unconfirmed"
+	// Stale means that the entry has not heard from the platform for so long that keys may have been revoked.
+	Stale Reason = "stale"
 	// Invalid means that the request cannot be written as an HTTP/1.1 request to a target.
 	Invalid Reason = "invalid"
 )
@@ -67,7 +73,7 @@
 // Refusals lists the reasons for refusals in a fixed order, for counters and documentation.
 var Refusals = []Reason{
 	ShareExceeded, Deadline, QueueFull, Cold, Drained, Isolated, TableUnavailable, KeyMissing, Conflict, Claimed,
-	UnknownService, UnknownCaller, Leaving, Invalid,
+	UnknownService, UnknownCaller, Leaving, Invalid, Unauthorized, Unconfirmed, Stale,
 }
 
 // Retries lists the reasons for retries in a fixed order, for counters and documentation.
--- a/setting/generated.go
+++ b/setting/generated.go
@@ -94,6 +94,10 @@
 	// Retries is the budget of retries and hedges as a fraction of first attempts.
 	Retries float64 `json:"retries"`
 
+	// Revocation is how long an entry without contact serves requests with keys;
+	// without it, there is no end.
+	Revocation *Duration `json:"revocation"`
+
 	// Slack is the number of retries and hedges in a window that the budget allows
 	// beyond the fraction, for each service over all entries; 0 earns the budget call
 	// by call.
@@ -131,6 +135,9 @@
 	// Kind says what may be repeated.
 	Kind Kind `json:"kind"`
 
+	// Open says that requests of the route need no key.
+	Open bool `json:"open"`
+
 	// Parts are the services that get the requests, with the weight of each.
 	Parts map[string]Weight `json:"parts"`
 
@@ -204,6 +211,10 @@
 
 	// Services are what callers call, by name.
 	Services map[string]Service `json:"services"`
+
+	// Workspaces are the customers whose keys requests carry, by name. Without this
+	// field no request needs a key.
+	Workspaces map[string]Workspace `json:"workspaces"`
 }
 
 // Target is one server of a service.
@@ -224,3 +235,21 @@
 // Weight is a part of the requests, in proportion to the weights of the other
 // parts.
 type Weight float64
+
+// Workspace is one customer, whose requests carry one of its keys.
+type Workspace struct {
+	// Burst is the number of requests that the workspace may send at once beyond the
+	// rate, over all entries.
+	Burst float64 `json:"burst"`
+
+	// Keys are the secrets by which requests name the workspace.
+	Keys []string `json:"keys"`
+
+	// Rank orders the workspaces when not all requests can be served; 0 goes first.
+	// Without it, the rank of the route counts.
+	Rank *int `json:"rank"`
+
+	// Rate is the number of requests a second that the workspace may send, over all
+	// entries; 0 does not limit it.
+	Rate float64 `json:"rate"`
+}
--- a/setting/schema.go
+++ b/setting/schema.go
@@ -146,6 +146,10 @@
 			c.text(n, path, v)
 			return len(c.faults) == before
 		}
+	case bool:
+		if n.Type == "boolean" {
+			return true
+		}
 	case json.Number:
 		if n.Type == "integer" || n.Type == "number" {
 			c.number(n, path, v)
--- a/target/call.go
+++ b/target/call.go
@@ -29,6 +29,10 @@
 	// StreamLength is the length of Stream in bytes. If it is unknown, StreamLength is -1 and the stream is sent in
 	// chunks.
 	StreamLength int64
+	// Keyed reports whether requests of the deployment carry keys. The target then gets Workspace, the name of the
+	// workspace that holds the key, and no key; Workspace is empty for a request without a key.
+	Keyed     bool
+	Workspace string
 	// Idempotent reports whether the call may be executed more than once.
 	Idempotent bool
 	// Repeat reports whether the call descends from a hedge or a retry. The target is told so, and Send does not send
--- a/target/conn.go
+++ b/target/conn.go
@@ -146,6 +146,8 @@
 		Repeat:    call.Repeat,
 		Key:       call.Header.Get(headerIdempotencyKey),
 		LoadRead:  call.loadRead,
+		Keyed:     call.Keyed,
+		Workspace: call.Workspace,
 	})
 	c.req = http.Request{
 		Method: call.Method,
--- a/target/header.go
+++ b/target/header.go
@@ -25,7 +25,11 @@
 	// behalf of one of these.
 	HeaderRepeat = "Skylarkbeam-Repeat"
 
+	// HeaderWorkspace names the workspace that holds the key of the call.
+	HeaderWorkspace = "Skylarkbeam-Workspace"
+
 	headerIdempotencyKey = "Idempotency-Key"
+	headerAuthorization  = "Authorization"
 	defaultLoadPath      = "/skylarkbeam/load"
 )
 
--- a/target/protocol.go
+++ b/target/protocol.go
@@ -50,6 +50,9 @@
 	Key string
 	// LoadRead reports whether the attempt is a load read.
 	LoadRead bool
+	// Keyed and Workspace are those of the call.
+	Keyed     bool
+	Workspace string
 }
 
 // ResponseHead is the information in the head of a response.
@@ -89,6 +92,14 @@
 	if a.Key != "" {
 		h[HeaderKey] = []string{a.Key}
 	}
+	if !a.Keyed {
+		return
+	}
+	delete(h, headerAuthorization)
+	delete(h, HeaderWorkspace)
+	if a.Workspace != "" {
+		h[HeaderWorkspace] = []string{a.Workspace}
+	}
 }
 
 // ParseHead implements Protocol.
