--- a/cmd/skylarkbeam/show.go
+++ b/cmd/skylarkbeam/show.go
@@ -23,6 +23,8 @@
 Flags:
   -json  print only the merged settings
 
+The keys of workspaces are not printed.
+
 Values with faults are left out, the number of faults is printed to standard error, and the exit status is 1.
 
 Examples:
@@ -49,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	data, err := folder.Settings.Encode()
+	data, err := folder.Settings.WithoutKeys().Encode()
 	if err != nil {
 		return err
 	}
--- a/cmd/skylarkbeam/status.go
+++ b/cmd/skylarkbeam/status.go
@@ -105,12 +105,24 @@
 	for _, name := range slices.Sorted(maps.Keys(s.Counts)) {
 		fmt.Fprintf(w, "count\t%s: %d\n", name, s.Counts[name])
 	}
+	for _, ws := range s.Workspaces {
+		fmt.Fprintf(w, "workspace\t%s: %d requests; refused: %s\n", ws.Workspace, ws.Requests, refusals(ws))
+	}
 	for _, e := range s.Events[max(len(s.Events)-events, 0):] {
 		fmt.Fprintf(w, "event\t%s %s\n", e.Time.UTC().Format(time.RFC3339), e.Text)
 	}
 	w.Flush()
 }
 
+// refusals lists the refused requests of a workspace by reason, as in "12 allowance, 1 queue".
+func refusals(ws entry.WorkspaceStatus) string {
+	var parts []string
+	for _, reason := range slices.Sorted(maps.Keys(ws.Refused)) {
+		parts = append(parts, fmt.Sprintf("%d %s", ws.Refused[reason], reason))
+	}
+	return list(parts)
+}
+
 // condition says in a few words whether the entry takes calls, and why not.
 func condition(s *entry.Status) string {
 	switch {
--- a/entry/call.go
+++ b/entry/call.go
@@ -81,6 +81,7 @@
 	if refusal == nil {
 		refusal = e.handleCall(w, c)
 	}
+	e.recordWorkspace(c, refusal)
 	if refusal != nil {
 		if c != nil {
 			e.logRefused(c, refusal)
--- a/entry/handlers.go
+++ b/entry/handlers.go
@@ -5,6 +5,8 @@
 	"net/http"
 
 	restful "github.com/emicklei/go-restful/v3"
+
+	"skylarkbeam/setting"
 )
 
 // callerHandler serves the caller address: the address list under /skylarkbeam/, and calls under all other paths.
@@ -67,6 +69,19 @@
 	}
 }
 
+// shownSettings returns settings without the keys of workspaces.
+func shownSettings(data []byte) []byte {
+	settings, err := setting.Parse(data)
+	if err != nil || len(settings.Workspaces) == 0 {
+		return data
+	}
+	shown, err := settings.WithoutKeys().Encode()
+	if err != nil {
+		return nil
+	}
+	return shown
+}
+
 func (e *Entry) serveSettings(_ *restful.Request, resp *restful.Response) {
 	state := e.fleet.State()
 	writeJSON(resp, struct {
@@ -76,6 +91,6 @@
 	}{
 		Version:  state.Version,
 		Base:     state.BaseVersion,
-		Settings: state.Settings,
+		Settings: shownSettings(state.Settings),
 	})
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -37,6 +37,7 @@
 	targetsLeaving  *metrics.Counter
 	targetPauses    *metrics.Counter
 	contactFailures *metrics.Counter
+	workspaces      workspaceUsage
 }
 
 // Results of load reads, as label values.
@@ -152,6 +153,7 @@
 // format.
 func (m *Metrics) WritePrometheus(w io.Writer) {
 	m.set.WritePrometheus(w)
+	m.workspaces.writeMetrics(w)
 	// The default set contains the metrics of package claim.
 	metrics.WritePrometheus(w, true)
 }
--- a/entry/status.go
+++ b/entry/status.go
@@ -33,6 +33,8 @@
 	TargetStatuses []targetStatus  `json:"phases"`
 	// Counts holds the counters of refusals, retries and outcomes that are not zero.
 	Counts map[string]uint64 `json:"counts"`
+	// Workspaces are the workspaces with the most requests, and the sum of the others.
+	Workspaces []WorkspaceStatus `json:"workspaces,omitempty"`
 	// Events are the last changes of state, oldest first.
 	Events []Event `json:"events"`
 }
@@ -108,6 +110,7 @@
 		})
 	}
 	s.TargetStatuses = e.targetStatuses(e.table.Status(now))
+	s.Workspaces = e.metrics.workspaces.largest()
 	s.Events = e.journal.list()
 	return s
 }
--- a/setting/settings.go
+++ b/setting/settings.go
@@ -48,6 +48,7 @@
 // only on a share or budget that is not a finite number.
 func (s *Settings) Encode() ([]byte, error) {
 	data, err := json.Marshal(s)
+	data = absentFields.ReplaceAll(data, nil)
 	return data, errors.Wrap(err, "encode settings")
 }
 
--- a/setting/settings_test.go
+++ b/setting/settings_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"reflect"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -238,14 +239,17 @@
 	}
 }
 
-// Guards against fields that docs/settings.md does not list or lists with another default. The defaults of targets are
+// Guards against fields that docs/settings.md does not list or lists with another default, or as required although they are not. The defaults of targets are
 // the service's, written as 0.
 func TestDocumentation(t *testing.T) {
 	page, err := os.ReadFile("../docs/settings.md")
 	assert.NilError(t, err)
 	for _, definition := range schema.Defs {
 		for name, property := range definition.Properties {
-			byDefault := "required"
+			byDefault := "none"
+			if slices.Contains(definition.Required, name) {
+				byDefault = "required"
+			}
 			if property.Default != nil {
 				var compact bytes.Buffer
 				assert.NilError(t, json.Compact(&compact, property.Default))
--- a/setting/validator.go
+++ b/setting/validator.go
@@ -75,6 +75,7 @@
 	v.references()
 	v.paths()
 	v.routes()
+	v.workspaces()
 	for _, name := range sortedKeys(v.settings.Services) {
 		v.service(join("services", name), v.settings.Services[name])
 	}
@@ -120,6 +121,7 @@
 	v.distinct("services", sortedKeys(s.Services))
 	v.distinct("classes", sortedKeys(s.Classes))
 	v.distinct("callers", sortedKeys(s.Callers))
+	v.distinct("workspaces", sortedKeys(s.Workspaces))
 	seen := map[string]string{}
 	for _, service := range sortedKeys(s.Services) {
 		v.distinctFrom(seen, join("services", service)+".targets", sortedKeys(s.Services[service].Targets))
