Limit the requests of a workspace over all entries

A workspace may have a rate and a burst, which nothing held. One entry for each workspace, the first by rendezvous hash among those that are heard, holds the token bucket and lends permits; entries ask in the path of a call and get 429 or a permit before the body is read. A call that is refused later gives its permit back.

The wiring has no test of its own yet.

--- a/entry/call.go
+++ b/entry/call.go
@@ -82,6 +82,9 @@
 		refusal = e.handleCall(w, c)
 	}
 	e.recordWorkspace(c, refusal)
+	if refusal != nil && refusal.NotRun() {
+		e.returnPermit(c)
+	}
 	if refusal != nil {
 		if c != nil {
 			e.logRefused(c, refusal)
@@ -140,6 +143,9 @@
 	if !c.idempotent && c.key == "" && !relayed && policy.requiresKey {
 		return nil, notRunRefusal(outcome.KeyMissing, 0, "a call with method "+r.Method+" needs the header "+headerKey)
 	}
+	if refusal := e.takePermit(r.Context(), c); refusal != nil {
+		return c, refusal
+	}
 	return c, e.readBody(c)
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -83,6 +83,7 @@
 	inflight   atomic.Int64
 	// unconfirmed is the size of the requests that wait for a confirmation, in bytes.
 	unconfirmed atomic.Int64
+	allowances  *allowances
 	// position is the position last passed to table.SetPosition.
 	position  struct{ index, count int }
 	loadReads loadReads
@@ -120,6 +121,7 @@
 		started:      timers.Now(),
 		budgets:      map[string]*target.ProbeBudget{},
 		peerPools:    map[string]*peerPool{},
+		allowances:   newAllowances(timers.Now()),
 		done:         make(chan struct{}),
 		haveSettings: make(chan struct{}),
 	}
--- a/entry/handlers.go
+++ b/entry/handlers.go
@@ -31,6 +31,7 @@
 	service.Route(service.PUT("settings").To(e.serveApply))
 	service.Route(service.POST("drain").To(e.serveDrain))
 	service.Route(service.POST("restore").To(e.serveRestore))
+	service.Route(service.POST(allowancePath).To(e.serveAllowance))
 	container.Add(e.fleet.Service())
 	container.Add(service)
 	relays := routeByPrefix(container, e.serveRelay)
--- a/entry/identity.go
+++ b/entry/identity.go
@@ -225,4 +225,6 @@
 type workspaceState struct {
 	identity   identity
 	authorized atomic.Pointer[authorization]
+	// permitOf is the workspace whose permit the call holds, empty if it has none.
+	permitOf string
 }
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -24,6 +24,11 @@
 			interval: 250 * time.Millisecond,
 			run:      e.logContactChange,
 		},
+		{
+			name:     "watch allowances",
+			interval: allowanceInterval,
+			run:      e.updateAllowances,
+		},
 		{
 			name:     "find position",
 			interval: time.Second,
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -38,6 +38,12 @@
 	targetPauses    *metrics.Counter
 	contactFailures *metrics.Counter
 	workspaces      workspaceUsage
+	// asks are the messages for permits, failedAsks those without an answer, and lent the permits lent to all entries.
+	asks               *metrics.Counter
+	failedAsks         *metrics.Counter
+	lent               *metrics.Counter
+	permitsReturned    *metrics.Counter
+	contactlessPermits *metrics.Counter
 }
 
 // Results of load reads, as label values.
@@ -52,28 +58,33 @@
 func NewMetrics() *Metrics {
 	set := metrics.NewSet()
 	m := &Metrics{
-		set:             set,
-		refusals:        map[outcome.Reason]*metrics.Counter{},
-		retries:         map[outcome.Reason]*metrics.Counter{},
-		outcomes:        map[string]*metrics.Counter{},
-		calls:           set.NewCounter("skylarkbeam_calls_total"),
-		dispatches:      set.NewCounter("skylarkbeam_dispatches_total"),
-		relays:          set.NewCounter("skylarkbeam_relays_total"),
-		replays:         set.NewCounter("skylarkbeam_replays_total"),
-		brokenResponses: set.NewCounter("skylarkbeam_broken_answers_total"),
-		hedgeWins:       set.NewCounter("skylarkbeam_hedge_wins_total"),
-		coldTransitions: set.NewCounter("skylarkbeam_target_falls_total"),
-		targetsWarmed:   set.NewCounter("skylarkbeam_targets_warmed_total"),
-		probes:          set.NewCounter("skylarkbeam_probes_total"),
-		lateResponses:   set.NewCounter("skylarkbeam_late_answers_total"),
-		duration:        set.NewHistogram("skylarkbeam_call_seconds"),
-		retryAfter:      set.NewHistogram("skylarkbeam_retry_after_seconds"),
-		loadReads:       map[string]*metrics.Counter{},
-		limitsNamed:     set.NewCounter("skylarkbeam_limits_total"),
-		targetsLeaving:  set.NewCounter("skylarkbeam_targets_leaving_total"),
-		targetPauses:    set.NewCounter("skylarkbeam_target_pauses_total"),
-		contactFailures: set.NewCounter("skylarkbeam_contact_failures_total"),
-		invalidLimits:   set.NewCounter("skylarkbeam_invalid_limits_total"),
+		set:                set,
+		refusals:           map[outcome.Reason]*metrics.Counter{},
+		retries:            map[outcome.Reason]*metrics.Counter{},
+		outcomes:           map[string]*metrics.Counter{},
+		calls:              set.NewCounter("skylarkbeam_calls_total"),
+		dispatches:         set.NewCounter("skylarkbeam_dispatches_total"),
+		relays:             set.NewCounter("skylarkbeam_relays_total"),
+		replays:            set.NewCounter("skylarkbeam_replays_total"),
+		brokenResponses:    set.NewCounter("skylarkbeam_broken_answers_total"),
+		hedgeWins:          set.NewCounter("skylarkbeam_hedge_wins_total"),
+		coldTransitions:    set.NewCounter("skylarkbeam_target_falls_total"),
+		targetsWarmed:      set.NewCounter("skylarkbeam_targets_warmed_total"),
+		probes:             set.NewCounter("skylarkbeam_probes_total"),
+		lateResponses:      set.NewCounter("skylarkbeam_late_answers_total"),
+		duration:           set.NewHistogram("skylarkbeam_call_seconds"),
+		retryAfter:         set.NewHistogram("skylarkbeam_retry_after_seconds"),
+		loadReads:          map[string]*metrics.Counter{},
+		limitsNamed:        set.NewCounter("skylarkbeam_limits_total"),
+		targetsLeaving:     set.NewCounter("skylarkbeam_targets_leaving_total"),
+		targetPauses:       set.NewCounter("skylarkbeam_target_pauses_total"),
+		contactFailures:    set.NewCounter("skylarkbeam_contact_failures_total"),
+		asks:               set.NewCounter("skylarkbeam_allowance_asks_total"),
+		failedAsks:         set.NewCounter("skylarkbeam_allowance_failed_asks_total"),
+		lent:               set.NewCounter("skylarkbeam_allowance_lent_total"),
+		permitsReturned:    set.NewCounter("skylarkbeam_allowance_returned_total"),
+		contactlessPermits: set.NewCounter("skylarkbeam_allowance_contactless_total"),
+		invalidLimits:      set.NewCounter("skylarkbeam_invalid_limits_total"),
 	}
 	for _, result := range []string{loadReadAnswered, loadReadLate, loadReadOverBudget} {
 		m.loadReads[result] = set.NewCounter(fmt.Sprintf("skylarkbeam_load_reads_total{result=%q}", result))
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -16,7 +16,7 @@
 func notRunRefusal(reason outcome.Reason, retryAfter time.Duration, message string) *Refusal {
 	status := http.StatusServiceUnavailable
 	switch reason {
-	case outcome.ShareExceeded:
+	case outcome.ShareExceeded, outcome.Allowance:
 		status = http.StatusTooManyRequests
 	case outcome.KeyMissing, outcome.UnknownCaller, outcome.Invalid:
 		status = http.StatusBadRequest
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -84,10 +85,17 @@
 func (snap *snapshot) deriveRoutes(old *snapshot) {
 	if snap.settings == old.settings {
 		snap.paths, snap.routes, snap.routeStates = old.paths, old.routes, old.routeStates
-		snap.workspaces = old.workspaces
+		snap.workspaces, snap.limitedWorkspaces = old.workspaces, old.limitedWorkspaces
 		return
 	}
 	snap.workspaces = workspace.NewIndex(snap.settings.Workspaces)
+	snap.limitedWorkspaces = nil
+	for name, w := range snap.settings.Workspaces {
+		if w.Rate > 0 {
+			snap.limitedWorkspaces = append(snap.limitedWorkspaces, name)
+		}
+	}
+	slices.Sort(snap.limitedWorkspaces)
 	snap.paths = snap.settings.PathIndex()
 	snap.routes = snap.settings.RouteIndex()
 	snap.routeStates = make(map[string]*routeState, len(snap.settings.Routes))
--- a/entry/snapshot.go
+++ b/entry/snapshot.go
@@ -38,6 +38,8 @@
 	routes            setting.RouteIndex
 	// workspaces is nil if requests need no key.
 	workspaces *workspace.Index
+	// limitedWorkspaces are the sorted names of those with a rate.
+	limitedWorkspaces []string
 	// routeStates holds the state of each route by name.
 	routeStates map[string]*routeState
 }
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -36,6 +36,10 @@
 	Unauthorized Reason = "unauthorized"
 	// Unconfirmed means that the entry does not know the key, or the path, and cannot tell whether it is behind.
 	Unconfirmed Reason = "unconfirmed"
+	// Allowance means that the workspace of the call has used its allowance.
+	Allowance Reason = "allowance"
+	// NoLender means that the allowance of the workspace cannot be asked for.
+	NoLender Reason = "lender"
 	// Stale means that the entry has not heard from the platform for so long that keys may have been revoked.
 	Stale Reason = "stale"
 	// Invalid means that the request cannot be written as an HTTP/1.1 request to a target.
@@ -73,7 +77,7 @@
 // Refusals lists the reasons for refusals in a fixed order, for counters and documentation.
 var Refusals = []Reason{
 	ShareExceeded, Deadline, QueueFull, Cold, Drained, Isolated, TableUnavailable, KeyMissing, Conflict, Claimed,
-	UnknownService, UnknownCaller, Leaving, Invalid, Unauthorized, Unconfirmed, Stale,
+	UnknownService, UnknownCaller, Leaving, Invalid, Unauthorized, Unconfirmed, Stale, Allowance, NoLender,
 }
 
 // Retries lists the reasons for retries in a fixed order, for counters and documentation.
--- a/setting/generated.go
+++ b/setting/generated.go
@@ -88,6 +88,14 @@
 	// Keep is how long callers keep the addresses that an entry gave them.
 	Keep Duration `json:"keep"`
 
+	// Overshoot is the fraction by which a workspace may exceed its allowance in a
+	// period, over all entries; 0.1 if it is left out.
+	Overshoot *float64 `json:"overshoot"`
+
+	// Period is the time over which the requests of a workspace with a rate are
+	// counted; 5s if it is left out.
+	Period *Duration `json:"period"`
+
 	// Read is how long a caller may take to send the head of a request.
 	Read Duration `json:"read"`
 
@@ -103,6 +111,10 @@
 	// by call.
 	Slack float64 `json:"slack"`
 
+	// Spare is the number of requests by which it may exceed the allowance besides;
+	// 20 if it is left out.
+	Spare *float64 `json:"spare"`
+
 	// Window is the time over which the budget of retries is counted if slack is
 	// above 0.
 	Window Duration `json:"window"`
--- a/setting/workspaces.go
+++ b/setting/workspaces.go
@@ -9,7 +9,7 @@
 
 // absentFields matches the fields without a value that have no default. They are left out of documents, so that settings
 // that use none of them have the documents that they had before these fields existed.
-var absentFields = regexp.MustCompile(`,"(workspaces|revocation|rank)":null`)
+var absentFields = regexp.MustCompile(`,"(workspaces|revocation|rank|period|overshoot|spare)":null`)
 
 // hiddenKey replaces the keys of workspaces in settings that are shown.
 const hiddenKey = "(key)"
