Take over from a lender that has ended without delay

When entries ended one after the other, 33 of 216 requests below the allowance were refused: survivors waited a second, were no majority of the members still known, and began with a nearly empty bucket.

--- a/allowance/desk.go
+++ b/allowance/desk.go
@@ -21,8 +21,9 @@
 	// forgetAfter is the silence after which an entry in contact with the store takes members for gone. Those that were
 	// only cut off have no contact with the store.
 	forgetAfter = 6 * time.Second
-	// lostTime is how long the word that a process has ended counts. By then its silence tells.
-	lostTime = 5 * time.Second
+	// lostTime is how long the word that a process has ended counts. Members that are silent for as long are forgotten. A
+	// process that starts in its place has another incarnation.
+	lostTime = time.Minute
 )
 
 // Member is an entry as the one that decides knows it.
@@ -192,10 +193,13 @@
 // updateEligible finds the entries that can lend: those that are heard.
 func (d *Desk) updateEligible(now time.Time) {
 	var eligible []string
+	stopped := map[string]bool{}
 	for _, m := range d.view.Members {
-		if m.Active && (m.Name == d.view.Self || now.Sub(m.HeardAt) < lostAfter) && !d.hasEnded(m) {
+		silent := m.Name != d.view.Self && now.Sub(m.HeardAt) >= lostAfter
+		if m.Active && !silent && !d.hasEnded(m) {
 			eligible = append(eligible, m.Name)
 		}
+		stopped[m.Name] = silent || d.hasEnded(m)
 	}
 	slices.Sort(eligible)
 	if slices.Equal(eligible, d.eligible) {
@@ -206,7 +210,14 @@
 		// What the entry knew before it was asked counts from its start.
 		d.ticked, d.eligibleSince = true, d.startedAt
 	}
-	clear(d.lenders)
+	former := d.lenders
+	d.lenders = map[string]string{}
+	for _, name := range slices.Sorted(maps.Keys(d.roles)) {
+		if d.Lender(name) == d.view.Self && stopped[former[name]] && d.roles[name].firstSince.IsZero() {
+			// The former lender has ended, or is silent for longer than its lease, so this entry need not wait for it.
+			d.roles[name].firstSince = now.Add(-takeoverDelay)
+		}
+	}
 }
 
 func (d *Desk) hasEnded(m Member) bool {
@@ -242,13 +253,9 @@
 		r.firstSince = now
 	}
 	if r.bucket == nil {
-		// An entry that was named because the former lender has ended need not wait for that one to stop.
 		begin := r.firstSince.Add(takeoverDelay)
 		if begin.After(now) {
-			if len(ask.Lost) == 0 {
-				return Loan{}
-			}
-			begin = now
+			return Loan{}
 		}
 		r.bucket = newBucket(begin, limits, max(reservePart*limits.room(), 1))
 	}
--- a/allowance/fleet_test.go
+++ b/allowance/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -25,7 +26,6 @@
 	contact bool
 	// heardAt is when the entry last heard the others.
 	heardAt map[string]time.Time
-	known   map[string]bool
 }
 
 // testFleet is a simulated fleet. Time passes in steps of 10 ms, messages take none.
@@ -68,7 +68,7 @@
 func (f *testFleet) boot(e *testEntry) {
 	e.incarnation++
 	e.desk, e.wallet, e.limits, e.dead, e.frozen = NewDesk(f.now), &Wallet{}, f.limits, false, false
-	e.heardAt, e.known = map[string]time.Time{}, map[string]bool{}
+	e.heardAt = map[string]time.Time{}
 }
 
 func (f *testFleet) connected(a, b *testEntry) bool {
@@ -77,17 +77,25 @@
 
 // greet lets entries hear each other. An entry learns of a silent one from those that know it.
 func (f *testFleet) greet() {
+	heard := map[int]map[string]time.Time{}
 	for _, e := range f.entries {
-		for _, other := range f.entries {
-			if e != other && f.connected(e, other) {
-				e.heardAt[other.name] = f.now
-				for name, at := range other.heardAt {
-					if e.heardAt[name].Before(at) {
-						e.heardAt[name] = at
-					}
-				}
+		if e.dead || e.frozen {
+			continue
+		}
+		if heard[e.side] == nil {
+			heard[e.side] = map[string]time.Time{}
+		}
+		for name, at := range e.heardAt {
+			if heard[e.side][name].Before(at) {
+				heard[e.side][name] = at
 			}
 		}
+		heard[e.side][e.name] = f.now
+	}
+	for _, e := range f.entries {
+		if !e.dead && !e.frozen {
+			e.heardAt = maps.Clone(heard[e.side])
+		}
 	}
 }
 
--- a/entry/allowance.go
+++ b/entry/allowance.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -39,6 +40,8 @@
 	maxAskBytes = 64 << 10
 	// allowanceInterval is the interval at which the desk learns of the fleet.
 	allowanceInterval = 250 * time.Millisecond
+	// silentProbeInterval is the minimum time between two connections to a member that is not heard.
+	silentProbeInterval = time.Second
 	// contactAge is how long ago an entry in contact has last heard from the store or from an entry that reads it.
 	contactAge = 2 * time.Second
 )
@@ -57,6 +60,8 @@
 	wallets map[string]*wallet
 	// members are those of the last tick, by name.
 	members map[string]fleet.Member
+	// probedAt is when members that were not heard were last probed. Only the tick uses it.
+	probedAt map[string]time.Time
 }
 
 // wallet is the wallet of a workspace with the calls that wait for an ask.
@@ -72,13 +77,16 @@
 	until   time.Time
 	settled bool
 	refusal *Refusal
+	// patient is set if no entry lent when the call came. It then waits on if the new lender has too few permits.
+	patient bool
 }
 
 func newAllowances(now time.Time) *allowances {
 	return &allowances{
-		desk:    allowance.NewDesk(now),
-		wallets: map[string]*wallet{},
-		members: map[string]fleet.Member{},
+		desk:     allowance.NewDesk(now),
+		wallets:  map[string]*wallet{},
+		members:  map[string]fleet.Member{},
+		probedAt: map[string]time.Time{},
 	}
 }
 
@@ -252,17 +260,24 @@
 			case !now.Before(p.until) || e.closed():
 				p.settle(notRunRefusal(outcome.NoLender, defaultRetryAfter, "the allowance of the workspace cannot be asked for"))
 			default:
+				for _, p := range waiting[i:] {
+					p.patient = true
+				}
 				w.waiting = append(slices.Clone(waiting[i:]), w.waiting...)
 				return false
 			}
 		}
 		return true
 	}
-	var refused []*permitWait
+	var refused, patient []*permitWait
 	for _, p := range waiting {
-		if left > 0 && p.settle(nil) {
+		switch {
+		case left > 0 && p.settle(nil):
 			left--
-		} else if !p.settled {
+		case p.settled:
+		case p.patient && now.Before(p.until):
+			patient = append(patient, p)
+		default:
 			refused = append(refused, p)
 		}
 	}
@@ -271,7 +286,8 @@
 		retry, _ := w.Refusal(now, (float64(i)+rand.Float64())/float64(len(refused)))
 		p.settle(allowanceRefusal(retry))
 	}
-	return true
+	w.waiting = append(patient, w.waiting...)
+	return len(patient) == 0
 }
 
 // limitsOf returns the limits of a workspace that are in force. ok is false if it has none.
@@ -388,6 +404,7 @@
 		})
 	}
 	a := e.allowances
+	e.probeSilent(now, members)
 	a.mu.Lock()
 	a.members = byName
 	transfers := a.desk.Tick(now, view, snap.limitedWorkspaces)
@@ -406,6 +423,34 @@
 	}
 }
 
+// probeSilent finds out which of the members that are not heard have ended: nothing listens at their address. Others may be
+// cut off, and their side of the cut may lend.
+func (e *Entry) probeSilent(now time.Time, members []fleet.Member) {
+	a := e.allowances
+	a.mu.Lock()
+	lost := a.desk.Lost()
+	a.mu.Unlock()
+	for _, m := range members {
+		if m.State != fleet.RecordStateActive || now.Sub(m.LastHeard) < contactAge || lost[m.Name] == m.Incarnation ||
+			now.Sub(a.probedAt[m.Name]) < silentProbeInterval {
+			continue
+		}
+		a.probedAt[m.Name] = now
+		e.tasks.Go(func() {
+			conn, err := net.DialTimeout("tcp", m.Control.String(), askTimeout)
+			if err == nil {
+				_ = conn.Close() // Nothing was written.
+				return
+			}
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				a.mu.Lock()
+				defer a.mu.Unlock()
+				a.desk.RecordLost(e.timers.Now(), map[string]string{m.Name: m.Incarnation})
+			}
+		})
+	}
+}
+
 func (e *Entry) transferBucket(t allowance.Transfer, to fleet.Member) {
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
