--- a/allowance/fleet_test.go
+++ b/allowance/fleet_test.go
@@ -14,7 +14,8 @@
 // testEntry is an entry of a simulated fleet.
 type testEntry struct {
 	name        string
-	incarnation int
+	boots       int
+	incarnation string
 	desk        *Desk
 	wallet      *Wallet
 	limits      Limits
@@ -66,7 +67,8 @@
 
 // boot starts the process of an entry.
 func (f *testFleet) boot(e *testEntry) {
-	e.incarnation++
+	e.boots++
+	e.incarnation = fmt.Sprint(e.boots)
 	e.desk, e.wallet, e.limits, e.dead, e.frozen = NewDesk(f.now), &Wallet{}, f.limits, false, false
 	e.heardAt = map[string]time.Time{}
 }
@@ -103,6 +105,7 @@
 	v := View{
 		Self:    e.name,
 		Contact: e.contact,
+		Members: make([]Member, 0, len(f.entries)),
 	}
 	for _, other := range f.entries {
 		at, heard := e.heardAt[other.name]
@@ -112,7 +115,7 @@
 		if heard {
 			v.Members = append(v.Members, Member{
 				Name:        other.name,
-				Incarnation: fmt.Sprint(other.incarnation),
+				Incarnation: other.incarnation,
 				Active:      !other.leaving,
 				HeardAt:     at,
 			})
@@ -181,7 +184,7 @@
 		}
 		if lender.dead && lender.side == e.side {
 			// The connection is refused.
-			e.desk.RecordLost(f.now, map[string]string{lender.name: fmt.Sprint(lender.incarnation)})
+			e.desk.RecordLost(f.now, map[string]string{lender.name: lender.incarnation})
 			continue
 		}
 		if lender != e {
