Check the workspaces of a desired state

check named a key of two workspaces in a folder of settings only. It reads a desired state as well, and names keys by their place.

--- a/allowance/desk.go
+++ b/allowance/desk.go
@@ -99,8 +99,9 @@
 	d.tickedAt, d.view = now, view
 	maps.DeleteFunc(d.lost, func(_ string, l lostProcess) bool { return now.Sub(l.at) > lostTime })
 	d.updateEligible(now)
+	mayLend := d.mayLend(now)
 	for _, name := range workspaces {
-		if d.roles[name] == nil && d.Lender(name) == view.Self && d.mayLend(now) {
+		if d.roles[name] == nil && d.Lender(name) == view.Self && mayLend {
 			// A workspace with a new limit has had no other lender since the entries changed.
 			d.role(name).firstSince = d.eligibleSince
 		}
@@ -112,7 +113,7 @@
 			delete(d.roles, name)
 			continue
 		}
-		if transfer := d.updateRole(now, name, d.roles[name]); transfer != nil {
+		if transfer := d.updateRole(now, name, d.roles[name], mayLend); transfer != nil {
 			transfers = append(transfers, *transfer)
 		}
 	}
@@ -120,9 +121,9 @@
 }
 
 // updateRole follows a change of the lender. It returns the bucket if another entry lends now.
-func (d *Desk) updateRole(now time.Time, workspace string, r *role) *Transfer {
+func (d *Desk) updateRole(now time.Time, workspace string, r *role, mayLend bool) *Transfer {
 	first := d.Lender(workspace)
-	if !d.mayLend(now) {
+	if !mayLend {
 		// Another entry may lend on the other side of a cut.
 		r.bucket, r.firstSince = nil, time.Time{}
 		return nil
--- a/cmd/skylarkbeam/check.go
+++ b/cmd/skylarkbeam/check.go
@@ -18,7 +18,8 @@
   skylarkbeam check FILE ...
 
 DIR is a folder of settings. FILE is a file of the users' platform: the settings file of
-a machine, which serve -boot reads, or the deploy file; what is in it tells which.
+a machine, which serve -boot reads, the deploy file, or a desired state (JSON), whose
+workspaces are checked; what is in it tells which. No key is printed.
 
 Each fault is printed as "file: field: reason", the count last. The exit status is 1 if
 there are faults.
--- a/entry/allowance.go
+++ b/entry/allowance.go
@@ -154,7 +154,7 @@
 	w.waiting = append(w.waiting, p)
 	if !w.asking {
 		w.asking = true
-		go e.askForWaiting(name, w)
+		e.tasks.Go(func() { e.askForWaiting(name, w) })
 	}
 	a.mu.Unlock()
 	select {
