Give back permits of refused calls before they expire

The permit of a call that was refused for lack of capacity came back through the lender only, which takes a tenth of the room of the bound in a window: with a rate of 0.1 and a burst of 2, the third of 20 such calls would have got 429. It goes back to the entry now until it expires.

--- a/allowance/fleet_test.go
+++ b/allowance/fleet_test.go
@@ -164,7 +164,7 @@
 	if e.dead || e.frozen {
 		return true // It does not arrive.
 	}
-	if e.wallet.Take(f.now) || f.borrow(e) {
+	if _, ok := e.wallet.Take(f.now); ok || f.borrow(e) {
 		f.passed = append(f.passed, f.now)
 		return true
 	}
--- a/allowance/wallet.go
+++ b/allowance/wallet.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -37,22 +38,38 @@
 	expires time.Time
 }
 
-// Take uses a permit. It returns false if there is none.
-func (w *Wallet) Take(now time.Time) bool {
+// Take uses a permit, and returns the time until which it could have been used. ok is false if there is none.
+func (w *Wallet) Take(now time.Time) (expires time.Time, ok bool) {
 	w.recordUse(now)
 	w.expire(now)
 	if len(w.permits) == 0 {
-		return false
+		return time.Time{}, false
 	}
+	expires = w.permits[0].expires
 	if w.permits[0].permits--; w.permits[0].permits == 0 {
 		w.permits = w.permits[1:]
 	}
-	return true
+	return expires, true
+}
+
+// Return gives back the permit of a request that was not passed on. If it has expired, the lender gets it with the next ask:
+// only there it is known how many of these the bound allows.
+func (w *Wallet) Return(now, expires time.Time) {
+	if !now.Before(expires) {
+		w.unused++
+		return
+	}
+	w.add(permitBatch{
+		permits: 1,
+		expires: expires,
+	})
 }
 
-// Return gives back the permit of a request that was not passed on. The lender gets it with the next ask: only there it is
-// known how many of them the bound allows.
-func (w *Wallet) Return() { w.unused++ }
+// add keeps the permits in the order in which they expire.
+func (w *Wallet) add(batch permitBatch) {
+	i, _ := slices.BinarySearchFunc(w.permits, batch, func(a, b permitBatch) int { return a.expires.Compare(b.expires) })
+	w.permits = slices.Insert(w.permits, i, batch)
+}
 
 func (w *Wallet) expire(now time.Time) {
 	for len(w.permits) > 0 && !now.Before(w.permits[0].expires) {
@@ -83,7 +100,7 @@
 // askedAt, the time of the ask.
 func (w *Wallet) Receive(now, askedAt time.Time, limits Limits, loan Loan, rest int) {
 	if rest > 0 {
-		w.permits = append(w.permits, permitBatch{
+		w.add(permitBatch{
 			permits: rest,
 			expires: askedAt.Add(limits.Expiry()),
 		})
--- a/entry/allowance.go
+++ b/entry/allowance.go
@@ -77,6 +77,7 @@
 	until   time.Time
 	settled bool
 	refusal *Refusal
+	expires time.Time
 	// patient is set if no entry lent when the call came. It then waits on if the new lender has too few permits.
 	patient bool
 }
@@ -123,29 +124,30 @@
 	if _, ok := allowanceLimits(c.snapshot.settings, w); !ok {
 		return nil
 	}
-	refusal := e.awaitPermit(ctx, c.deadline, w.Name)
+	expires, refusal := e.awaitPermit(ctx, c.deadline, w.Name)
 	if refusal == nil {
-		c.permitOf = w.Name
+		c.permitOf, c.permitExpires = w.Name, expires
 	}
 	return refusal
 }
 
-func (e *Entry) awaitPermit(ctx context.Context, deadline time.Time, name string) *Refusal {
+// awaitPermit takes a permit of a workspace and returns the time until which it can be used.
+func (e *Entry) awaitPermit(ctx context.Context, deadline time.Time, name string) (expires time.Time, refusal *Refusal) {
 	now := e.timers.Now()
 	a := e.allowances
 	a.mu.Lock()
 	w := a.wallet(name)
-	if w.Take(now) {
+	if expires, ok := w.Take(now); ok {
 		a.mu.Unlock()
-		return nil
+		return expires, nil
 	}
 	if retry, ok := w.Refusal(now, rand.Float64()); ok {
 		a.mu.Unlock()
-		return allowanceRefusal(retry)
+		return time.Time{}, allowanceRefusal(retry)
 	}
 	if len(w.waiting) >= maxAsking {
 		a.mu.Unlock()
-		return notRunRefusal(outcome.NoLender, defaultRetryAfter, "too many requests wait for the allowance of the workspace")
+		return time.Time{}, notRunRefusal(outcome.NoLender, defaultRetryAfter, "too many requests wait for the allowance of the workspace")
 	}
 	p := &permitWait{
 		done:  make(chan struct{}),
@@ -159,16 +161,16 @@
 	a.mu.Unlock()
 	select {
 	case <-p.done:
-		return p.refusal
+		return p.expires, p.refusal
 	case <-ctx.Done():
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if p.settled && p.refusal == nil {
-		w.Return()
+		w.Return(e.timers.Now(), p.expires)
 	}
 	p.settled = true
-	return notRunRefusal(outcome.Canceled, 0, "the caller went away")
+	return time.Time{}, notRunRefusal(outcome.Canceled, 0, "the caller went away")
 }
 
 func allowanceRefusal(retry time.Duration) *Refusal {
@@ -183,7 +185,7 @@
 	a := e.allowances
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.wallet(c.permitOf).Return()
+	a.wallet(c.permitOf).Return(e.timers.Now(), c.permitExpires)
 	c.permitOf = ""
 	e.metrics.permitsReturned.Inc()
 }
@@ -271,6 +273,7 @@
 	}
 	var refused, patient []*permitWait
 	for _, p := range waiting {
+		p.expires = askedAt.Add(limits.Expiry())
 		switch {
 		case left > 0 && p.settle(nil):
 			left--
--- a/entry/identity.go
+++ b/entry/identity.go
@@ -16,6 +16,8 @@
 	maxUnconfirmedBytes = 4 << 20
 	// unconfirmedBytes is the size of a waiting request besides its key.
 	unconfirmedBytes = 8 << 10
+	// unconfirmedRetryAfter is twice the time in which a change of the desired state usually reaches all entries.
+	unconfirmedRetryAfter = 200 * time.Millisecond
 	// contactInterval is the interval at which an entry that has to refuse keys without contact asks for a sign of it. The
 	// shortest time without contact after which keys are refused is several times that.
 	contactInterval = time.Second
@@ -78,12 +80,12 @@
 	size := int64(unconfirmedBytes + headerBytes(r.Header))
 	if e.unconfirmed.Add(size) > maxUnconfirmedBytes {
 		e.unconfirmed.Add(-size)
-		return a, notRunRefusal(outcome.Unconfirmed, defaultRetryAfter, "too many requests wait for confirmation")
+		return a, notRunRefusal(outcome.Unconfirmed, unconfirmedRetryAfter, "too many requests wait for confirmation")
 	}
 	err := e.fleet.Confirm(r.Context())
 	e.unconfirmed.Add(-size)
 	if err != nil {
-		return a, notRunRefusal(outcome.Unconfirmed, defaultRetryAfter, "this entry cannot confirm that it has the newest settings")
+		return a, notRunRefusal(outcome.Unconfirmed, unconfirmedRetryAfter, "this entry cannot confirm that it has the newest settings")
 	}
 	e.refreshSnapshot()
 	return e.resolveRequest(e.snapshot.Load(), r, relayed)
@@ -227,4 +229,6 @@
 	authorized atomic.Pointer[authorization]
 	// permitOf is the workspace whose permit the call holds, empty if it has none.
 	permitOf string
+	// permitExpires is until when another call can use it.
+	permitExpires time.Time
 }
