--- a/entry/call.go
+++ b/entry/call.go
@@ -62,6 +62,7 @@
 	// unknownReason is the reason of the last attempt whose outcome is unknown, empty if there is none.
 	unknownReason outcome.Reason
 	claim         *claim.Claim
+	workspaceState
 }
 
 // serveCall handles a call from a caller.
@@ -89,6 +90,10 @@
 	if refusal == nil {
 		refusal = e.handleCall(w, c)
 	}
+	e.recordWorkspace(c, refusal)
+	if refusal != nil && refusal.NotRun() {
+		e.returnPermit(c)
+	}
 	if refusal != nil {
 		if c != nil {
 			e.logRefused(c, refusal)
@@ -106,10 +111,12 @@
 	if snap.settings == nil {
 		return nil, notRunRefusal(outcome.Isolated, defaultRetryAfter, "this entry has no settings yet")
 	}
-	s, policy, ok := snap.findService(r)
-	if !ok {
-		return nil, notRunRefusal(outcome.UnknownService, 0, "no service has this path")
+	admitted, refusal := e.admitRequest(snap, r, relayed)
+	if refusal != nil {
+		return nil, refusal
 	}
+	snap = admitted.snapshot
+	s, policy := admitted.service, admitted.policy
 	metadata, refusal := e.protocol.ParseRequest(snap.settings, r)
 	if refusal != nil {
 		return nil, refusal
@@ -134,6 +141,9 @@
 		idempotent: policy.idempotent,
 		isRetry:    metadata.IsRetry,
 		relayed:    relayed,
+		workspaceState: workspaceState{
+			identity: admitted.identity,
+		},
 	}
 	if metadata.Timeout > 0 && policy.elapsed != nil {
 		c.elapsedBefore = policy.elapsed.Elapsed(now, metadata.Timeout)
@@ -142,7 +152,7 @@
 	if !c.idempotent && c.key == "" && !relayed && policy.requiresKey {
 		return nil, notRunRefusal(outcome.KeyMissing, 0, "a call with method "+r.Method+" needs the header "+headerKey)
 	}
-	return c, nil
+	return c, e.takePermit(r.Context(), c)
 }
 
 // handleCall admits a call, runs it and writes its response. A returned refusal has not been written yet.
--- a/entry/handlers.go
+++ b/entry/handlers.go
@@ -6,6 +6,8 @@
 	"strings"
 
 	restful "github.com/emicklei/go-restful/v3"
+
+	"skylarkbeam/setting"
 )
 
 // callerHandler serves the caller address: the address list under /skylarkbeam/ unless the platform has a directory, and
@@ -34,6 +36,7 @@
 	service.Route(service.PUT("settings").To(e.serveApply))
 	service.Route(service.POST("drain").To(e.serveDrain))
 	service.Route(service.POST("restore").To(e.serveRestore))
+	service.Route(service.POST(allowancePath).To(e.serveAllowance))
 	container.Add(e.fleet.Service())
 	container.Add(service)
 	system := routeByPrefix(container, e.serveRelay)
@@ -75,6 +78,19 @@
 	}
 }
 
+// shownSettings returns settings without the keys of workspaces.
+func shownSettings(data []byte) []byte {
+	settings, err := setting.Parse(data)
+	if err != nil || len(settings.Workspaces) == 0 {
+		return data
+	}
+	shown, err := settings.WithoutKeys().Encode()
+	if err != nil {
+		return nil
+	}
+	return shown
+}
+
 func (e *Entry) serveSettings(_ *restful.Request, resp *restful.Response) {
 	state := e.fleet.State()
 	writeJSON(resp, struct {
@@ -84,6 +100,6 @@
 	}{
 		Version:  state.Version,
 		Base:     state.BaseVersion,
-		Settings: state.Settings,
+		Settings: shownSettings(state.Settings),
 	})
 }
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -24,6 +24,11 @@
 			interval: 250 * time.Millisecond,
 			run:      e.logContactChange,
 		},
+		{
+			name:     "watch allowances",
+			interval: allowanceInterval,
+			run:      e.updateAllowances,
+		},
 		{
 			name:     "find position",
 			interval: time.Second,
@@ -35,6 +40,13 @@
 			run:      e.closeIdleConnections,
 		},
 	}
+	if e.opts.NewFleet != nil {
+		jobs = append(jobs, job{
+			name:     "refresh contact for keys",
+			interval: contactInterval,
+			run:      e.refreshContact,
+		})
+	}
 	if e.opts.NewFleet == nil {
 		// A fleet of another kind has neither cold targets that entries warm up nor shares of callers.
 		jobs = append(jobs, job{
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -41,8 +41,16 @@
 	rolloutReportFailures *metrics.Counter
 	rolloutStoreCalls     *metrics.Counter
 	// callersGone counts calls that did not run because their callers left, by where they waited.
-	callersGone map[place]*metrics.Counter
-	collections *metrics.Counter
+	callersGone     map[place]*metrics.Counter
+	collections     *metrics.Counter
+	contactFailures *metrics.Counter
+	workspaces      workspaceUsage
+	// asks are the messages for permits, failedAsks those without an answer, and lent the permits lent to all entries.
+	asks               *metrics.Counter
+	failedAsks         *metrics.Counter
+	lent               *metrics.Counter
+	permitsReturned    *metrics.Counter
+	contactlessPermits *metrics.Counter
 }
 
 // Results of load reads, as label values.
@@ -79,6 +87,13 @@
 		targetPauses:    set.NewCounter("skylarkbeam_target_pauses_total"),
 		invalidLimits:   set.NewCounter("skylarkbeam_invalid_limits_total"),
 
+		contactFailures:    set.NewCounter("skylarkbeam_contact_failures_total"),
+		asks:               set.NewCounter("skylarkbeam_allowance_asks_total"),
+		failedAsks:         set.NewCounter("skylarkbeam_allowance_failed_asks_total"),
+		lent:               set.NewCounter("skylarkbeam_allowance_lent_total"),
+		permitsReturned:    set.NewCounter("skylarkbeam_allowance_returned_total"),
+		contactlessPermits: set.NewCounter("skylarkbeam_allowance_contactless_total"),
+
 		rolloutReports:        set.NewCounter("skylarkbeam_rollout_reports_total"),
 		rolloutReportFailures: set.NewCounter("skylarkbeam_rollout_report_failures_total"),
 		rolloutStoreCalls:     set.NewCounter("skylarkbeam_rollout_store_calls_total"),
@@ -166,6 +181,7 @@
 // format.
 func (m *Metrics) WritePrometheus(w io.Writer) {
 	m.set.WritePrometheus(w)
+	m.workspaces.writeMetrics(w)
 	// The default set contains the metrics of package claim.
 	metrics.WritePrometheus(w, true)
 }
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -16,10 +16,12 @@
 func notRunRefusal(reason outcome.Reason, retryAfter time.Duration, message string) *Refusal {
 	status := http.StatusServiceUnavailable
 	switch reason {
-	case outcome.ShareExceeded:
+	case outcome.ShareExceeded, outcome.Allowance:
 		status = http.StatusTooManyRequests
 	case outcome.KeyMissing, outcome.UnknownCaller, outcome.Invalid:
 		status = http.StatusBadRequest
+	case outcome.Unauthorized:
+		status = http.StatusUnauthorized
 	case outcome.UnknownService:
 		status = http.StatusNotFound
 	case outcome.Conflict:
--- a/entry/run.go
+++ b/entry/run.go
@@ -96,7 +96,7 @@
 		// A target that verifies the instance itself has received the call, though it did not run it.
 		return !e.protocol.TargetProtocol().Capabilities().VerifiesInstance
 	case outcome.BudgetExhausted, outcome.RateLimited, outcome.Paused, outcome.Dial, outcome.Leaving,
-		outcome.VersionHeld:
+		outcome.VersionHeld, outcome.Unconfirmed:
 		return true
 	}
 	return false
@@ -142,7 +142,7 @@
 // pickRetry selects the target for another attempt. It returns nil if there is to be none.
 func (e *Entry) pickRetry(c *call) *route.Permit {
 	now := e.timers.Now()
-	if c.waiting.Err() != nil || !now.Before(c.deadline) || !c.hasAttemptsLeft() || e.dispatchRefusal(now) != "" {
+	if c.waiting.Err() != nil || !now.Before(c.deadline) || !c.hasAttemptsLeft() || e.sendRefusal(c, now) != "" {
 		return nil
 	}
 	if c.snapshot.registered {
--- a/entry/status.go
+++ b/entry/status.go
@@ -38,6 +38,8 @@
 	Counts map[string]uint64 `json:"counts"`
 	// Memory is the memory held for bodies, heads and responses.
 	Memory []memory.Usage `json:"memory,omitempty"`
+	// Workspaces are the workspaces with the most requests, and the sum of the others.
+	Workspaces []WorkspaceStatus `json:"workspaces,omitempty"`
 	// Events are the last changes of state, oldest first.
 	Events []Event `json:"events"`
 }
@@ -113,6 +115,7 @@
 		})
 	}
 	s.TargetStatuses = e.targetStatuses(e.table.Status(now))
+	s.Workspaces = e.metrics.workspaces.largest()
 	s.Events = e.journal.list()
 	s.Memory = e.memoryUsage()
 	return s
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -141,6 +141,7 @@
 	// followers is the number of watches of other entries in progress, the last of which ended at followedAt.
 	followers  int
 	followedAt time.Time
+	confirm    confirmations
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -289,6 +290,8 @@
 		}
 	}
 	former := f.state.Load()
+	// Read before the rows, so that the state has all changes up to this version.
+	baseVersion := f.tables[f.opt.Tables[0]].LatestVersion()
 	next, err := f.opt.BuildState(former, f.tables)
 	if err != nil {
 		f.log.Error("the desired state cannot be read, the former one stays in force", zap.Error(err),
@@ -296,7 +299,7 @@
 		return
 	}
 	next.Version = former.Version + 1
-	next.BaseVersion = f.tables[f.opt.Tables[0]].LatestVersion()
+	next.BaseVersion = baseVersion
 	now := f.now()
 	outage := f.storeOutage(now)
 	if recheck := retainLapsed(now, former, next, retentionTime(outage, next.DrainTime)); recheck > 0 {
--- a/fleet/followerhttp.go
+++ b/fleet/followerhttp.go
@@ -30,6 +30,7 @@
 	service.Route(service.GET(membersPath).To(f.serveMembers))
 	service.Route(service.GET(rowsPath).To(f.serveRows))
 	service.Route(service.POST(rolloutPath).To(f.serveRollout))
+	service.Route(service.GET(confirmPath).To(f.serveConfirm))
 	return service
 }
 
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -73,6 +73,7 @@
 
 // recordStoreResult records the result of a call to the store.
 func (f *Follower) recordStoreResult(sentAt time.Time, batch feed.Batch, err error) {
+	f.recordContact(err)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -37,6 +37,7 @@
 		defer cancel()
 		batch, err := f.opt.Transport.Rows(ctx, to.control, table, 0, 0)
 		if err == nil {
+			f.recordContact(nil)
 			return *batch, nil
 		}
 		f.recordPeerFailure(to, err)
