Take silent members for gone after 20 s instead of 6

With the store in reach on both sides of a cut between entries, both sides lent after 6 s. No side but the larger one lends within 20 s now; after the loss of most machines without a word nobody lends for as long. Asks name ended processes for 6 s only, and silent members are probed ever more rarely. The simulation has cuts of a third with the store in reach, and of all entries from each other: the bound holds.

--- a/allowance/desk.go
+++ b/allowance/desk.go
@@ -18,9 +18,14 @@
 	// takeoverDelay is how long an entry is the first before it lends without having been given the bucket. Entries
 	// learn of each other within that time.
 	takeoverDelay = time.Second
-	// forgetAfter is the silence after which an entry in contact with the store takes members for gone. Those that were
-	// only cut off have no contact with the store.
-	forgetAfter = 6 * time.Second
+	// forgetAfter is the silence after which an entry in contact with the store takes members for gone. Both sides of a
+	// cut that leaves them in contact with the store would lend after that time, and after the loss of more than half
+	// of the machines nobody lends before.
+	forgetAfter = 20 * time.Second
+	// aloneTime is how long an entry that has started waits for the others before it lends alone.
+	aloneTime = 6 * time.Second
+	// tellTime is how long asks name a process that has ended. By then all have missed it.
+	tellTime = 6 * time.Second
 	// lostTime is how long the word that a process has ended counts. Members that are silent for as long are forgotten. A
 	// process that starts in its place has another incarnation.
 	lostTime = time.Minute
@@ -167,7 +172,7 @@
 // RecordLost records that processes have ended.
 func (d *Desk) RecordLost(now time.Time, incarnations map[string]string) {
 	for name, incarnation := range incarnations {
-		if name != d.view.Self {
+		if name != d.view.Self && d.lost[name].incarnation != incarnation {
 			d.lost[name] = lostProcess{
 				incarnation: incarnation,
 				at:          now,
@@ -179,18 +184,23 @@
 	}
 }
 
-// Lost returns the processes that are known to have ended.
-func (d *Desk) Lost() map[string]string {
-	if len(d.lost) == 0 {
-		return nil
-	}
-	incarnations := make(map[string]string, len(d.lost))
+// Lost returns the processes that have ended so recently that others may still take them for the lender. Asks name them.
+func (d *Desk) Lost(now time.Time) map[string]string {
+	incarnations := map[string]string{}
 	for name, l := range d.lost {
-		incarnations[name] = l.incarnation
+		if now.Sub(l.at) < tellTime {
+			incarnations[name] = l.incarnation
+		}
 	}
 	return incarnations
 }
 
+// HasEnded reports whether a process is known to have ended.
+func (d *Desk) HasEnded(name, incarnation string) bool {
+	l, ok := d.lost[name]
+	return ok && l.incarnation == incarnation
+}
+
 // updateEligible finds the entries that can lend: those that are heard.
 func (d *Desk) updateEligible(now time.Time) {
 	var eligible []string
@@ -221,10 +231,7 @@
 	}
 }
 
-func (d *Desk) hasEnded(m Member) bool {
-	l, ok := d.lost[m.Name]
-	return ok && l.incarnation == m.Incarnation
-}
+func (d *Desk) hasEnded(m Member) bool { return d.HasEnded(m.Name, m.Incarnation) }
 
 // Lender returns the entry that lends the permits of a workspace: the first by the hash of both names among the entries
 // that are heard. It returns an empty name if none is known.
@@ -287,7 +294,7 @@
 // with the first of them if both sides are equal. An entry in contact with the store leaves out members that have been
 // silent for forgetAfter.
 func (d *Desk) mayLend(now time.Time) bool {
-	if d.view.Alone && now.Sub(d.startedAt) < forgetAfter {
+	if d.view.Alone && now.Sub(d.startedAt) < aloneTime {
 		return false
 	}
 	all, heard := 0, 0
--- a/allowance/fleet_test.go
+++ b/allowance/fleet_test.go
@@ -193,7 +193,7 @@
 		if lender != e && !f.connected(e, lender) {
 			break
 		}
-		ask.Lost = e.desk.Lost()
+		ask.Lost = e.desk.Lost(f.now)
 		loan := lender.desk.Lend(f.now, lender.limits, ask)
 		if !loan.Lends {
 			break
@@ -298,7 +298,6 @@
 // Guards against more requests than the bound allows, in each failure, and against an allowance that is not used, which
 // senders that ask for four times as much must always get.
 func TestOverAllowance(t *testing.T) {
-	const entries = 56
 	events := map[string]func(f *testFleet) (at map[int]func()){
 		"nothing": func(*testFleet) map[int]func() { return nil },
 		"the lender ends": func(f *testFleet) map[int]func() {
@@ -331,7 +330,7 @@
 		"entries leave": func(f *testFleet) map[int]func() {
 			at := map[int]func(){}
 			for i := range 8 {
-				e := f.entries[(i*7)%entries]
+				e := f.entries[(i*7)%len(f.entries)]
 				if i == 0 {
 					e = f.lender()
 				}
@@ -340,9 +339,31 @@
 			}
 			return at
 		},
+		"all entries are cut off from each other": func(f *testFleet) map[int]func() {
+			return map[int]func(){1000: func() {
+				for i, e := range f.entries {
+					e.side = i
+				}
+			}, 1200: func() {
+				for _, e := range f.entries {
+					e.side = 0
+				}
+			}}
+		},
+		"a third of the entries is cut off, but not from the store": func(f *testFleet) map[int]func() {
+			return map[int]func(){1000: func() {
+				for i, e := range f.entries {
+					e.side = min(i%3, 1)
+				}
+			}, 1900: func() {
+				for _, e := range f.entries {
+					e.side = 0
+				}
+			}}
+		},
 		"a third of the entries end": func(f *testFleet) map[int]func() {
 			return map[int]func(){1000: func() {
-				for i := 0; i < entries; i += 3 {
+				for i := 0; i < len(f.entries); i += 3 {
 					f.entries[i].dead, f.entries[i].side = true, 9
 				}
 			}}
@@ -356,6 +377,10 @@
 		},
 	}
 	for name, limits := range testLimits {
+		entries := 20
+		if name == "large" {
+			entries = 56
+		}
 		for event, plan := range events {
 			t.Run(name+", "+event, func(t *testing.T) {
 				t.Parallel()
--- a/entry/allowance.go
+++ b/entry/allowance.go
@@ -42,6 +42,8 @@
 	allowanceInterval = 250 * time.Millisecond
 	// silentProbeInterval is the minimum time between two connections to a member that is not heard.
 	silentProbeInterval = time.Second
+	// silentProbeDivisor makes these connections rarer the longer the member is silent.
+	silentProbeDivisor = 5
 	// contactAge is how long ago an entry in contact has last heard from the store or from an entry that reads it.
 	contactAge = 2 * time.Second
 )
@@ -318,7 +320,7 @@
 		a.mu.Lock()
 		lender := a.desk.Lender(name)
 		member, known := a.members[lender]
-		ask.Lost = a.desk.Lost()
+		ask.Lost = a.desk.Lost(e.timers.Now())
 		a.mu.Unlock()
 		if lender == e.opts.Name {
 			return e.lend(ask)
@@ -430,12 +432,16 @@
 // cut off, and their side of the cut may lend.
 func (e *Entry) probeSilent(now time.Time, members []fleet.Member) {
 	a := e.allowances
-	a.mu.Lock()
-	lost := a.desk.Lost()
-	a.mu.Unlock()
 	for _, m := range members {
-		if m.State != fleet.RecordStateActive || now.Sub(m.LastHeard) < contactAge || lost[m.Name] == m.Incarnation ||
-			now.Sub(a.probedAt[m.Name]) < silentProbeInterval {
+		silence := now.Sub(m.LastHeard)
+		interval := max(silentProbeInterval, silence/silentProbeDivisor)
+		if m.State != fleet.RecordStateActive || silence < contactAge || now.Sub(a.probedAt[m.Name]) < interval {
+			continue
+		}
+		a.mu.Lock()
+		ended := a.desk.HasEnded(m.Name, m.Incarnation)
+		a.mu.Unlock()
+		if ended {
 			continue
 		}
 		a.probedAt[m.Name] = now
