Let hedges of lost attempts use the reserve of the retry budget

Cause: hedges leave 3 retries of the budget to retries.

Change: once the first attempt has lasted for the first-byte timeout, its hedge is charged like a retry. The budget is the same.

--- a/entry/export_test.go
+++ b/entry/export_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"skylarkbeam/outcome"
+	"skylarkbeam/route"
 	"skylarkbeam/share"
 )
 
@@ -62,3 +64,15 @@
 	}
 	return n
 }
+
+// LeaveRetryReserve uses up what the retry budget of a service has beyond the reserve for retries.
+func (e *Entry) LeaveRetryReserve(service string) {
+	now := e.timers.Now()
+	query := route.Query{
+		Idempotent: true,
+	}
+	permit := e.table.Hedge(now, service, query)
+	for ; permit != nil; permit = e.table.Hedge(now, service, query) {
+		releaseUnused(permit, now, outcome.Canceled)
+	}
+}
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -7,6 +7,7 @@
 
 	"skylarkbeam/outcome"
 	"skylarkbeam/route"
+	"skylarkbeam/setting"
 )
 
 // attemptWithHedge makes an attempt, and a hedge for an idempotent call if the first attempt is slower than usual. It
@@ -18,11 +19,13 @@
 	if !c.idempotent || c.isRetry || !ok || c.policy.attempts < 2 {
 		return e.attempt(ctx, c, permit, retry)
 	}
+	now := e.timers.Now()
 	h := &hedge{
-		entry: e,
-		call:  c,
-		query: c.query(e.timers.Now()),
-		delay: delay,
+		entry:  e,
+		call:   c,
+		query:  c.query(now),
+		delay:  delay,
+		lateAt: now.Add(firstByteTimeout(c.service.spec)),
 	}
 	timer := time.AfterFunc(delay, h.run)
 	first := e.attempt(ctx, c, permit, retry)
@@ -55,6 +58,8 @@
 	call  *call
 	query route.Query
 	delay time.Duration
+	// lateAt is when the first attempt is taken for lost.
+	lateAt time.Time
 
 	// once guards ctx, cancel and result, which are allocated only for hedges that run: most calls end before.
 	once   sync.Once
@@ -111,7 +116,7 @@
 		if !h.call.hasAttemptsLeft() {
 			return nil
 		}
-		if permit := e.table.Hedge(now, h.call.service.name, h.query); permit != nil {
+		if permit := h.pick(now); permit != nil {
 			if e.dispatchRefusal(now) == "" && h.tryStart() {
 				return permit
 			}
@@ -163,3 +168,17 @@
 	}
 	return first
 }
+
+// pick selects the target of the hedge. The first attempt may be on a new connection, where nothing else ends it before
+// the deadline of the call, so it is taken for lost after the time after which the pool takes a reused one for lost.
+func (h *hedge) pick(now time.Time) *route.Permit {
+	if now.Before(h.lateAt) {
+		return h.entry.table.Hedge(now, h.call.service.name, h.query)
+	}
+	return h.entry.table.LateHedge(now, h.call.service.name, h.query)
+}
+
+// firstByteTimeout is the time after which an idempotent call that has no byte of a response is taken for lost.
+func firstByteTimeout(spec setting.Service) time.Duration {
+	return max(firstByteTimeoutFactor*time.Duration(spec.Work), minFirstByteTimeout)
+}
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -46,7 +46,7 @@
 	spec := next.settings.Services[serviceName]
 	entries := next.entries
 	maxConnections := max(spec.Connections/entries, 1)
-	opts.firstByteTimeout = max(firstByteTimeoutFactor*time.Duration(spec.Work), minFirstByteTimeout)
+	opts.firstByteTimeout = firstByteTimeout(spec)
 	if opts.instance != "" {
 		// Its load is read before each call, which detects an unresponsive connection.
 		opts.firstByteTimeout = -1
--- a/route/table.go
+++ b/route/table.go
@@ -473,7 +473,7 @@
 // Retry selects another target for a call whose earlier attempt was not run, or may be run again. It returns nil if the
 // budget or the targets allow no further attempt. A target that was tried is selected only if there is no other.
 func (t *Table) Retry(now time.Time, service string, q Query) *Permit {
-	return t.retryOrHedge(now, service, q, false)
+	return t.retryOrHedge(now, service, q, false, true)
 }
 
 // Hedge selects another target with spare capacity for a second attempt while the first one is still in flight. It
@@ -483,17 +483,17 @@
 	if !q.Idempotent {
 		return nil
 	}
-	return t.retryOrHedge(now, service, q, true)
+	return t.retryOrHedge(now, service, q, true, false)
 }
 
-func (t *Table) retryOrHedge(now time.Time, service string, q Query, hedge bool) *Permit {
+func (t *Table) retryOrHedge(now time.Time, service string, q Query, hedge, reserve bool) *Permit {
 	s := t.view.Load().services[service]
 	if s == nil {
 		return nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.budget.allows(now, t.budgetConfig(now), hedge) {
+	if !s.budget.allows(now, t.budgetConfig(now), !reserve) {
 		return nil
 	}
 	p, _ := s.pick(now, q, hedge)
