--- a/fleet/join.go
+++ b/fleet/join.go
@@ -80,7 +80,12 @@
 	ctx, cancel := context.WithTimeout(f.ctx, tableTimeout)
 	defer cancel()
 	if era := f.storeEra(); !f.published.Load() || f.publishedEra.Load() != era {
-		if err := f.opt.Store.Put(ctx, f.opt.MembersTable, f.opt.Name, encode(f.self)); err != nil {
+		f.mu.RLock()
+		record := f.self
+		f.mu.RUnlock()
+		// The row stays when the entry reaches the store again, and can be written only when it does.
+		record.Detached = false
+		if err := f.opt.Store.Put(ctx, f.opt.MembersTable, f.opt.Name, encode(record)); err != nil {
 			return err
 		}
 		f.published.Store(true)
