Print how entries ended when a test of processes fails

TestDrain failed once with an entry that reset all connections; its log did not say whether the process had ended. Entries of a failed test now get SIGQUIT and write their stacks, and the state of each process is printed. Tried with a test that fails: an entry that had been killed shows "signal: killed", one that was paused its stacks.

--- a/cmd/skylarkbeam/processes_test.go
+++ b/cmd/skylarkbeam/processes_test.go
@@ -28,6 +28,9 @@
 
 const startLimit = 60 * time.Second
 
+// dumpTimeout is how long a process has to write the stacks of its goroutines.
+const dumpTimeout = 5 * time.Second
+
 // binaries are built once for all tests that start processes.
 var binaries = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "skylarkbeam-test-")
@@ -209,10 +212,16 @@
 	assert.NilError(p.t, e.cmd.Start())
 	p.t.Cleanup(func() {
 		e.cmd.Process.Signal(syscall.SIGCONT)
-		e.cmd.Process.Kill()
+		if p.t.Failed() {
+			// A process that is there writes the stacks of its goroutines. One that has ended before shows how.
+			e.cmd.Process.Signal(syscall.SIGQUIT)
+			defer time.AfterFunc(dumpTimeout, func() { e.cmd.Process.Kill() }).Stop()
+		} else {
+			e.cmd.Process.Kill()
+		}
 		e.cmd.Wait()
 		if p.t.Failed() {
-			p.t.Logf("log of %s:\n%s", name, e.log)
+			p.t.Logf("log of %s (%v):\n%s", name, e.cmd.ProcessState, e.log)
 		}
 	})
 	p.until("entry "+name+" serves", func() bool {
