--- a/entry/identity.go
+++ b/entry/identity.go
@@ -70,11 +70,12 @@
 	identity identity
 }
 
-// admitRequest finds the service and the workspace of a request. A request that would be refused for what the settings
-// say is refused only after the entry has confirmed that it has the newest ones.
+// admitRequest finds the service and the workspace of a request. A request with an unknown key is refused only after the
+// entry has confirmed that it has the newest settings. An unknown path is not confirmed: a call to the store for each of
+// these costs more than the requests to a new route that arrive before its settings.
 func (e *Entry) admitRequest(snap *snapshot, r *http.Request, relayed bool) (admission, *Refusal) {
 	a, refusal := e.resolveRequest(snap, r, relayed)
-	if refusal == nil || snap.workspaces == nil {
+	if refusal == nil || refusal.Reason != outcome.Unauthorized || snap.workspaces == nil {
 		return a, refusal
 	}
 	size := int64(unconfirmedBytes + headerBytes(r.Header))
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -34,7 +34,7 @@
 	Leaving Reason = "leaving"
 	// Unauthorized means that the key of the request is missing, unknown or revoked.
 	Unauthorized Reason = "unauthorized"
-	// Unconfirmed means that the entry does not know the key, or the path, and cannot tell whether it is behind.
+	// Unconfirmed means that the entry does not know the key, and cannot tell whether it is behind.
 	Unconfirmed Reason = "unconfirmed"
 	// Allowance means that the workspace of the call has used its allowance.
 	Allowance Reason = "allowance"
