Take back the buckets that fill from the start of the process

An entry that restarts alone becomes the lender again while the one that stood in for it still lends, until it hears of the restart. If that takes longer than a second, both rates would count.

--- a/allowance/desk.go
+++ b/allowance/desk.go
@@ -77,11 +77,7 @@
 type role struct {
 	// firstSince is when the entry became the first; zero if it is not.
 	firstSince time.Time
-	// fillsFrom is the time since which no other entry can have lent, unless that one passes its bucket on; zero if it is
-	// not known. The bucket of an entry that takes over fills from then on, so that the requests that have waited since a
-	// fleet was started are not refused.
-	fillsFrom time.Time
-	bucket    *bucket
+	bucket     *bucket
 }
 
 // Transfer is a bucket that another entry is to take over.
@@ -112,7 +108,7 @@
 	for _, name := range workspaces {
 		if d.roles[name] == nil && d.Lender(name) == view.Self && mayLend {
 			// A workspace with a new limit has had no other lender since the entries changed.
-			d.role(name).firstSince, d.role(name).fillsFrom = d.eligibleSince, d.eligibleSince
+			d.role(name).firstSince = d.eligibleSince
 		}
 		d.role(name)
 	}
@@ -134,7 +130,7 @@
 	first := d.Lender(workspace)
 	if !mayLend {
 		// Another entry may lend on the other side of a cut.
-		r.bucket, r.firstSince, r.fillsFrom = nil, time.Time{}, time.Time{}
+		r.bucket, r.firstSince = nil, time.Time{}
 		return nil
 	}
 	if first == d.view.Self {
@@ -143,7 +139,7 @@
 		}
 		return nil
 	}
-	r.firstSince, r.fillsFrom = time.Time{}, time.Time{}
+	r.firstSince = time.Time{}
 	if r.bucket == nil || first == "" {
 		return nil
 	}
@@ -165,7 +161,7 @@
 		return
 	}
 	for _, r := range d.roles {
-		r.bucket, r.firstSince, r.fillsFrom = nil, now, time.Time{}
+		r.bucket, r.firstSince = nil, now
 	}
 	d.tickedAt = now
 	// The members have to be heard anew.
@@ -269,10 +265,7 @@
 		if begin.After(now) {
 			return Loan{}
 		}
-		if !r.fillsFrom.IsZero() {
-			begin = r.fillsFrom
-		}
-		r.bucket, r.fillsFrom = newBucket(begin, limits, max(reservePart*limits.room(), 1)), time.Time{}
+		r.bucket = newBucket(begin, limits, max(reservePart*limits.room(), 1))
 	}
 	return r.bucket.lend(now, limits, ask)
 }
@@ -283,7 +276,6 @@
 	if r.bucket == nil {
 		r.bucket = newBucket(now, limits, 0)
 	}
-	r.fillsFrom = time.Time{}
 	r.bucket.update(now, limits)
 	r.bucket.level = min(r.bucket.level+max(level, 0), limits.capacity())
 }
