Take a lender that has restarted for one as soon as it is heard

Cause: an entry that found the connection to a lender refused took its incarnation for ended for a minute.

Change: a process that was heard after its end was noticed has started again.

--- a/allowance/desk.go
+++ b/allowance/desk.go
@@ -231,7 +231,11 @@
 	}
 }
 
-func (d *Desk) hasEnded(m Member) bool { return d.HasEnded(m.Name, m.Incarnation) }
+// hasEnded reports whether the process of a member has ended. One that was heard since has started again: the incarnation
+// of a member is only known from its own greetings, and most members are heard through others.
+func (d *Desk) hasEnded(m Member) bool {
+	return d.HasEnded(m.Name, m.Incarnation) && !m.HeardAt.After(d.lost[m.Name].at)
+}
 
 // Lender returns the entry that lends the permits of a workspace: the first by the hash of both names among the entries
 // that are heard. It returns an empty name if none is known.
--- a/allowance/fleet_test.go
+++ b/allowance/fleet_test.go
@@ -1,6 +1,7 @@
 package allowance
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"testing"
@@ -22,6 +23,8 @@
 	frozen      bool
 	dead        bool
 	leaving     bool
+	// knownAs is the incarnation that the others know; empty for the current one.
+	knownAs string
 	// side is the part of a partition that the entry is in. contact is set if it hears from the store.
 	side    int
 	contact bool
@@ -115,7 +118,7 @@
 		if heard {
 			v.Members = append(v.Members, Member{
 				Name:        other.name,
-				Incarnation: other.incarnation,
+				Incarnation: cmp.Or(other.knownAs, other.incarnation),
 				Active:      !other.leaving,
 				HeardAt:     at,
 			})
@@ -184,7 +187,7 @@
 		}
 		if lender.dead && lender.side == e.side {
 			// The connection is refused.
-			e.desk.RecordLost(f.now, map[string]string{lender.name: lender.incarnation})
+			e.desk.RecordLost(f.now, map[string]string{lender.name: cmp.Or(lender.knownAs, lender.incarnation)})
 			continue
 		}
 		if lender != e {
@@ -310,6 +313,21 @@
 			l := f.lender()
 			return map[int]func(){1000: func() { l.dead = true }, 1100: func() { f.boot(l) }}
 		},
+		"the lender restarts, and few entries hear of the new process": func(f *testFleet) map[int]func() {
+			l := f.lender()
+			// Half of the entries do not notice that the process has ended.
+			away := func(side int) {
+				for i, e := range f.entries {
+					if i%2 == 1 && e != l {
+						e.side = side
+					}
+				}
+			}
+			return map[int]func(){
+				1000: func() { l.dead, l.knownAs = true, l.incarnation; away(1) },
+				1100: func() { f.boot(l); away(0) },
+			}
+		},
 		"the lender is paused": func(f *testFleet) map[int]func() {
 			l := f.lender()
 			return map[int]func(){1000: func() { l.frozen = true }, 1500: func() { l.frozen = false }}
