Let an entry that has restarted greet all members where workspaces have a rate

Cause: members learn the state and incarnation of a member from its own greetings, which go to few of them.

Change: a member that knew a former process says so in its response, and the entry greets all members three times. TestRestartIsKnown fails without it.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -106,6 +106,7 @@
 	changed   chan struct{}
 	members   map[string]*member
 	plan      greetingPlan
+	restarted restartNotice
 	// joined is set once other members are known or the table of members has been read, which was last at membersReadAt.
 	// published is set once this entry is in that table.
 	joined        bool
--- a/fleet/follower_test.go
+++ b/fleet/follower_test.go
@@ -209,7 +209,15 @@
 		ParsedSettings: &setting.Settings{},
 		DrainTime:      testDrainTime,
 	}
-	for _, row := range tables["op"].Rows() {
+	for key, row := range tables["op"].Rows() {
+		if key == "rates" {
+			s.ParsedSettings.Workspaces = map[string]setting.Workspace{
+				"harbour": {
+					Rate: 1,
+				},
+			}
+			continue
+		}
 		s.DrainedDomains = append(s.DrainedDomains, string(row.Value))
 	}
 	for _, key := range slices.Sorted(maps.Keys(tables["servers"].Rows())) {
--- a/fleet/greeting.go
+++ b/fleet/greeting.go
@@ -76,6 +76,9 @@
 	for {
 		due, newRound := f.dueGreetings()
 		f.greetAll(due)
+		if f.restarted.due(f.now()) {
+			f.greetEveryone()
+		}
 		if newRound {
 			f.cancelStaleWatches()
 			f.publishIfReader()
@@ -296,13 +299,19 @@
 		return err
 	}
 	f.applyGreeting(reply, start)
+	if reply.Former {
+		f.restarted.record(f.now())
+	}
 	return nil
 }
 
 // replyTo records a greeting and returns the response to it.
 func (f *Follower) replyTo(g *Greeting) *Greeting {
+	former := f.knowsFormer(g)
 	f.applyGreeting(g, f.now())
-	return f.newGreeting(g.Record.Domain, g.rolls())
+	reply := f.newGreeting(g.Record.Domain, g.rolls())
+	reply.Former = former
+	return reply
 }
 
 // rolls returns the hashes of the sender's rolls by failure domain.
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -90,6 +90,10 @@
 	// Entry corresponds to the JSON schema field "entry".
 	Entry string `json:"entry"`
 
+	// In a response: the sender knew a former process of the entry that greets it.
+	// Only where workspaces have a rate.
+	Former bool `json:"former,omitempty,omitzero"`
+
 	// Time since the sender last heard each of the other members, in tenths of a
 	// second.
 	Heard map[string]int `json:"heard,omitempty,omitzero"`
