Send nothing without a lender until the fleet is known

Cause: each entry may send a part of the slack without a lender, divided by the members that it knows.

TestContactlessAfterStart fails without it.

--- a/allowance/desk.go
+++ b/allowance/desk.go
@@ -274,6 +274,11 @@
 	return r.bucket.lend(now, limits, ask)
 }
 
+// KnowsFleet reports whether the entry has had the time to learn of all others. Only then it can tell its part of what all
+// entries send without a lender: right after the start of a fleet each knew a few members, and their parts added up to
+// several times the whole.
+func (d *Desk) KnowsFleet(now time.Time) bool { return now.Sub(d.startedAt) >= leaseTime }
+
 // Accept takes over a bucket from another entry.
 func (d *Desk) Accept(now time.Time, limits Limits, workspace string, level float64) {
 	r := d.role(workspace)
--- a/allowance/fleet_test.go
+++ b/allowance/fleet_test.go
@@ -205,7 +205,7 @@
 		e.wallet.Receive(f.now, f.now, e.limits, loan, loan.Permits-granted)
 		return granted == 1
 	}
-	return e.wallet.TakeContactless(f.now, e.limits, len(f.view(e).Members))
+	return e.desk.KnowsFleet(f.now) && e.wallet.TakeContactless(f.now, e.limits, len(f.view(e).Members))
 }
 
 // spread sends requests at a rate, each to an entry that choose names.
@@ -473,3 +473,16 @@
 	f.check()
 	assert.Check(t, float64(len(f.passed)) > 0.9*high.Rate*10, "%d", len(f.passed))
 }
+
+// Guards against entries that have just started and take a part of what may be sent without a lender that is far too large,
+// because they know few of the others.
+func TestContactlessAfterStart(t *testing.T) {
+	f := newTestFleet(t, 56, testLimits["large"])
+	for i, e := range f.entries {
+		f.boot(e)
+		e.side = i // None hears of another one.
+	}
+	f.passed = nil
+	f.run(leaseTime-100*time.Millisecond, f.spread(4*f.limits.Rate, f.turns))
+	assert.Equal(t, len(f.passed), 0, "requests passed on without a lender")
+}
--- a/entry/allowance.go
+++ b/entry/allowance.go
@@ -251,14 +251,14 @@
 	defer a.mu.Unlock()
 	left := loan.Permits
 	if !loan.Lends {
-		entries := len(a.members)
+		entries, divided := len(a.members), a.desk.KnowsFleet(now)
 		for i, p := range waiting {
 			switch {
 			case p.settled:
 			case !limited:
 				// The limit was removed meanwhile.
 				p.settle(nil)
-			case w.TakeContactless(now, limits, entries):
+			case divided && w.TakeContactless(now, limits, entries):
 				e.metrics.contactlessPermits.Inc()
 				p.settle(nil)
 			case !now.Before(p.until) || e.closed():
