Serve all addresses with one server and one limit of connections

Fault: crowds at the directory, readiness, control or metrics ended the process, or took all its descriptors. Entries and ordinary callers lost it.

Cause: these were servers of net/http, with heads of 1 MB, no limit of connections, and no bound on the bytes or the time of a body. Handlers at the control address read and decoded bodies of 1 MB and made responses of any size at once for each client, however many did not read theirs.

Change: package caller serves all addresses. Its servers share Connections, with one limit: a new connection takes the place of one that waits for its client, at the address that exceeds its part the most. Connections on which entries were answered stay while a crowd comes and goes. A connection with a request that may run is never closed for room. Clients that do not read for 250 ms make room too. Messages above 12 KiB reserve memory and are decoded one at a time; large responses are made one at a time and held in the part for responses; a whole table is encoded once for all entries that ask for it.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -56,12 +57,29 @@
 	last *response
 	// turn is closed when the response to the last request has been written.
 	turn chan struct{}
-	// idleSince is the time since which open is 0. evicted says that the connection is being closed because there are too
-	// many.
+	// running is the number of requests that may run: their handlers have not begun to respond, and they may not be interrupted.
+	// answered says that a response was written.
+	running  int
+	answered bool
+	// idleSince is the time at which the last response was written, or the connection was accepted. evicted says that the
+	// connection is being closed because there are too many.
 	idleSince time.Time
 	evicted   bool
 	// receivingSince is the time since which the body of the last request is awaited; zero if none is.
 	receivingSince time.Time
+
+	// writingSince is when the write that is in progress began, in nanoseconds since 1970; 0 if there is none.
+	writingSince atomic.Int64
+}
+
+// connWriter writes to a connection and notes how long a write lasts.
+type connWriter conn
+
+// Write implements io.Writer.
+func (w *connWriter) Write(p []byte) (int, error) {
+	w.writingSince.Store(time.Now().UnixNano())
+	defer w.writingSince.Store(0)
+	return w.nc.Write(p)
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
@@ -84,7 +102,7 @@
 		idleSince: time.Now(),
 	}
 	c.br = bufio.NewReaderSize(c.head, bufferSize)
-	c.bw = bufio.NewWriterSize(nc, bufferSize)
+	c.bw = bufio.NewWriterSize((*connWriter)(c), bufferSize)
 	close(c.turn)
 	return c
 }
@@ -118,8 +136,8 @@
 
 // linger tells the caller that no more will be written and reads what it still sends.
 func (c *conn) linger() {
-	tcp, ok := c.nc.(*net.TCPConn)
-	if !ok || tcp.CloseWrite() != nil {
+	half, ok := c.nc.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
 		return
 	}
 	c.drain()
@@ -145,8 +163,8 @@
 		return false
 	}
 	limits := c.server.opts.Limits()
-	c.head.begin(c.br, limits.MaxHeaderBytes)
 	c.head.memory.most = limits.MaxHeaderBytes
+	c.head.begin(c.br, limits.MaxHeaderBytes)
 	late := time.Now().Add(limits.ReadHeaderTimeout)
 	_ = c.nc.SetReadDeadline(late)
 	req, err := http.ReadRequest(c.br)
@@ -199,6 +217,12 @@
 	return body.whole && !req.Close && c.ctx.Err() == nil
 }
 
+func (c *conn) setReceiving(since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.receivingSince = since
+}
+
 // await waits for the first byte of the next request, and for room to handle it.
 func (c *conn) await() bool {
 	select {
@@ -262,6 +286,10 @@
 		return nil
 	}
 	r := newResponse(c, req, c.turn)
+	if f := c.server.opts.Interruptible; f == nil || !f(req) {
+		r.running = true
+		c.running++
+	}
 	c.turn = r.written
 	c.last = r
 	c.open++
@@ -293,16 +321,20 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
 	c.server.opts.Handler.ServeHTTP(r, req.WithContext(ctx))
+	r.responds()
 	r.finish()
 }
 
 // end notes that a response was written and starts the idle time if it was the last one.
 func (c *conn) end(r *response) {
 	r.releaseHeld()
+	r.releaseBody()
 	close(r.written)
+	r.responds()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open--
+	c.answered = true
 	c.idleSince = time.Now()
 	c.arm()
 }
--- a/caller/reading.go
+++ b/caller/reading.go
@@ -34,6 +34,8 @@
 	requestBytes = 2 * memory.FreeBytes
 	// retryReserve is the pause until a connection that waits for memory for a further request asks again.
 	retryReserve = 10 * time.Millisecond
+	// reclaimPause is how long a connection that was closed to make room may take to return its memory.
+	reclaimPause = 10 * time.Millisecond
 )
 
 // headMemory is the memory that the head of a request holds.
@@ -170,80 +172,44 @@
 	return true
 }
 
-// releaseHeld returns the memory of what was held.
-func (r *response) releaseHeld() {
-	r.conn.server.opts.Memory.ReleaseBytes(time.Now(), memory.Responses, r.reserved)
-	r.reserved = 0
-}
-
-// evict returns the connection to close when a new one exceeds the limit: the one that has been without a request for the
-// longest time, or else the one whose only request has been arriving for the longest time. It returns nil if all have one that
-// may run. The caller holds the lock of the server.
-func (s *Server) evict() *conn {
-	limit := s.opts.Memory.MaxConnections()
-	if limit == 0 || len(s.conns) < limit {
-		return nil
+// HoldBody reserves memory for a body of n bytes that the handler holds until the caller has read it. Where none is left, callers
+// that do not read their responses lose their connections. It returns false if none is left all the same.
+func (r *response) HoldBody(n int64) bool {
+	if n <= memory.FreeBytes {
+		return true
 	}
-	var idlest, slowest *conn
-	var idleSince, receivingSince time.Time
-	for c := range s.conns {
-		idle, receiving := c.waitsSince()
-		if !idle.IsZero() && (idlest == nil || idle.Before(idleSince)) {
-			idlest, idleSince = c, idle
+	s := r.conn.server
+	holding := s.opts.Memory.Reserve(time.Now(), memory.Responses, n)
+	for holding != nil {
+		select {
+		case <-holding.Granted:
+			r.holding = holding
+			return true
+		default:
 		}
-		if !receiving.IsZero() && (slowest == nil || receiving.Before(receivingSince)) {
-			slowest, receivingSince = c, receiving
+		if !s.opts.Connections.reclaim() && s.opts.Memory.Withdraw(time.Now(), holding) {
+			return false
 		}
+		pause := time.NewTimer(reclaimPause)
+		select {
+		case <-holding.Granted:
+		case <-pause.C:
+		}
+		pause.Stop()
 	}
-	if idlest != nil {
-		return idlest
-	}
-	return slowest
-}
-
-// waitsSince returns since when the connection has been without a request, or since when the body of its only request has been
-// arriving. Both are zero if a request may run.
-func (c *conn) waitsSince() (idle, receiving time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case c.evicted:
-	case c.open == 0:
-		idle = c.idleSince
-	case c.open == 1:
-		receiving = c.receivingSince
-	}
-	return idle, receiving
+	return false
 }
 
-func (c *conn) setReceiving(since time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.receivingSince = since
+// releaseHeld returns the memory of what was held.
+func (r *response) releaseHeld() {
+	r.conn.server.opts.Memory.ReleaseBytes(time.Now(), memory.Responses, r.reserved)
+	r.reserved = 0
 }
 
-// room makes room for a new connection. It returns false if there is none.
-func (s *Server) room() bool {
-	s.mu.Lock()
-	limit := s.opts.Memory.MaxConnections()
-	full := limit > 0 && len(s.conns) >= limit
-	victim := s.evict()
-	if victim != nil {
-		victim.mu.Lock()
-		victim.evicted = true
-		victim.mu.Unlock()
+// releaseBody returns the memory that HoldBody has reserved.
+func (r *response) releaseBody() {
+	if r.holding != nil {
+		r.conn.server.opts.Memory.Release(time.Now(), r.holding, 0)
+		r.holding = nil
 	}
-	s.mu.Unlock()
-	if !full {
-		return true
-	}
-	s.closedFull.Add(1)
-	if victim == nil {
-		return false
-	}
-	victim.abort()
-	return true
 }
-
-// ClosedFull returns the number of connections that were closed because there were too many.
-func (s *Server) ClosedFull() uint64 { return s.closedFull.Load() }
--- a/caller/response.go
+++ b/caller/response.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"skylarkbeam/memory"
 )
 
 // holdLimit is the number of bytes of a response that are held while a response before it is still being written. A
@@ -28,8 +30,12 @@
 	// held are the bytes of the body that were not written yet; headed says that the head was.
 	held   []byte
 	headed bool
-	// reserved is the memory that is reserved for held.
+	// reserved is the memory that is reserved for held, and holding what the handler has reserved until the response has been read;
+	// nil if it has reserved nothing.
 	reserved int64
+	holding  *memory.Reservation
+	// running says that the request counts as one that may run.
+	running bool
 	// length is the length of the body, -1 if it is sent in chunks, and sent what of it was written.
 	length int64
 	sent   int64
@@ -66,7 +72,19 @@
 func (r *response) WriteHeader(status int) {
 	if r.status == 0 {
 		r.status = status
+		r.responds()
+	}
+}
+
+// responds notes that the request does not run any more: its handler responds, or has ended.
+func (r *response) responds() {
+	if !r.running {
+		return
 	}
+	r.running = false
+	r.conn.mu.Lock()
+	defer r.conn.mu.Unlock()
+	r.conn.running--
 }
 
 // Write implements http.ResponseWriter. It waits for the responses before this one if the body is large.
@@ -216,9 +234,9 @@
 	}
 }
 
-// ReadFrom implements io.ReaderFrom, so that io.Copy uses one buffer of the connection's size.
+// ReadFrom implements io.ReaderFrom, so that io.Copy uses a buffer that the connection's memory covers.
 func (r *response) ReadFrom(src io.Reader) (int64, error) {
-	buffer := make([]byte, 8*bufferSize)
+	buffer := make([]byte, 4*bufferSize)
 	total := int64(0)
 	for {
 		n, err := src.Read(buffer)
--- a/caller/server.go
+++ b/caller/server.go
@@ -1,4 +1,4 @@
-// Package caller serves the connections of callers.
+// Package caller serves the connections of callers, and of all others that connect to the process.
 //
 // A Server reads ahead: while a request is being handled it reads the next one on the same connection and handles it at
 // the same time, and writes the responses in the order of the requests. The server of net/http reads a request only after
@@ -8,6 +8,9 @@
 // A connection is closed only between responses: Shutdown stops reading, answers what was read, and says so in the last
 // response.
 //
+// What connections hold is bounded by a memory.Budget, whatever their clients send, hold back or leave unread. Servers that share
+// Connections share a limit: a new connection takes the place of one that waits for its client.
+//
 // # Usage
 //
 //	s := caller.NewServer(caller.Options{
@@ -24,7 +27,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -50,6 +52,12 @@
 // Options are the parts of a Server.
 type Options struct {
 	Handler http.Handler
+	// Connections are those that the server shares a limit with. By default it has a limit of its own, that of Memory.
+	Connections *Connections
+	// Share is the part of the limit that belongs to the server; 1 by default. It may use more while others use less.
+	Share float64
+	// Interruptible reports whether a request may be cut to make room for a connection; nil if none may.
+	Interruptible func(*http.Request) bool
 	// Limits returns the limits that hold at present.
 	Limits func() Limits
 	// MaxConcurrentRequests is the number of requests of a connection that are handled at the same time; 16 by default.
@@ -65,16 +73,16 @@
 type Server struct {
 	opts Options
 
-	mu        sync.Mutex
+	// mu is that of the connections that share a limit.
+	mu        *sync.Mutex
 	listeners map[net.Listener]struct{}
 	conns     map[*conn]struct{}
-	closing   bool
+	// evicted is the number of those of conns that are being closed for room.
+	evicted int
+	closing bool
 	// closed says that the listeners are closed, also one that comes later.
 	closed bool
 	empty  chan struct{} // closed once closing and without connections; nil before Shutdown
-
-	// closedFull counts the connections that were closed because there were too many.
-	closedFull atomic.Uint64
 }
 
 // NewServer returns a Server that does not listen yet.
@@ -82,11 +90,22 @@
 	if o.MaxConcurrentRequests <= 0 {
 		o.MaxConcurrentRequests = 16
 	}
-	return &Server{
+	if o.Connections == nil {
+		o.Connections = NewConnections(o.Memory)
+	}
+	if o.Share <= 0 {
+		o.Share = 1
+	}
+	s := &Server{
 		opts:      o,
+		mu:        &o.Connections.mu,
 		listeners: map[net.Listener]struct{}{},
 		conns:     map[*conn]struct{}{},
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o.Connections.servers = append(o.Connections.servers, s)
+	return s
 }
 
 const (
@@ -122,7 +141,7 @@
 }
 
 func (s *Server) start(nc net.Conn) {
-	if !s.room() {
+	if !s.opts.Connections.room(s) {
 		nc.Close()
 		return
 	}
@@ -138,6 +157,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	if c.evicted {
+		s.evicted--
+	}
+	select {
+	case s.opts.Connections.ended <- struct{}{}:
+	default:
+	}
 	if s.empty != nil && len(s.conns) == 0 {
 		close(s.empty)
 		s.empty = nil
--- a/entry/body.go
+++ b/entry/body.go
@@ -76,10 +76,6 @@
 	default:
 		refusal = b.readChunked(limit)
 	}
-	if c.relayed && refusal == nil {
-		// The server of net/http would take the end of the time for the end of the connection.
-		_ = control.SetReadDeadline(time.Time{})
-	}
 	if refusal != nil {
 		// The rest of the body is not read, so no request can follow on the connection.
 		w.Header().Set("Connection", "close")
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -25,7 +25,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,8 +58,11 @@
 	link     *link.Pacer
 	started  time.Time
 	// memory bounds what bodies, heads and responses hold. collecting is set while garbage is collected for it.
-	memory     *memory.Budget
-	collecting atomic.Bool
+	memory      *memory.Budget
+	collecting  atomic.Bool
+	connections *caller.Connections
+	// large makes large responses wait for each other while they are made.
+	large memory.Exclusive
 
 	snapshot atomic.Pointer[snapshot]
 	// haveSettings is closed when the first snapshot is in force.
@@ -73,8 +75,8 @@
 
 	listeners     *listeners
 	callerServer  *caller.Server
-	controlServer *http.Server
-	extraServers  []*http.Server
+	controlServer *caller.Server
+	extraServers  []*caller.Server
 
 	leaving atomic.Bool
 	// dispatchEnd is when a shutdown ends the dispatch of calls; nil if there is no such time.
@@ -114,6 +116,8 @@
 	}
 	e := &Entry{
 		memory:       opts.Memory,
+		connections:  caller.NewConnections(opts.Memory),
+		large:        memory.NewExclusive(),
 		opts:         opts,
 		timers:       timers,
 		log:          log.With(zap.String("entry", opts.Name)),
--- a/entry/handlers.go
+++ b/entry/handlers.go
@@ -7,6 +7,7 @@
 
 	restful "github.com/emicklei/go-restful/v3"
 
+	"skylarkbeam/fleet"
 	"skylarkbeam/setting"
 )
 
@@ -40,18 +41,27 @@
 	container.Add(e.fleet.Service())
 	container.Add(service)
 	system := routeByPrefix(container, e.serveRelay)
+	views, metrics := e.oneAtATime(system), e.MetricsHandler()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case r.Header.Get(headerRequest) != "":
 			e.serveRelay(w, r)
 		case r.URL.Path == "/metrics":
-			e.metrics.WritePrometheus(w)
+			metrics.ServeHTTP(w, r)
+		case isView(r):
+			views.ServeHTTP(w, r)
 		default:
 			system.ServeHTTP(w, r)
 		}
 	})
 }
 
+// isView reports whether a request reads the state of the entry, such as that of an operator. Those of other entries bound their
+// memory themselves.
+func isView(r *http.Request) bool {
+	return r.Method == http.MethodGet && strings.HasPrefix(r.URL.Path, controlPath) && !strings.HasPrefix(r.URL.Path, fleet.PeerPath)
+}
+
 // routeByPrefix sends requests under controlPath to one handler and all others to another.
 func routeByPrefix(system http.Handler, calls http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -66,7 +76,7 @@
 // MetricsHandler serves the metrics under /metrics.
 func (e *Entry) MetricsHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { e.metrics.WritePrometheus(w) })
+	mux.Handle("GET /metrics", e.oneAtATime(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { e.metrics.WritePrometheus(w) })))
 	return mux
 }
 
--- a/entry/memory.go
+++ b/entry/memory.go
@@ -14,11 +14,15 @@
 		}
 		return float64(e.callerServer.Connections())
 	})
-	e.metrics.RegisterGauge("skylarkbeam_connections_refused_total", func() float64 {
-		if e.callerServer == nil {
-			return 0
+	e.metrics.RegisterGauge("skylarkbeam_service_connections", func() float64 {
+		n := 0
+		for _, s := range e.serviceServers() {
+			n += s.Connections()
 		}
-		return float64(e.callerServer.ClosedFull())
+		return float64(n)
+	})
+	e.metrics.RegisterGauge("skylarkbeam_connections_refused_total", func() float64 {
+		return float64(e.connections.ClosedFull())
 	})
 	for _, p := range memory.Parts {
 		for name, value := range map[string]func(memory.Usage) float64{
--- a/entry/server.go
+++ b/entry/server.go
@@ -24,6 +24,13 @@
 	// idleTimeout is longer than the address TTL, so that idle connections are closed by the caller and not by the
 	// entry.
 	idleTimeout = 5 * time.Minute
+	// callerShare, controlShare and extraShare are the parts of the connections that belong to the address for callers, the control
+	// address, and all others together.
+	callerShare  = 0.5
+	controlShare = 0.25
+	extraShare   = 0.25
+	// relayHeaderBytes is what other entries add to the head of a call.
+	relayHeaderBytes = 4 << 10
 	// graceAcceptDivisor sets the part of the grace period, as 1/n, during which new connections are accepted.
 	graceAcceptDivisor = 3
 	// graceDispatchFraction is the part of the grace period during which calls are sent to targets. A later one is
@@ -40,23 +47,22 @@
 // Start serves all listeners and starts the background tasks.
 func (e *Entry) Start() {
 	e.callerServer = caller.NewServer(caller.Options{
-		Handler: e.callerHandler(),
-		Limits:  e.callerLimits,
-		Pacer:   e.link,
-		Timers:  e.timers,
-		Memory:  e.memory,
+		Handler:     e.callerHandler(),
+		Connections: e.connections,
+		Share:       callerShare,
+		Limits:      e.callerLimits,
+		Pacer:       e.link,
+		Timers:      e.timers,
+		Memory:      e.memory,
 	})
-	e.controlServer = e.newServer(e.controlHandler())
+	e.controlServer = e.newServer(e.controlHandler(), controlShare)
+	for _, extra := range e.opts.ExtraListeners {
+		e.extraServers = append(e.extraServers, e.newServer(extra.Handler(e), extraShare/float64(len(e.opts.ExtraListeners))))
+	}
 	e.startServer(e.controlServer, e.peers.WrapListener(e.listeners.control), "control")
-	e.tasks.Go(func() {
-		if err := e.callerServer.Serve(e.listeners.caller); !errors.Is(err, caller.ErrClosed) {
-			e.log.Error("listener failed", zap.String("listener", "caller"), zap.Error(err))
-		}
-	})
+	e.startServer(e.callerServer, e.listeners.caller, "caller")
 	for i, extra := range e.opts.ExtraListeners {
-		server := e.newServer(extra.Handler(e))
-		e.extraServers = append(e.extraServers, server)
-		e.startServer(server, e.listeners.extras[i], extra.Name)
+		e.startServer(e.extraServers[i], e.listeners.extras[i], extra.Name)
 	}
 	e.startBackground()
 	e.log.Info("serving",
@@ -91,18 +97,39 @@
 	return addressOf(e.listeners.control)
 }
 
-func (e *Entry) newServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
+// newServer returns a server for an address other than that of callers, to which a share of the connections belongs.
+func (e *Entry) newServer(handler http.Handler, share float64) *caller.Server {
+	return caller.NewServer(caller.Options{
+		Handler:       e.serviceHandler(handler),
+		Connections:   e.connections,
+		Share:         share,
+		Interruptible: interruptible,
+		Limits:        e.serviceLimits,
+		Timers:        e.timers,
+		Memory:        e.memory,
+	})
+}
+
+// serviceServers returns the servers for addresses other than that of callers.
+func (e *Entry) serviceServers() []*caller.Server {
+	if e.controlServer == nil {
+		return nil
+	}
+	return append([]*caller.Server{e.controlServer}, e.extraServers...)
+}
+
+// serviceLimits returns the limits at addresses other than that of callers.
+func (e *Entry) serviceLimits() caller.Limits {
+	return caller.Limits{
+		MaxHeaderBytes:    e.callerLimits().MaxHeaderBytes + relayHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
-		ErrorLog:          zap.NewStdLog(e.log),
 	}
 }
 
-func (e *Entry) startServer(server *http.Server, listener net.Listener, name string) {
+func (e *Entry) startServer(server *caller.Server, listener net.Listener, name string) {
 	e.tasks.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.Is(err, caller.ErrClosed) {
 			e.log.Error("listener failed", zap.String("listener", name), zap.Error(err))
 		}
 	})
--- a/feed/table.go
+++ b/feed/table.go
@@ -23,7 +23,9 @@
 	completeVersion uint64
 	tombstonesSince uint64
 	latestVersion   uint64
-	loaded          bool
+	// revision counts the changes of rows.
+	revision uint64
+	loaded   bool
 	// confirmedAt is when the last batch was applied.
 	confirmedAt time.Time
 	// changed is closed and replaced whenever a row changes.
@@ -83,6 +85,13 @@
 	return t.latestVersion
 }
 
+// Revision returns a number that grows whenever a row changes.
+func (t *Table) Revision() uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.revision
+}
+
 // Apply merges a batch and reports whether any row has changed. A batch of an earlier era than that of the table has no
 // effect. Neither do changes in a later one, because only the whole table tells which rows are gone since.
 func (t *Table) Apply(b Batch) bool {
@@ -102,6 +111,7 @@
 	t.completeVersion = max(t.completeVersion, b.Version)
 	t.confirmedAt = time.Now()
 	if changed {
+		t.revision++
 		close(t.changed)
 		t.changed = make(chan struct{})
 	}
--- a/fleet/confirm.go
+++ b/fleet/confirm.go
@@ -184,7 +184,7 @@
 		http.Error(resp, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	writeCompressed(resp, table.ChangesSince(after))
+	f.writeBatch(req, resp, table, after, table.ChangesSince(after))
 }
 
 // Confirm returns the changes of a table after a version from an entry that reads the store.
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"skylarkbeam/feed"
+	"skylarkbeam/memory"
 	"skylarkbeam/timer"
 )
 
@@ -143,6 +144,9 @@
 	followers  int
 	followedAt time.Time
 	confirm    confirmations
+	// large makes large messages wait for each other while they are decoded or encoded; lastTable belongs to who encodes.
+	large     memory.Exclusive
+	lastTable encodedTable
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -201,6 +205,7 @@
 			State:       RecordStateActive,
 		},
 		startedAt:     opt.Timers.Now(),
+		large:         memory.NewExclusive(),
 		tables:        map[string]*feed.Table{},
 		changed:       make(chan struct{}),
 		members:       map[string]*member{},
--- a/fleet/followerhttp.go
+++ b/fleet/followerhttp.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"compress/gzip"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -36,7 +35,7 @@
 
 func (f *Follower) serveGreeting(req *restful.Request, resp *restful.Response) {
 	var g Greeting
-	if err := decodeBody(req.Request.Body, maxMessageBytes, &g); err != nil || g.Entry == "" || g.Record.Incarnation == "" {
+	if err := f.decode(req.Request, &g); err != nil || g.Entry == "" || g.Record.Incarnation == "" {
 		http.Error(resp, "malformed greeting", http.StatusBadRequest)
 		return
 	}
@@ -47,8 +46,8 @@
 	writeJSON(resp, f.replyTo(&g))
 }
 
-func (f *Follower) serveMembers(_ *restful.Request, resp *restful.Response) {
-	writeCompressed(resp, f.memberList())
+func (f *Follower) serveMembers(req *restful.Request, resp *restful.Response) {
+	f.writeLarge(req.Request.Context(), resp, func() (encoded, bool) { return encodeCompressed(f.memberList()), false })
 }
 
 func (f *Follower) serveRows(req *restful.Request, resp *restful.Response) {
@@ -70,29 +69,7 @@
 	if err != nil {
 		wait = 0
 	}
-	writeCompressed(resp, f.watchRows(req.Request.Context(), table, after, wait))
-}
-
-// minCompressBytes is the size from which on a response is compressed. A desired state with 1600 routes shrinks from
-// 600 KB to 40 KB; uncompressed, the links of the readers would take seconds to pass it on.
-const minCompressBytes = 4 << 10
-
-// writeCompressed writes JSON, compressed if it is large.
-func writeCompressed(resp http.ResponseWriter, value any) {
-	data := encode(value)
-	if len(data) < minCompressBytes {
-		writeJSON(resp, json.RawMessage(data))
-		return
-	}
-	resp.Header()["Date"] = nil
-	resp.Header().Set("Content-Type", restful.MIME_JSON)
-	resp.Header().Set("Content-Encoding", "gzip")
-	gz, err := gzip.NewWriterLevel(resp, gzip.BestSpeed)
-	if err != nil {
-		panic(err) // cannot happen, the level is valid
-	}
-	_, _ = gz.Write(data) // an error means that the peer has gone
-	_ = gz.Close()
+	f.writeBatch(req, resp, table, after, f.watchRows(req.Request.Context(), table, after, wait))
 }
 
 // Greet sends a greeting to a peer and returns its greeting.
--- a/fleet/http.go
+++ b/fleet/http.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"net/url"
 	"strconv"
+	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
@@ -23,6 +24,8 @@
 const (
 	maxMessageBytes  = 1 << 20
 	maxSnapshotBytes = 64 << 20
+	// maxIdleConns bounds the idle connections to all other entries together, which take descriptors.
+	maxIdleConns = 256
 )
 
 // counters count the messages between entries and the accesses to the table.
@@ -68,22 +71,33 @@
 }
 
 // writeJSON writes JSON without the headers that peers do not need, which would be a third of a message.
-func writeJSON(resp http.ResponseWriter, value any) {
+func writeJSON(resp http.ResponseWriter, value any) { writeEncoded(resp, encode(value)) }
+
+func writeEncoded(resp http.ResponseWriter, data []byte) {
 	header := resp.Header()
 	header["Date"] = nil
 	header["Content-Type"] = []string{restful.MIME_JSON}
-	resp.Write(encode(value))
+	header["Content-Length"] = []string{strconv.Itoa(len(data))}
+	resp.Write(data)
 }
 
 func decodeBody(body io.Reader, limit int64, into any) error {
-	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	data, err := readBody(body, limit)
 	if err != nil {
 		return err
 	}
+	return json.Unmarshal(data, into)
+}
+
+func readBody(body io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, err
+	}
 	if int64(len(data)) > limit {
-		return errors.Newf("the body is longer than %d bytes", limit)
+		return nil, errors.Newf("the body is longer than %d bytes", limit)
 	}
-	return json.Unmarshal(data, into)
+	return data, nil
 }
 
 // Client implements Transport and FollowerTransport over HTTP.
@@ -108,6 +122,7 @@
 	c.http = &http.Client{
 		Transport: &http.Transport{
 			DisableCompression:  true,
+			MaxIdleConns:        maxIdleConns,
 			MaxIdleConnsPerHost: 3,
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 				conn, err := dialer.DialContext(ctx, network, address)
@@ -163,6 +178,24 @@
 	return n, err
 }
 
+// CloseWrite closes the direction from this process.
+func (c *countedConn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.New("the connection has no directions")
+	}
+	return half.CloseWrite()
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *countedConn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.New("the connection has no descriptor")
+	}
+	return sc.SyscallConn()
+}
+
 func (c *countedConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.client.sent.Add(n)
--- a/fleet/rollout.go
+++ b/fleet/rollout.go
@@ -142,7 +142,7 @@
 
 func (f *Follower) serveRollout(req *restful.Request, resp *restful.Response) {
 	var r rollout.Report
-	if err := decodeBody(req.Request.Body, maxMessageBytes, &r); err != nil || r.Entry == "" || r.Service == "" {
+	if err := f.decode(req.Request, &r); err != nil || r.Entry == "" || r.Service == "" {
 		http.Error(resp, "malformed report", http.StatusBadRequest)
 		return
 	}
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// MaxConnections returns the number of connections that callers may have, 0 if there is no limit.
+// MaxConnections returns the number of connections that clients may have, 0 if there is no limit.
 func (b *Budget) MaxConnections() int {
 	if b == nil {
 		return 0
