Bound the unread bytes of connections, accepted or not

Fault: clients that announce a large body, send 200 KB and leave, again and again, ended the process.

Cause: the receive buffer of 128 KiB took up to 200 KB, and the kernel let 4,096 connections wait to be accepted. Unread bytes of both are memory of the process. So are those of connections to targets, whose buffers grew without a limit of ours.

Change: connections have a receive buffer of 8 KiB, of which a sender can fill 13 KiB, and 256 callers and 64 clients of each other address may wait. The buffer is enlarged while a body arrives for which memory is reserved, and the reservation includes it. The same holds for responses of targets.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -70,6 +70,8 @@
 
 	// writingSince is when the write that is in progress began, in nanoseconds since 1970; 0 if there is none.
 	writingSince atomic.Int64
+	// enlarged says that the receive buffer was enlarged for a body.
+	enlarged bool
 }
 
 // connWriter writes to a connection and notes how long a write lasts.
@@ -214,6 +216,7 @@
 	<-body.done
 	c.head.body = nil
 	c.setReceiving(time.Time{})
+	c.shrinkReceiveBuffer()
 	return body.whole && !req.Close && c.ctx.Err() == nil
 }
 
--- a/caller/connections_test.go
+++ b/caller/connections_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -178,3 +180,38 @@
 	budget.SetLimits(time.Now(), limits)
 	answered(t, dial(t, address))
 }
+
+// Guards against unread bytes beyond the receive buffer, of connections that wait to be accepted too, and against more of those than
+// the backlog.
+func TestListen(t *testing.T) {
+	const backlog, clients = 4, 20
+	l, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), backlog)
+	assert.NilError(t, err)
+	defer l.Close()
+	connected, piece := 0, make([]byte, 1<<20)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	for range clients {
+		d := net.Dialer{
+			Timeout: 100 * time.Millisecond,
+		}
+		c, err := d.DialContext(ctx, "tcp", l.Addr().String())
+		if err != nil {
+			break
+		}
+		defer c.Close()
+		connected++
+		go c.Write(piece)
+	}
+	assert.Assert(t, connected <= backlog+1, "%d connections", connected)
+	for range connected {
+		c, err := l.Accept()
+		assert.NilError(t, err)
+		defer c.Close()
+		time.Sleep(50 * time.Millisecond) // Nothing more arrives while nothing is read.
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+		n, err := c.Read(make([]byte, len(piece)))
+		assert.NilError(t, err)
+		assert.Assert(t, n <= 2*memory.ReceiveBuffer, "%d bytes", n)
+	}
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -210,6 +210,7 @@
 	if size < 0 || size > limit {
 		size = min(limit, memory.FreeBytes)
 	}
+	resp.expectBody(o)
 	kind := route.Succeeded
 	if o.Status >= http.StatusInternalServerError {
 		kind = route.Failed
@@ -234,6 +235,7 @@
 		}
 	case whole:
 		o.Body.Close()
+		resp.releaseBuffer()
 		resp.prefix = prefix
 		resp.length = int64(len(prefix))
 		finish(route.Result{
--- a/entry/body.go
+++ b/entry/body.go
@@ -50,12 +50,19 @@
 type bodyReader struct {
 	entry *Entry
 	call  *call
-	held  []*memory.Reservation
+	// connection is that of the call; nil if its receive buffer cannot be changed.
+	connection receiver
+	held       []*memory.Reservation
 	// allocated are the bytes of the last reservation of the part for large bodies that have been allocated.
 	allocated int64
 	large     *memory.Reservation
 }
 
+// receiver is something whose connection can be given a larger receive buffer for a body of n bytes.
+type receiver interface {
+	EnlargeReceiveBuffer(n int64)
+}
+
 // receiveBody reads the body of a call. release must be called when the call has ended.
 func (e *Entry) receiveBody(w http.ResponseWriter, c *call) (release func(), refusal *Refusal) {
 	r := c.request
@@ -66,6 +73,7 @@
 		entry: e,
 		call:  c,
 	}
+	b.connection, _ = w.(receiver)
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(c.deadline) // A server without it has limits of its own.
 	switch limit := c.snapshot.settings.Limits.Body; {
@@ -91,7 +99,7 @@
 
 // readKnown reads a body of known length.
 func (b *bodyReader) readKnown(n int) *Refusal {
-	if refusal := b.reserve(int64(n)); refusal != nil {
+	if refusal := b.reserve(int64(n), int64(n)); refusal != nil {
 		return refusal
 	}
 	var first []byte
@@ -124,7 +132,11 @@
 			if reserved >= next {
 				next = max(limit, reserved) + 1
 			}
-			if refusal := b.reserve(int64(next)); refusal != nil {
+			expected := int64(0)
+			if next > memory.SmallBody {
+				expected = int64(next)
+			}
+			if refusal := b.reserve(int64(next), expected); refusal != nil {
 				return refusal
 			}
 			reserved = next
@@ -159,8 +171,9 @@
 	return n == 0 && err == io.EOF
 }
 
-// reserve reserves n bytes for a body. It waits for a bounded time, in which the body is not read.
-func (b *bodyReader) reserve(n int64) *Refusal {
+// reserve reserves n bytes for a body, and a receive buffer for the expected ones. It waits for a bounded time, in which the body is
+// not read.
+func (b *bodyReader) reserve(n, expected int64) *Refusal {
 	if n <= memory.FreeBytes {
 		return nil
 	}
@@ -170,7 +183,7 @@
 	}
 	e := b.entry
 	now := e.timers.Now()
-	r := e.memory.Reserve(now, part, n)
+	r := e.memory.Reserve(now, part, n+b.receiveBuffer(expected))
 	if r == nil {
 		return b.noMemory(part, n)
 	}
@@ -181,9 +194,20 @@
 	if part == memory.Large {
 		b.large = r
 	}
+	if b.connection != nil {
+		b.connection.EnlargeReceiveBuffer(expected)
+	}
 	return nil
 }
 
+// receiveBuffer returns the memory that the receive buffer for a body of n bytes takes.
+func (b *bodyReader) receiveBuffer(n int64) int64 {
+	if b.connection == nil {
+		return 0
+	}
+	return memory.ReceiveBufferBytes(n)
+}
+
 // wait waits until a reservation is granted. It returns false if the time for that is over.
 func (b *bodyReader) wait(r *memory.Reservation, now time.Time) bool {
 	select {
@@ -289,12 +313,37 @@
 	return true
 }
 
-// release returns the memory of the first part.
+// unknownResponse is the number of bytes that are expected of a response that does not say how long it is.
+const unknownResponse = 64 << 10
+
+// expectBody lets the body of a response arrive faster, if memory is left for that.
+func (r *response) expectBody(o *outcome.Answered) {
+	n := o.Length
+	if n < 0 {
+		n = unknownResponse
+	}
+	size := memory.ReceiveBufferBytes(n)
+	body, ok := o.Body.(receiver)
+	if !ok || size == 0 || !r.entry.memory.TryReserve(memory.Responses, size) {
+		return
+	}
+	r.buffer = size
+	body.EnlargeReceiveBuffer(n)
+}
+
+// release returns the memory of the first part and of the receive buffer.
 func (r *response) release() {
+	r.releaseBuffer()
 	r.entry.memory.ReleaseBytes(r.entry.timers.Now(), memory.Responses, r.reserved)
 	r.reserved = 0
 }
 
+// releaseBuffer returns the memory of the receive buffer.
+func (r *response) releaseBuffer() {
+	r.entry.memory.ReleaseBytes(r.entry.timers.Now(), memory.Responses, r.buffer)
+	r.buffer = 0
+}
+
 // memoryUsage returns the state of the parts of the memory.
 func (e *Entry) memoryUsage() []memory.Usage {
 	var list []memory.Usage
--- a/entry/listeners.go
+++ b/entry/listeners.go
@@ -1,12 +1,19 @@
 package entry
 
 import (
-	"context"
 	"net"
 	"net/netip"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
+
+	"skylarkbeam/caller"
+)
+
+// callerBacklog and serviceBacklog are the numbers of connections that wait to be accepted, at the address for callers and at each other
+// one. A caller whose connection finds no room there tries again after a second.
+const (
+	callerBacklog  = 256
+	serviceBacklog = 64
 )
 
 // listeners are opened before the entry joins the fleet, so that the entry can announce its actual addresses when a
@@ -18,21 +25,21 @@
 }
 
 func listen(opts Options) (*listeners, error) {
-	caller, err := listenCallers(opts.CallerAddress)
+	callers, err := caller.Listen(opts.CallerAddress, callerBacklog)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen on the caller address")
 	}
-	control, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(opts.ControlAddress))
+	control, err := caller.Listen(opts.ControlAddress, serviceBacklog)
 	if err != nil {
-		caller.Close()
+		callers.Close()
 		return nil, errors.Wrap(err, "listen on the control address")
 	}
 	l := &listeners{
-		caller:  caller,
+		caller:  callers,
 		control: control,
 	}
 	for _, extra := range opts.ExtraListeners {
-		listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(extra.Address))
+		listener, err := caller.Listen(extra.Address, serviceBacklog)
 		if err != nil {
 			l.close()
 			return nil, errors.Wrapf(err, "listen on the %s address", extra.Name)
@@ -42,25 +49,6 @@
 	return l, nil
 }
 
-// receiveBuffer is the size in bytes of the receive buffer of a caller's connection. The kernel counts unread bytes as memory of
-// the process; without a fixed size, a buffer can grow to several megabytes. At 3.5 ms between failure domains it carries
-// 300 Mbit/s.
-const receiveBuffer = 128 << 10
-
-// listenCallers opens the listener for callers. Its connections inherit the size of the receive buffer.
-func listenCallers(address netip.AddrPort) (net.Listener, error) {
-	config := net.ListenConfig{
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var result error
-			err := raw.Control(func(fd uintptr) {
-				result = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
-			})
-			return errors.CombineErrors(err, result)
-		},
-	}
-	return config.Listen(context.Background(), "tcp", address.String())
-}
-
 func (l *listeners) close() {
 	l.caller.Close()
 	l.control.Close()
--- a/entry/response.go
+++ b/entry/response.go
@@ -23,8 +23,9 @@
 	// target is the name of the target.
 	target string
 	entry  *Entry
-	// reserved is the memory that is reserved for the first part.
+	// reserved is the memory that is reserved for the first part, and buffer that for the receive buffer.
 	reserved int64
+	buffer   int64
 }
 
 // recordedBody returns the body to record for replays. A body that is still being streamed counts as too large.
--- a/target/conn.go
+++ b/target/conn.go
@@ -39,6 +39,7 @@
 	abort         func()
 	peekFunc      func(fd uintptr) bool
 	nothingToRead bool   // result of the last peek
+	enlarged      bool   // the receive buffer was enlarged
 	instance      string // the instance that the connection leads to; empty if unknown
 	dialedAt      time.Time
 	respondedAt   time.Time // when the last response ended
--- a/target/options.go
+++ b/target/options.go
@@ -121,8 +121,3 @@
 		o.Dial = dialTCP
 	}
 }
-
-func dialTCP(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp", address.String())
-}
