Charge pipelined requests what they take

Fault: pipelined small requests, or ones with bodies of 4,000 bytes, whose responses nobody reads ended the process.

Cause: a request beside others of its connection was charged 8 KiB, and the first two nothing. 500 connections with one and with two waiting requests differed by 21 KiB each, without a connection to a target. Connections waited for memory by asking each 10 ms.

Change: such requests have a part of their own, at 32 KiB each, and wait in line for it. A connection is charged 56 KiB with its first request. The parts are divided anew; their sum falls from 0.73 to 0.7 of the memory, and the largest body still fits on 184 MB.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -12,8 +12,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-
-	"skylarkbeam/memory"
 )
 
 const (
@@ -114,7 +112,7 @@
 	defer c.server.ended(c)
 	for c.next() {
 	}
-	c.server.opts.Memory.ReleaseBytes(time.Now(), memory.Heads, c.head.memory.take())
+	c.head.memory.take()()
 	c.watch()
 	if c.ctx.Err() == nil {
 		c.linger()
@@ -177,8 +175,7 @@
 	if c.head.refused {
 		err = errNoMemory
 	}
-	held := c.head.memory.take()
-	release := func() { c.server.opts.Memory.ReleaseBytes(time.Now(), memory.Heads, held) }
+	release := c.head.memory.take()
 	if err != nil && !time.Now().Before(late) {
 		err = os.ErrDeadlineExceeded
 	}
--- a/caller/connections_test.go
+++ b/caller/connections_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -181,6 +182,41 @@
 	answered(t, dial(t, address))
 }
 
+// Guards against pipelined requests that are handled beside each other without memory for them, against ones that are not handled
+// once there is some, and against memory that stays reserved after them.
+func TestPipelinedMemory(t *testing.T) {
+	limits := small()
+	limits.Requests = 2 * memory.RequestBytes
+	entered, release := make(chan struct{}, 100), make(chan struct{})
+	budget, address := startBounded(t, limits, func(w http.ResponseWriter, r *http.Request) {
+		entered <- struct{}{}
+		<-release
+		answer(w, r)
+	})
+	var conns []net.Conn
+	for range 2 {
+		c := dial(t, address)
+		fmt.Fprint(c, strings.Repeat(get("/"), 10))
+		conns = append(conns, c)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if u := budget.Usage(memory.Requests); u.Waiting != 2 {
+			return poll.Continue("%+v", u)
+		}
+		return poll.Success()
+	})
+	assert.Equal(t, len(entered), 4, "one request of each connection and two others")
+	close(release)
+	for _, c := range conns {
+		br := bufio.NewReader(c)
+		for range 10 {
+			_, body := read(t, br)
+			assert.Equal(t, body, "whole")
+		}
+	}
+	nothingHeld(t, budget)
+}
+
 // Guards against unread bytes beyond the receive buffer, of connections that wait to be accepted too, and against more of those than
 // the backlog.
 func TestListen(t *testing.T) {
--- a/caller/reading.go
+++ b/caller/reading.go
@@ -29,12 +29,6 @@
 	// pauseNoticed is how late the end of a sender's time must be noticed to show that this process did not run. A busy
 	// machine delays a goroutine by tens of milliseconds.
 	pauseNoticed = 200 * time.Millisecond
-	// freeRequests is the number of open requests of a connection that its own memory covers, and requestBytes what each
-	// further one reserves: a head, and a body or a response that waits.
-	freeRequests = 2
-	requestBytes = 2 * memory.FreeBytes
-	// retryReserve is the pause until a connection that waits for memory for a further request asks again.
-	retryReserve = 10 * time.Millisecond
 	// reclaimPause is how long a connection that was closed to make room may take to return its memory.
 	reclaimPause = 10 * time.Millisecond
 )
@@ -42,10 +36,11 @@
 // headMemory is the memory that the head of a request holds.
 type headMemory struct {
 	budget *memory.Budget
-	// most is the largest head; held is what is reserved for the head, and request for a request beside open ones.
-	most    int
-	held    int64
-	request int64
+	// most is the largest head. held is what is reserved for it.
+	most int
+	held int64
+	// request is the reservation for a request beside open ones; nil if there is none.
+	request *memory.Reservation
 }
 
 // reserve reserves memory for the largest head once a head is larger than what is free. left is what may still be read.
@@ -60,35 +55,39 @@
 	return true
 }
 
-// reserveRequest reserves memory for a further request beside open ones. The connection is not read while there is none, unless
-// few requests are open. It returns false if the connection has ended.
-func (c *conn) reserveRequest() bool {
-	for {
-		c.mu.Lock()
-		open := c.open
-		c.mu.Unlock()
-		if open < freeRequests {
-			return true
-		}
-		if c.server.opts.Memory.TryReserve(memory.Heads, requestBytes) {
-			c.head.memory.request = requestBytes
-			return true
-		}
-		pause := time.NewTimer(retryReserve)
-		select {
-		case <-pause.C:
-		case <-c.ctx.Done():
-			pause.Stop()
-			return false
+// take returns a function that returns what is reserved for the request that was read last.
+func (m *headMemory) take() (release func()) {
+	budget, held, request := m.budget, m.held, m.request
+	m.held, m.request = 0, nil
+	return func() {
+		now := time.Now()
+		budget.ReleaseBytes(now, memory.Heads, held)
+		if request != nil {
+			budget.Release(now, request, 0)
 		}
 	}
 }
 
-// take returns what is reserved for the head that was read last.
-func (m *headMemory) take() int64 {
-	held := m.held + m.request
-	m.held, m.request = 0, 0
-	return held
+// reserveRequest reserves memory for a further request beside open ones. The connection is not read until there is some, or until
+// no request is open. It returns false if the connection has ended.
+func (c *conn) reserveRequest() bool {
+	c.mu.Lock()
+	open, turn := c.open, c.turn
+	c.mu.Unlock()
+	if open == 0 {
+		return true
+	}
+	budget := c.server.opts.Memory
+	r := budget.Reserve(time.Now(), memory.Requests, memory.RequestBytes)
+	select {
+	case <-r.Granted:
+	case <-turn:
+	case <-c.ctx.Done():
+	}
+	if !budget.Withdraw(time.Now(), r) {
+		c.head.memory.request = r
+	}
+	return c.ctx.Err() == nil
 }
 
 // bodyWatch bounds the time for which the bytes of a body are waited for.
--- a/caller/reading_test.go
+++ b/caller/reading_test.go
@@ -47,6 +47,7 @@
 		Small:       1 << 20,
 		Responses:   1 << 20,
 		Heads:       64 << 10,
+		Requests:    1 << 20,
 		Connections: 100,
 	}
 }
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -7,8 +7,7 @@
 )
 
 const (
-	// maxWaiters bounds the reservations that wait in each part. Each has a connection whose receive buffer, of 128 KiB, may
-	// be full.
+	// maxWaiters bounds the reservations that wait in each part but Requests, in which each connection has one at most.
 	maxWaiters = 32
 	// holdTimeWeight is the weight of the last reservation in the mean time for which reservations are held.
 	holdTimeWeight = 1. / 8
@@ -132,7 +131,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.parts[p]
-	if len(s.queue) >= maxWaiters {
+	if len(s.queue) >= maxWaiters && p != Requests {
 		s.refused++
 		return nil
 	}
--- a/memory/budget_test.go
+++ b/memory/budget_test.go
@@ -29,6 +29,7 @@
 			Small:       limit,
 			Responses:   limit,
 			Heads:       limit,
+			Requests:    limit,
 			Connections: 1,
 		})
 		var waiting, held []*Reservation
--- a/memory/limits.go
+++ b/memory/limits.go
@@ -10,14 +10,16 @@
 	// Large is for bodies of requests above SmallBody, Small for those above FreeBytes.
 	Large Part = "large"
 	Small Part = "small"
-	// Responses is for the first parts of responses, and for responses that wait for their turn.
+	// Responses is for the first parts of responses, and for responses that wait for their turn or to be read.
 	Responses Part = "responses"
 	// Heads is for heads of requests above FreeBytes.
 	Heads Part = "heads"
+	// Requests is for requests that are handled beside others of their connection, at RequestBytes each.
+	Requests Part = "requests"
 )
 
 // Parts lists the parts in a fixed order.
-var Parts = []Part{Large, Small, Responses, Heads}
+var Parts = []Part{Large, Small, Responses, Heads, Requests}
 
 const (
 	// FreeBytes is the size up to which nothing is reserved: it is that of a connection's buffers, and the bytes for one
@@ -26,29 +28,35 @@
 	// SmallBody is the largest body in bytes that does not wait behind large ones. Usual bodies are far smaller; a large one
 	// holds as much as hundreds of them.
 	SmallBody = 256 << 10
-	// connectionBytes is what a connection costs: two buffers of 4 KiB, two or three stacks of 2 to 8 KiB, a head, and
-	// the socket.
-	connectionBytes = 32 << 10
+	// RequestBytes is what a request in progress costs beside its connection: stacks of two goroutines, its fields, and FreeBytes
+	// each of body and response. 500 of them took 21 KiB each while they waited.
+	RequestBytes = 32 << 10
+	// connectionBytes is what a connection with a request in progress costs: two buffers of 4 KiB, a stack, and RequestBytes;
+	// and two buffers and a stack for the connection to the target.
+	connectionBytes = 24<<10 + RequestBytes
 )
 
 // The parts of the machine's memory. On the smallest machine, of 184 MB, the large part holds one body of 64 MB.
 const (
-	largeShare       = 0.45
-	smallShare       = 1. / 16
-	responsesShare   = 1. / 16
-	headsShare       = 1. / 32
-	connectionsShare = 1. / 8
-	// collectorShare is the limit of the garbage collector. The parts, without the share of connections that the kernel
-	// has, take 0.6 of the memory, so live memory stays below it. The rest is program text and kernel buffers.
+	largeShare       = 0.36
+	smallShare       = 1. / 20
+	responsesShare   = 1. / 32
+	headsShare       = 1. / 64
+	requestsShare    = 1. / 32
+	connectionsShare = 0.21
+	// collectorShare is the limit of the garbage collector. The parts take 0.7 of the memory, so live memory stays below it.
+	// The rest is program text and receive buffers.
 	collectorShare = 0.75
 )
 
-// Limits are the bytes that may be held in each part, and the number of callers' connections.
+// Limits are the bytes that may be held in each part, and numbers of connections.
 type Limits struct {
-	Large       int64
-	Small       int64
-	Responses   int64
-	Heads       int64
+	Large     int64
+	Small     int64
+	Responses int64
+	Heads     int64
+	Requests  int64
+	// Connections is the number of connections at all listeners of the process.
 	Connections int
 }
 
@@ -60,6 +68,7 @@
 		Small:       int64(smallShare * m),
 		Responses:   int64(responsesShare * m),
 		Heads:       int64(headsShare * m),
+		Requests:    int64(requestsShare * m),
 		Connections: int(connectionsShare * m / connectionBytes),
 	}
 }
@@ -68,11 +77,14 @@
 func CollectorLimit(machine int64) int64 { return int64(collectorShare * float64(machine)) }
 
 // Validate reports limits that are not positive or that a machine with the given memory cannot hold.
-func (l Limits) Validate(machine int64) error {
-	if l.Large <= 0 || l.Small <= 0 || l.Responses <= 0 || l.Heads <= 0 || l.Connections <= 0 {
-		return errors.New("each must be above 0")
+func (l *Limits) Validate(machine int64) error {
+	sum := int64(l.Connections) * connectionBytes
+	for _, p := range Parts {
+		if l.of(p) <= 0 || l.Connections <= 0 {
+			return errors.New("each must be above 0")
+		}
+		sum += l.of(p)
 	}
-	sum := l.Large + l.Small + l.Responses + l.Heads + int64(l.Connections)*connectionBytes
 	if sum > CollectorLimit(machine) {
 		return errors.Newf("together they may hold %d MB, more than %d MB, three quarters of the memory", sum>>20,
 			CollectorLimit(machine)>>20)
@@ -80,7 +92,7 @@
 	return nil
 }
 
-func (l Limits) of(p Part) int64 {
+func (l *Limits) of(p Part) int64 {
 	switch p {
 	case Large:
 		return l.Large
@@ -88,7 +100,9 @@
 		return l.Small
 	case Responses:
 		return l.Responses
-	default:
+	case Heads:
 		return l.Heads
+	default:
+		return l.Requests
 	}
 }
