Charge the fields of heads what they take

Fault: heads of 16 KB with 3,900 fields, four on each connection, took 153 to 198 MB of 128 on.

Cause: heads were charged by their bytes, and up to 4 KiB nothing. A parsed field takes more than 100 bytes, however few it has on the wire: 3,900 took 350 KB.

Change: each line of a head beyond the 64th reserves 256 bytes before it is parsed, which includes the copy for a target. Without memory the answer is 503 and the connection ends. There is no limit on the number of fields.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -167,7 +167,11 @@
 	c.head.begin(c.br, limits.MaxHeaderBytes)
 	late := time.Now().Add(limits.ReadHeaderTimeout)
 	_ = c.nc.SetReadDeadline(late)
-	req, err := http.ReadRequest(c.br)
+	var req *http.Request
+	var err error
+	if !c.head.refused {
+		req, err = http.ReadRequest(c.br)
+	}
 	// A head that was cut by a limit can pass for a malformed one.
 	if err != nil && c.head.left == 0 {
 		err = errHeadTooLarge
--- a/caller/connections_test.go
+++ b/caller/connections_test.go
@@ -182,6 +182,35 @@
 	answered(t, dial(t, address))
 }
 
+// Guards against memory for fields, which take far more than their bytes, and against memory that stays reserved after them.
+func TestManyFields(t *testing.T) {
+	release := make(chan struct{})
+	budget, address := startBounded(t, small(), func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			<-release
+		}
+		answer(w, r)
+	})
+	many := strings.Repeat("a:\r\n", 300)
+	held := dial(t, address)
+	fmt.Fprint(held, get("/slow", many))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if u := budget.Usage(memory.Heads); u.Held < 236*fieldBytes {
+			return poll.Continue("%+v", u)
+		}
+		return poll.Success()
+	})
+	refused := dial(t, address)
+	fmt.Fprint(refused, get("/", many))
+	resp, _ := read(t, bufio.NewReader(refused))
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	answered(t, dial(t, address))
+	close(release)
+	_, body := read(t, bufio.NewReader(held))
+	assert.Equal(t, body, "whole")
+	nothingHeld(t, budget)
+}
+
 // Guards against pipelined requests that are handled beside each other without memory for them, against ones that are not handled
 // once there is some, and against memory that stays reserved after them.
 func TestPipelinedMemory(t *testing.T) {
--- a/caller/head.go
+++ b/caller/head.go
@@ -31,6 +31,10 @@
 	// memory is what heads hold. refused says that there was none for the head.
 	memory  headMemory
 	refused bool
+	// lines is the number of lines of the head so far, and line the length of the last one, which has no end yet. whole says that the
+	// empty line behind the head was seen.
+	lines, line int
+	whole       bool
 	// body bounds the time of a body that is being read; nil between bodies.
 	body *bodyWatch
 }
@@ -53,14 +57,39 @@
 	n, err := h.src.Read(p[:min(len(p), h.left)])
 	h.left -= n
 	h.seen = append(h.seen, p[:n]...)
+	if !h.count(p[:n]) {
+		return 0, errNoMemory
+	}
 	return n, err
 }
 
+// count counts the lines of a part of the head and reserves memory for them. It returns false if there is none.
+func (h *headReader) count(p []byte) bool {
+	for !h.whole && len(p) > 0 {
+		i := bytes.IndexByte(p, '\n')
+		if i < 0 {
+			h.line += len(p)
+			break
+		}
+		// No field is of one byte, so a line of that length is a CR.
+		h.whole = h.line+i <= 1 && h.lines > 0
+		h.lines++
+		h.line = 0
+		p = p[i+1:]
+	}
+	if !h.memory.reserveFields(h.lines) {
+		h.refused = true
+	}
+	return !h.refused
+}
+
 // begin begins a head of up to limit bytes, which br reads from the headReader.
 func (h *headReader) begin(br *bufio.Reader, limit int) {
 	buffered, _ := br.Peek(br.Buffered()) // What is buffered can be peeked at.
 	h.left = limit
 	h.seen = append(h.seen[:0], buffered...)
+	h.lines, h.line, h.whole = 0, 0, false
+	h.count(buffered)
 }
 
 // end ends the head and returns its bytes, which are valid until the next call of begin.
--- a/caller/reading.go
+++ b/caller/reading.go
@@ -29,6 +29,11 @@
 	// pauseNoticed is how late the end of a sender's time must be noticed to show that this process did not run. A busy
 	// machine delays a goroutine by tens of milliseconds.
 	pauseNoticed = 200 * time.Millisecond
+	// freeFields is the number of lines of a head that its connection's memory covers. Each further one takes fieldBytes when it is
+	// parsed and copied for a target, however few bytes it has, and fieldStep are reserved at a time.
+	freeFields = 64
+	fieldBytes = 256
+	fieldStep  = 16 << 10
 	// reclaimPause is how long a connection that was closed to make room may take to return its memory.
 	reclaimPause = 10 * time.Millisecond
 )
@@ -36,9 +41,10 @@
 // headMemory is the memory that the head of a request holds.
 type headMemory struct {
 	budget *memory.Budget
-	// most is the largest head. held is what is reserved for it.
-	most int
-	held int64
+	// most is the largest head. held is what is reserved for its bytes, and fields for its fields.
+	most   int
+	held   int64
+	fields int64
 	// request is the reservation for a request beside open ones; nil if there is none.
 	request *memory.Reservation
 }
@@ -55,10 +61,20 @@
 	return true
 }
 
+// reserveFields reserves memory for the lines of a head.
+func (m *headMemory) reserveFields(lines int) bool {
+	for need := int64(lines-freeFields) * fieldBytes; m.fields < need; m.fields += fieldStep {
+		if !m.budget.TryReserve(memory.Heads, fieldStep) {
+			return false
+		}
+	}
+	return true
+}
+
 // take returns a function that returns what is reserved for the request that was read last.
 func (m *headMemory) take() (release func()) {
-	budget, held, request := m.budget, m.held, m.request
-	m.held, m.request = 0, nil
+	budget, held, request := m.budget, m.held+m.fields, m.request
+	m.held, m.fields, m.request = 0, 0, nil
 	return func() {
 		now := time.Now()
 		budget.ReleaseBytes(now, memory.Heads, held)
--- a/memory/limits.go
+++ b/memory/limits.go
@@ -12,7 +12,7 @@
 	Small Part = "small"
 	// Responses is for the first parts of responses, and for responses that wait for their turn or to be read.
 	Responses Part = "responses"
-	// Heads is for heads of requests above FreeBytes.
+	// Heads is for heads of requests above FreeBytes or with many fields.
 	Heads Part = "heads"
 	// Requests is for requests that are handled beside others of their connection, at RequestBytes each.
 	Requests Part = "requests"
