Keep within limits.file_descriptors

Cause: no code read limits.file_descriptors. Connections of clients were bounded by memory alone, and those to targets by each target alone: on the smallest machine in force the sum of 404 targets can exceed what is left of 4,100.

Change: 200 descriptors are for files. At most half of the others are for connections of clients, an eighth for the store and other entries, and connections to targets have the rest, together (target.Sockets).

--- a/entry/body_test.go
+++ b/entry/body_test.go
@@ -54,7 +54,7 @@
 // Guards against bodies that are cut or mixed at the borders of their pieces, and against memory that stays reserved.
 func TestBodySizes(t *testing.T) {
 	const limit = 3 << 20
-	e := bodyEntry(memory.DeriveLimits(184 << 20))
+	e := bodyEntry(memory.DeriveLimits(184<<20, 0))
 	content := make([]byte, limit+1)
 	for i := range content {
 		content[i] = byte(i * 31 / 7)
@@ -100,7 +100,7 @@
 
 // Guards against a body that breaks off and is taken for a whole one.
 func TestBrokenBody(t *testing.T) {
-	e := bodyEntry(memory.DeriveLimits(184 << 20))
+	e := bodyEntry(memory.DeriveLimits(184<<20, 0))
 	for _, sent := range []int{0, 1, 5000, 300 << 10} {
 		for _, length := range []int64{-1, 400 << 10} {
 			body := io.MultiReader(bytes.NewReader(make([]byte, sent)), errorReader{})
@@ -120,7 +120,7 @@
 // Guards against a large body that waits without a bound or is refused without a time to come back, against a small one that
 // waits behind it, and against a connection that goes on after a body that was not read.
 func TestNoMemory(t *testing.T) {
-	e := bodyEntry(memory.DeriveLimits(16 << 20))
+	e := bodyEntry(memory.DeriveLimits(16<<20, 0))
 	hold := func() func() {
 		release, refusal := e.receiveBody(httptest.NewRecorder(), bodyCall(bytes.NewReader(make([]byte, 7<<20)), 7<<20, 8<<20, time.Minute))
 		assert.Assert(t, refusal == nil)
@@ -156,7 +156,7 @@
 
 // Guards against responses that hold more memory than there is. They are passed on instead.
 func TestResponseMemory(t *testing.T) {
-	e := bodyEntry(memory.DeriveLimits(16 << 20))
+	e := bodyEntry(memory.DeriveLimits(16<<20, 0))
 	var all []*response
 	held := 0
 	for range 100 {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -61,6 +61,7 @@
 	memory      *memory.Budget
 	collecting  atomic.Bool
 	connections *caller.Connections
+	sockets     *target.Sockets
 	// large makes large responses wait for each other while they are made.
 	large memory.Exclusive
 
@@ -112,11 +113,12 @@
 		opts.Protocol = NativeProtocol{}
 	}
 	if opts.Memory == nil {
-		opts.Memory = memory.NewBudget(memory.DeriveLimits(defaultMemory))
+		opts.Memory = memory.NewBudget(memory.DeriveLimits(defaultMemory, 0))
 	}
 	e := &Entry{
 		memory:       opts.Memory,
 		connections:  caller.NewConnections(opts.Memory),
+		sockets:      target.NewSockets(opts.Memory.MaxTargetConnections),
 		large:        memory.NewExclusive(),
 		opts:         opts,
 		timers:       timers,
--- a/entry/gone_test.go
+++ b/entry/gone_test.go
@@ -99,7 +99,7 @@
 			}
 		}))
 		defer server.Close()
-		e := bodyEntry(memory.DeriveLimits(defaultMemory))
+		e := bodyEntry(memory.DeriveLimits(defaultMemory, 0))
 		e.peerPools = map[string]*peerPool{}
 		caller, leave := context.WithCancel(context.Background())
 		defer leave()
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -70,6 +70,7 @@
 			MaxConnections:   maxConnections,
 			ProbeBudget:      budget,
 			Timers:           e.timers,
+			Sockets:          e.sockets,
 			FirstByteTimeout: opts.firstByteTimeout,
 			OnReport:         func(r outcome.Report) { e.onReport(name, r) },
 			MayRetry:         func() bool { return e.table.SpendRetry(e.timers.Now(), serviceName) },
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -120,6 +120,7 @@
 			Address:          m.Control,
 			MaxConnections:   maxPeerConnections,
 			Timers:           e.timers,
+			Sockets:          e.sockets,
 			FirstByteTimeout: time.Second,
 			OnRetry:          e.metrics.CountRetry,
 			OnDialError:      func(err error) { e.logDialError("entry", m.Name, err) },
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -83,6 +83,13 @@
 	return b.limits.Connections
 }
 
+// MaxTargetConnections returns the number of connections to targets, 0 if there is no limit.
+func (b *Budget) MaxTargetConnections() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.limits.Targets
+}
+
 // fits reports whether n more bytes may be held. A single reservation always fits, so that a body within the limit of the
 // settings is accepted on any machine. The caller holds the lock.
 func (b *Budget) fits(p Part, n int64) bool {
--- a/memory/budget_test.go
+++ b/memory/budget_test.go
@@ -101,7 +101,7 @@
 
 // Guards against small bodies that wait behind large ones.
 func TestSmallBesideLarge(t *testing.T) {
-	b := NewBudget(DeriveLimits(184 << 20))
+	b := NewBudget(DeriveLimits(184<<20, 0))
 	for range 5 {
 		assert.Assert(t, b.Reserve(epoch, Large, 64<<20) != nil)
 	}
@@ -111,7 +111,7 @@
 
 // Guards against a time to retry that does not follow what is held and how long it is held.
 func TestRetryAfter(t *testing.T) {
-	b := NewBudget(DeriveLimits(184 << 20))
+	b := NewBudget(DeriveLimits(184<<20, 0))
 	now := epoch
 	for range 100 {
 		r := b.Reserve(now, Large, 64<<20)
@@ -130,16 +130,33 @@
 // Guards against defaults that do not fit the machines of the deployments, which have 184 to 804 MB.
 func TestDeriveLimits(t *testing.T) {
 	for _, machine := range []int64{184 << 20, 674 << 20, 804 << 20} {
-		l := DeriveLimits(machine)
-		assert.NilError(t, l.Validate(machine))
+		l := DeriveLimits(machine, 0)
+		assert.NilError(t, l.Validate(machine, 0))
 		assert.Assert(t, l.Large >= 64<<20+1<<20)
 		assert.Assert(t, l.Connections >= 700)
 	}
-	l := DeriveLimits(184 << 20)
+	l := DeriveLimits(184<<20, 0)
 	l.Large *= 2
-	assert.ErrorContains(t, l.Validate(184<<20), "three quarters")
+	assert.ErrorContains(t, l.Validate(184<<20, 0), "three quarters")
 	l.Large = 0
-	assert.ErrorContains(t, l.Validate(184<<20), "above 0")
+	assert.ErrorContains(t, l.Validate(184<<20, 0), "above 0")
+}
+
+// Guards against more connections than there are descriptors, on the smallest machine and on one with few descriptors, and against a
+// limit that leaves none.
+func TestDescriptors(t *testing.T) {
+	for _, descriptors := range []int{4100, 1000, 201, 10} {
+		l := DeriveLimits(184<<20, descriptors)
+		assert.NilError(t, l.Validate(184<<20, descriptors))
+		assert.Assert(t, l.Connections > 0 && l.Targets > 0)
+		assert.Assert(t, descriptors < 1000 || 200+l.Connections+l.Targets <= descriptors-descriptors/10)
+		l.SetConnections(2*descriptors, descriptors)
+		assert.Equal(t, l.Targets, 1)
+		l.Targets = descriptors
+		assert.ErrorContains(t, l.Validate(4<<30, descriptors), "descriptors")
+	}
+	l := DeriveLimits(184<<20, 4100)
+	assert.Assert(t, l.Targets >= 2000)
 }
 
 // Guards against a sender on a link of 10 Mbit/s that is taken for a slow one, alone or beside 18 others, and against one that
--- a/memory/limits.go
+++ b/memory/limits.go
@@ -49,6 +49,15 @@
 	collectorShare = 0.75
 )
 
+const (
+	// fileDescriptors is the number of descriptors that are left for files.
+	fileDescriptors = 200
+	// connectionsDivisor is the part of the descriptors for sockets, as 1/n, that connections to the process may use, and
+	// ownDivisor the one for connections to the platform and to other entries. Connections to targets have the rest.
+	connectionsDivisor = 2
+	ownDivisor         = 8
+)
+
 // Limits are the bytes that may be held in each part, and numbers of connections.
 type Limits struct {
 	Large     int64
@@ -58,12 +67,15 @@
 	Requests  int64
 	// Connections is the number of connections at all listeners of the process.
 	Connections int
+	// Targets is the number of connections to targets; 0 if only the limits of the targets hold.
+	Targets int
 }
 
-// DeriveLimits returns the limits for a machine with the given memory in bytes.
-func DeriveLimits(machine int64) Limits {
+// DeriveLimits returns the limits for a machine with the given memory in bytes and number of descriptors, 0 if the latter is not
+// known.
+func DeriveLimits(machine int64, descriptors int) Limits {
 	m := float64(machine)
-	return Limits{
+	l := Limits{
 		Large:       int64(largeShare * m),
 		Small:       int64(smallShare * m),
 		Responses:   int64(responsesShare * m),
@@ -71,16 +83,38 @@
 		Requests:    int64(requestsShare * m),
 		Connections: int(connectionsShare * m / connectionBytes),
 	}
+	if descriptors > 0 {
+		l.SetConnections(min(l.Connections, max(sockets(descriptors)/connectionsDivisor, 1)), descriptors)
+	}
+	return l
+}
+
+// SetConnections sets the number of connections and leaves to targets what the number of descriptors, 0 if it is not known, has
+// beside them.
+func (l *Limits) SetConnections(n, descriptors int) {
+	l.Connections = n
+	if descriptors > 0 {
+		l.Targets = max(l.targetSockets(descriptors), 1)
+	}
+}
+
+// sockets returns the number of descriptors that are left for sockets.
+func sockets(descriptors int) int { return max(descriptors-fileDescriptors, 0) }
+
+// targetSockets returns the number of descriptors that are left for connections to targets.
+func (l *Limits) targetSockets(descriptors int) int {
+	return sockets(descriptors) - l.Connections - sockets(descriptors)/ownDivisor
 }
 
 // CollectorLimit returns the limit of the garbage collector for a machine with the given memory, in bytes.
 func CollectorLimit(machine int64) int64 { return int64(collectorShare * float64(machine)) }
 
-// Validate reports limits that are not positive or that a machine with the given memory cannot hold.
-func (l *Limits) Validate(machine int64) error {
+// Validate reports limits that are not positive or that a machine with the given memory and number of descriptors, 0 if it is not
+// known, cannot hold.
+func (l *Limits) Validate(machine int64, descriptors int) error {
 	sum := int64(l.Connections) * connectionBytes
 	for _, p := range Parts {
-		if l.of(p) <= 0 || l.Connections <= 0 {
+		if l.of(p) <= 0 || l.Connections <= 0 || l.Targets < 0 {
 			return errors.New("each must be above 0")
 		}
 		sum += l.of(p)
@@ -89,6 +123,10 @@
 		return errors.Newf("together they may hold %d MB, more than %d MB, three quarters of the memory", sum>>20,
 			CollectorLimit(machine)>>20)
 	}
+	if descriptors > 0 && l.Targets > max(l.targetSockets(descriptors), 1) {
+		return errors.Newf("%d connections and %d to targets exceed %d descriptors, of which %d are for files and 1/%d of the others for the platform and entries",
+			l.Connections, l.Targets, descriptors, fileDescriptors, ownDivisor)
+	}
 	return nil
 }
 
--- a/target/options.go
+++ b/target/options.go
@@ -73,6 +73,8 @@
 	// OnDialError is called with the error of a failed dial, unless the call was canceled. The outcome of the call does
 	// not include this error.
 	OnDialError func(error)
+	// Sockets bounds the connections of all pools that share it; nil if nothing does.
+	Sockets *Sockets
 	// Dial opens a connection. Defaults to TCP.
 	Dial func(context.Context, netip.AddrPort) (net.Conn, error)
 
--- a/target/pool.go
+++ b/target/pool.go
@@ -90,13 +90,15 @@
 func New(opts Options) *Pool {
 	opts.SetDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Pool{
+	p := &Pool{
 		opts:           opts,
 		maxConnections: opts.MaxConnections,
 		done:           make(chan struct{}),
 		ctx:            ctx,
 		cancel:         cancel,
 	}
+	opts.Sockets.add(p)
+	return p
 }
 
 // Name returns the name of the target.
@@ -138,6 +140,7 @@
 		close(p.done)
 	}
 	p.mu.Unlock()
+	p.opts.Sockets.remove(p)
 	p.cancel()
 	p.closeConns(idle...)
 }
@@ -273,6 +276,17 @@
 
 // reserveSlot reserves a slot for one more connection. It returns an empty reason on success.
 func (p *Pool) reserveSlot() outcome.Reason {
+	if reason := p.reserveOwnSlot(); reason != "" {
+		return reason
+	}
+	if !p.opts.Sockets.take() {
+		p.releaseOwnSlots(1)
+		return outcome.QueueFull
+	}
+	return ""
+}
+
+func (p *Pool) reserveOwnSlot() outcome.Reason {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -353,6 +367,11 @@
 }
 
 func (p *Pool) releaseSlots(n int) {
+	p.opts.Sockets.release(n)
+	p.releaseOwnSlots(n)
+}
+
+func (p *Pool) releaseOwnSlots(n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open -= n
