--- a/caller/server.go
+++ b/caller/server.go
@@ -65,7 +65,7 @@
 	// Pacer paces large bodies of responses; nil if they need no pacing.
 	Pacer  *link.Pacer
 	Timers *timer.Service
-	// Memory bounds what connections hold; nil if nothing does.
+	// Memory bounds what connections hold; nil if nothing does. It must be that of Connections.
 	Memory *memory.Budget
 }
 
--- a/entry/options.go
+++ b/entry/options.go
@@ -52,7 +52,7 @@
 	// Bandwidth is the bandwidth of the machine's network link in each direction, in bytes per second. With zero,
 	// large bodies are not paced.
 	Bandwidth float64
-	// Memory bounds what bodies, heads, responses and connections of callers hold. The default is that of a machine with
+	// Memory bounds what is held for clients, and the connections to targets. The default is that of a machine with
 	// 512 MiB.
 	Memory *memory.Budget
 }
