Let callers' and targets' connections share one piece for their receive buffers

Packages caller and target had the same two functions and flag; link.Receiver has them now. Behaviour stays as it is.

TestReceiverWindow shows what was open: an enlarged buffer of 64 KiB takes 32 to 128 KiB without a window clamp, so a large body does not need a round trip for each 13 KB, and the buffer holds 16 KiB at most before and after.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -12,6 +12,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"skylarkbeam/link"
+	"skylarkbeam/memory"
 )
 
 const (
@@ -68,8 +71,8 @@
 
 	// writingSince is when the write that is in progress began, in nanoseconds since 1970; 0 if there is none.
 	writingSince atomic.Int64
-	// enlarged says that the receive buffer was enlarged for a body.
-	enlarged bool
+	// receiver is the receive buffer, which is enlarged for some bodies.
+	receiver link.Receiver
 }
 
 // connWriter writes to a connection and notes how long a write lasts.
@@ -100,6 +103,7 @@
 		turn:   make(chan struct{}),
 
 		idleSince: time.Now(),
+		receiver:  link.NewReceiver(nc, memory.ReceiveBuffer),
 	}
 	c.br = bufio.NewReaderSize(c.head, bufferSize)
 	c.bw = bufio.NewWriterSize((*connWriter)(c), bufferSize)
@@ -112,7 +116,8 @@
 	defer c.server.ended(c)
 	for c.next() {
 	}
-	c.head.memory.take()()
+	releaseHead := c.head.memory.take()
+	releaseHead()
 	c.watch()
 	if c.ctx.Err() == nil {
 		c.linger()
@@ -217,7 +222,7 @@
 	<-body.done
 	c.head.body = nil
 	c.setReceiving(time.Time{})
-	c.shrinkReceiveBuffer()
+	c.receiver.Shrink()
 	return body.whole && !req.Close && c.ctx.Err() == nil
 }
 
--- a/caller/reading.go
+++ b/caller/reading.go
@@ -8,7 +8,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"skylarkbeam/link"
 	"skylarkbeam/memory"
 )
 
@@ -232,17 +231,4 @@
 
 // EnlargeReceiveBuffer lets a body of n bytes arrive faster, for which memory.ReceiveBufferBytes have been reserved. The connection
 // has its former receive buffer again once the body has been read.
-func (r *response) EnlargeReceiveBuffer(n int64) {
-	if size := memory.ReceiveBufferFor(n); size > memory.ReceiveBuffer {
-		r.conn.enlarged = true
-		link.ResizeReceiveBuffer(r.conn.nc, size)
-	}
-}
-
-// shrinkReceiveBuffer undoes EnlargeReceiveBuffer.
-func (c *conn) shrinkReceiveBuffer() {
-	if c.enlarged {
-		c.enlarged = false
-		link.ResizeReceiveBuffer(c.nc, memory.ReceiveBuffer)
-	}
-}
+func (r *response) EnlargeReceiveBuffer(n int64) { r.conn.receiver.Enlarge(memory.ReceiveBufferFor(n)) }
--- a/link/link.go
+++ b/link/link.go
@@ -2,8 +2,8 @@
 //
 // A link of 10 Mbit/s needs 72 ms for a body of 90 kB. Whatever is sent or received meanwhile waits behind it: answers of a few
 // hundred bytes, load reads, and greetings of other entries. A Link spreads the parts of large bodies over time and leaves a
-// part of the bandwidth free, so that a small message waits for one part of a body at most. ReceiveBuffer and
-// ResizeReceiveBuffer bound what a peer can send before it is read.
+// part of the bandwidth free, so that a small message waits for one part of a body at most. ReceiveBuffer
+// and Receiver bound what a peer can send before it is read.
 //
 // # Usage
 //
--- a/link/receivebuffer.go
+++ b/link/receivebuffer.go
@@ -23,9 +23,42 @@
 	}
 }
 
-// ResizeReceiveBuffer changes the size of the receive buffer of a connection, if it is one of TCP. The connection works with its
-// former buffer too, only slower, so errors are left out.
-func ResizeReceiveBuffer(nc net.Conn, n int) {
+// Receiver is the receive buffer of a connection, which is larger while a body arrives for which memory has been reserved. It is not
+// safe for concurrent use.
+type Receiver struct {
+	conn net.Conn
+	// usual is the size in bytes that ReceiveBuffer has set.
+	usual    int
+	enlarged bool
+}
+
+// NewReceiver returns the Receiver of a connection with a receive buffer of usual bytes.
+func NewReceiver(conn net.Conn, usual int) Receiver {
+	return Receiver{
+		conn:  conn,
+		usual: usual,
+	}
+}
+
+// Enlarge gives the connection a receive buffer of n bytes, if that is more than the usual ones.
+func (r *Receiver) Enlarge(n int) {
+	if n > r.usual {
+		r.enlarged = true
+		resize(r.conn, n)
+	}
+}
+
+// Shrink undoes Enlarge.
+func (r *Receiver) Shrink() {
+	if r.enlarged {
+		r.enlarged = false
+		resize(r.conn, r.usual)
+	}
+}
+
+// resize changes the size of the receive buffer of a connection, if it is one of TCP. The connection works with its former buffer
+// too, only slower, so errors are left out.
+func resize(nc net.Conn, n int) {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return
@@ -34,7 +67,7 @@
 	if err != nil {
 		return
 	}
-	// The window is not clamped as well: peers stall for 40 to 200 ms after a clamp has been lowered.
+	// The window follows the size without a clamp, and peers stall for 40 to 200 ms after a clamp has been lowered.
 	_ = Control(raw, func(fd int) error { return setReceiveBuffer(fd, n) })
 }
 
--- a/link/receivebuffer_test.go
+++ b/link/receivebuffer_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -26,6 +27,7 @@
 	assert.NilError(t, err)
 	defer receiver.Close()
 	assert.NilError(t, receiver.SetDeadline(time.Now().Add(20*time.Second)))
+	buffer := NewReceiver(receiver, small)
 	start := time.Now()
 	for range bodies {
 		sent := make(chan error, 1)
@@ -33,12 +35,63 @@
 			_, err := sender.Write(make([]byte, size))
 			sent <- err
 		}()
-		ResizeReceiveBuffer(receiver, large)
+		buffer.Enlarge(large)
 		_, err := io.CopyN(io.Discard, receiver, size)
 		assert.NilError(t, err)
 		assert.NilError(t, <-sent)
-		ResizeReceiveBuffer(receiver, small)
+		buffer.Shrink()
 	}
 	elapsed := time.Since(start)
 	assert.Assert(t, elapsed < bodies*20*time.Millisecond, "%s", elapsed)
 }
+
+// Guards against an enlarged buffer through which no more arrives than before, so that a large body takes a round trip for each few
+// kilobytes, and against one that stays large.
+func TestReceiverWindow(t *testing.T) {
+	const small, large = 8 << 10, 64 << 10
+	config := net.ListenConfig{
+		Control: ReceiveBuffer(small),
+	}
+	l, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	sender, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer sender.Close()
+	receiver, err := l.Accept()
+	assert.NilError(t, err)
+	defer receiver.Close()
+	assert.NilError(t, receiver.SetDeadline(time.Now().Add(20*time.Second)))
+	go func() {
+		piece := make([]byte, 64<<10)
+		for {
+			if _, err := sender.Write(piece); err != nil {
+				return // The connection has ended.
+			}
+		}
+	}()
+	raw, err := receiver.(*net.TCPConn).SyscallConn()
+	assert.NilError(t, err)
+	unread := func() (n int) {
+		buffer := make([]byte, 4*large)
+		assert.NilError(t, Control(raw, func(fd int) (err error) {
+			n, _, err = syscall.Recvfrom(fd, buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			return err
+		}))
+		return n
+	}
+	read := func() {
+		_, err := io.CopyN(io.Discard, receiver, 1<<20)
+		assert.NilError(t, err)
+		time.Sleep(200 * time.Millisecond) // The sender has filled the window by then.
+	}
+	buffer := NewReceiver(receiver, small)
+	read()
+	assert.Assert(t, unread() <= 2*small, "%d bytes before", unread())
+	buffer.Enlarge(large)
+	read()
+	assert.Assert(t, unread() >= large/2 && unread() <= 2*large, "%d bytes in an enlarged buffer", unread())
+	buffer.Shrink()
+	read()
+	assert.Assert(t, unread() <= 2*small, "%d bytes after", unread())
+}
--- a/target/conn.go
+++ b/target/conn.go
@@ -13,6 +13,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"skylarkbeam/link"
+	"skylarkbeam/memory"
 	"skylarkbeam/outcome"
 	"skylarkbeam/timer"
 )
@@ -38,8 +40,8 @@
 	bw            *bufio.Writer
 	abort         func()
 	peekFunc      func(fd uintptr) bool
-	nothingToRead bool   // result of the last peek
-	enlarged      bool   // the receive buffer was enlarged
+	nothingToRead bool // result of the last peek
+	receiver      link.Receiver
 	instance      string // the instance that the connection leads to; empty if unknown
 	dialedAt      time.Time
 	respondedAt   time.Time // when the last response ended
@@ -89,6 +91,7 @@
 		timers:        timers,
 		header:        http.Header{},
 		headBytesLeft: -1,
+		receiver:      link.NewReceiver(nc, memory.ReceiveBuffer),
 	}
 	c.br = bufio.NewReaderSize((*connReader)(c), bufferBytes)
 	c.bw = bufio.NewWriterSize((*connWriter)(c), bufferBytes)
--- a/target/pool.go
+++ b/target/pool.go
@@ -320,7 +320,7 @@
 // release puts a connection on the idle list. The connection must be new, or its last response read to the end.
 func (p *Pool) release(c *conn) {
 	c.respondedAt = p.opts.Timers.Now()
-	c.shrinkReceiveBuffer()
+	c.receiver.Shrink()
 	p.mu.Lock()
 	if p.closed || p.open > p.maxConnections {
 		p.mu.Unlock()
--- a/target/receivebuffer.go
+++ b/target/receivebuffer.go
@@ -19,16 +19,5 @@
 
 // EnlargeReceiveBuffer lets a body of n bytes arrive faster, for which memory.ReceiveBufferBytes have been reserved.
 func (b *responseBody) EnlargeReceiveBuffer(n int64) {
-	if size := memory.ReceiveBufferFor(n); size > memory.ReceiveBuffer {
-		b.conn.enlarged = true
-		link.ResizeReceiveBuffer(b.conn.nc, size)
-	}
-}
-
-// shrinkReceiveBuffer undoes EnlargeReceiveBuffer.
-func (c *conn) shrinkReceiveBuffer() {
-	if c.enlarged {
-		c.enlarged = false
-		link.ResizeReceiveBuffer(c.nc, memory.ReceiveBuffer)
-	}
+	b.conn.receiver.Enlarge(memory.ReceiveBufferFor(n))
 }
