Bound messages in one place, and where they are read

The table was read twice for each response, once in the batch that was thrown away if it had many rows; the response now waits for a change first (feed.Table.Wait) and reads the table when it is its turn. The size up to which messages are free, and the question whether memory is left for a body, were written twice; package memory has them. Bodies were reserved at directory, readiness and metrics, whose handlers read none, and chunked messages of entries reserved the size of settings, 16 MiB instead of 1.

--- a/entry/server.go
+++ b/entry/server.go
@@ -55,7 +55,7 @@
 		Timers:      e.timers,
 		Memory:      e.memory,
 	})
-	e.controlServer = e.newServer(e.controlHandler(), controlShare)
+	e.controlServer = e.newServer(e.boundMessages(e.controlHandler()), controlShare)
 	for _, extra := range e.opts.ExtraListeners {
 		e.extraServers = append(e.extraServers, e.newServer(extra.Handler(e), extraShare/float64(len(e.opts.ExtraListeners))))
 	}
@@ -100,7 +100,7 @@
 // newServer returns a server for an address other than that of callers, to which a share of the connections belongs.
 func (e *Entry) newServer(handler http.Handler, share float64) *caller.Server {
 	return caller.NewServer(caller.Options{
-		Handler:       e.serviceHandler(handler),
+		Handler:       e.recoverPanics(handler),
 		Connections:   e.connections,
 		Share:         share,
 		Interruptible: interruptible,
--- a/entry/service.go
+++ b/entry/service.go
@@ -5,18 +5,17 @@
 	"net/http"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"skylarkbeam/fleet"
 	"skylarkbeam/memory"
 )
 
 const (
-	// freeMessage is the size in bytes up to which the body of a message needs no reservation. Its connection's memory includes that
-	// for a connection to a target, which a message does not have.
-	freeMessage = 12 << 10
 	// messageCopies is how often a handler holds the body of a message: as it grows, and decoded.
 	messageCopies = 2
 	// maxMessageWait bounds the time for which a message waits for memory. Entries give up after about a second.
@@ -30,10 +29,9 @@
 	return (r.Method == http.MethodGet || r.Method == http.MethodHead) && r.Header.Get(headerRequest) == ""
 }
 
-// serviceHandler bounds what requests hold that are no calls. The body of a call is bounded where it is read.
-func (e *Entry) serviceHandler(next http.Handler) http.Handler {
+// boundMessages bounds what the bodies of messages at the control address hold. The body of a call is bounded where it is read.
+func (e *Entry) boundMessages(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		defer e.recoverHandler(r)
 		if r.Header.Get(headerRequest) != "" {
 			next.ServeHTTP(w, r)
 			return
@@ -50,7 +48,15 @@
 	})
 }
 
-// recoverHandler ends the connection, and not the process, if a handler panics.
+// recoverPanics ends the connection, and not the process, if a handler panics.
+func (e *Entry) recoverPanics(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer e.recoverHandler(r)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// recoverHandler ends the connection if a handler panics.
 func (e *Entry) recoverHandler(r *http.Request) {
 	p := recover()
 	if p == nil {
@@ -67,13 +73,21 @@
 	http.Error(w, "no memory is free", http.StatusServiceUnavailable)
 }
 
+// messageLimit returns the size in bytes of the largest message at the path of a request.
+func messageLimit(r *http.Request) int64 {
+	if strings.HasPrefix(r.URL.Path, fleet.PeerPath) {
+		return fleet.MaxMessageBytes
+	}
+	return maxChangeBytes
+}
+
 // reserveMessage reserves memory for the body of a message. It returns false if there is none in time.
 func (e *Entry) reserveMessage(r *http.Request) (release func(), ok bool) {
 	n := r.ContentLength
-	if n < 0 || n > maxChangeBytes {
-		n = maxChangeBytes // The handlers read no more than that.
+	if limit := messageLimit(r); n < 0 || n > limit {
+		n = limit // The handlers read no more than that.
 	}
-	if n <= freeMessage {
+	if n <= memory.FreeMessage {
 		return func() {}, true
 	}
 	n *= messageCopies
@@ -98,11 +112,6 @@
 	return func() { e.memory.Release(e.timers.Now(), held, 0) }, true
 }
 
-// bodyHolder is the writer of a response that tells whether memory is left for a body of n bytes that its client may not read.
-type bodyHolder interface {
-	HoldBody(n int64) bool
-}
-
 // oneAtATime makes the responses of a handler one after the other, because that takes far more memory than the result, and holds
 // each in memory until its client has read it.
 func (e *Entry) oneAtATime(next http.Handler) http.Handler {
@@ -114,7 +123,7 @@
 		if e.large.Do(r.Context(), func() { next.ServeHTTP(made, r) }) != nil {
 			return // The client has gone.
 		}
-		if holder, ok := w.(bodyHolder); ok && !holder.HoldBody(int64(made.body.Len())) {
+		if !memory.HoldBody(w, made.body.Len()) {
 			refuseService(w)
 			return
 		}
--- a/feed/table.go
+++ b/feed/table.go
@@ -121,6 +121,12 @@
 // Watch returns the changes after a version. It returns as soon as there is a change, and with whatever there is after
 // the timeout or at the end of ctx.
 func (t *Table) Watch(ctx context.Context, after uint64, timeout time.Duration) Batch {
+	t.Wait(ctx, after, timeout)
+	return t.ChangesSince(after)
+}
+
+// Wait returns as soon as there is a change after a version, after the timeout, or at the end of ctx.
+func (t *Table) Wait(ctx context.Context, after uint64, timeout time.Duration) {
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	for {
@@ -128,14 +134,14 @@
 		behind, changed := t.latestVersion > after || after < t.tombstonesSince, t.changed
 		t.mu.RUnlock()
 		if behind {
-			return t.ChangesSince(after)
+			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return t.ChangesSince(after)
+			return
 		case <-ctx.Done():
-			return t.ChangesSince(after)
+			return
 		}
 	}
 }
--- a/fleet/confirm.go
+++ b/fleet/confirm.go
@@ -184,7 +184,7 @@
 		http.Error(resp, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	f.writeBatch(req, resp, table, after, table.ChangesSince(after))
+	f.large.writeTable(req, resp, table, after)
 }
 
 // Confirm returns the changes of a table after a version from an entry that reads the store.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -178,6 +178,7 @@
 	protocol    protocolOptions
 	incarnation string
 	counters    *counters
+	large       *largeMessages
 	log         *zap.Logger
 	state       atomic.Pointer[State]
 	leaving     atomic.Bool
@@ -240,6 +241,7 @@
 		incarnation:         newIncarnation(),
 		serveWithoutContact: opt.ServeWithoutContact,
 		counters:            newCounters(opt.Metrics),
+		large:               newLargeMessages(),
 		log:                 opt.Logger.With(zap.String("entry", opt.Name)),
 		changed:             make(chan struct{}),
 		peers:               map[string]*peer{},
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -18,7 +18,6 @@
 	"go.uber.org/zap"
 
 	"skylarkbeam/feed"
-	"skylarkbeam/memory"
 	"skylarkbeam/timer"
 )
 
@@ -144,9 +143,7 @@
 	followers  int
 	followedAt time.Time
 	confirm    confirmations
-	// large makes large messages wait for each other while they are decoded or encoded; lastTable belongs to who encodes.
-	large     memory.Exclusive
-	lastTable encodedTable
+	large      *largeMessages
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -205,7 +202,7 @@
 			State:       RecordStateActive,
 		},
 		startedAt:     opt.Timers.Now(),
-		large:         memory.NewExclusive(),
+		large:         newLargeMessages(),
 		tables:        map[string]*feed.Table{},
 		changed:       make(chan struct{}),
 		members:       map[string]*member{},
--- a/fleet/follower_test.go
+++ b/fleet/follower_test.go
@@ -304,7 +304,8 @@
 	if p.ctx.Err() != nil {
 		return nil, errors.New("stopped")
 	}
-	b := p.watchRows(ctx, p.tables[table], after, wait)
+	p.awaitRows(ctx, p.tables[table], after, wait)
+	b := p.tables[table].ChangesSince(after)
 	if err := tr.awaitLight(ctx, to); err != nil {
 		return nil, err
 	}
--- a/fleet/followerhttp.go
+++ b/fleet/followerhttp.go
@@ -35,7 +35,7 @@
 
 func (f *Follower) serveGreeting(req *restful.Request, resp *restful.Response) {
 	var g Greeting
-	if err := f.decode(req.Request, &g); err != nil || g.Entry == "" || g.Record.Incarnation == "" {
+	if err := f.large.decode(req.Request, &g); err != nil || g.Entry == "" || g.Record.Incarnation == "" {
 		http.Error(resp, "malformed greeting", http.StatusBadRequest)
 		return
 	}
@@ -47,7 +47,7 @@
 }
 
 func (f *Follower) serveMembers(req *restful.Request, resp *restful.Response) {
-	f.writeLarge(req.Request.Context(), resp, func() (encoded, bool) { return encodeCompressed(f.memberList()), false })
+	f.large.write(req, resp, func() (encoded, bool) { return encodeCompressed(f.memberList()), false })
 }
 
 func (f *Follower) serveRows(req *restful.Request, resp *restful.Response) {
@@ -69,20 +69,21 @@
 	if err != nil {
 		wait = 0
 	}
-	f.writeBatch(req, resp, table, after, f.watchRows(req.Request.Context(), table, after, wait))
+	f.awaitRows(req.Request.Context(), table, after, wait)
+	f.large.writeTable(req, resp, table, after)
 }
 
 // Greet sends a greeting to a peer and returns its greeting.
 func (c *Client) Greet(ctx context.Context, to netip.AddrPort, g *Greeting) (*Greeting, error) {
 	var reply Greeting
-	err := c.do(ctx, http.MethodPost, to, PeerPath+greetPath, encode(g), maxMessageBytes, &reply)
+	err := c.do(ctx, http.MethodPost, to, PeerPath+greetPath, encode(g), MaxMessageBytes, &reply)
 	return &reply, err
 }
 
 // Members returns the members that a peer knows.
 func (c *Client) Members(ctx context.Context, to netip.AddrPort) (*Roll, error) {
 	var roll Roll
-	err := c.do(ctx, http.MethodGet, to, PeerPath+membersPath, nil, maxMessageBytes, &roll)
+	err := c.do(ctx, http.MethodGet, to, PeerPath+membersPath, nil, MaxMessageBytes, &roll)
 	return &roll, err
 }
 
--- a/fleet/http.go
+++ b/fleet/http.go
@@ -22,7 +22,8 @@
 const PeerPath = "/skylarkbeam/peer"
 
 const (
-	maxMessageBytes  = 1 << 20
+	// MaxMessageBytes is the size of the largest message from another entry.
+	MaxMessageBytes  = 1 << 20
 	maxSnapshotBytes = 64 << 20
 	// maxIdleConns bounds the idle connections to all other entries together, which take descriptors.
 	maxIdleConns = 256
@@ -54,7 +55,7 @@
 
 func (f *Fleet) serveMessage(req *restful.Request, resp *restful.Response) {
 	var m Message
-	if err := decodeBody(req.Request.Body, maxMessageBytes, &m); err != nil || m.Entry == "" || m.Incarnation == "" {
+	if err := f.large.decode(req.Request, &m); err != nil || m.Entry == "" || m.Incarnation == "" {
 		http.Error(resp, "malformed message", http.StatusBadRequest)
 		return
 	}
@@ -67,7 +68,11 @@
 }
 
 func (f *Fleet) serveSnapshot(req *restful.Request, resp *restful.Response) {
-	writeJSON(resp, f.Snapshot(req.QueryParameter("object"), req.QueryParameter("warm") == "true"))
+	f.large.write(req, resp, func() (encoded, bool) {
+		return encoded{
+			data: encode(f.Snapshot(req.QueryParameter("object"), req.QueryParameter("warm") == "true")),
+		}, false
+	})
 }
 
 // writeJSON writes JSON without the headers that peers do not need, which would be a third of a message.
@@ -205,7 +210,7 @@
 // Send implements Transport.
 func (c *Client) Send(ctx context.Context, to netip.AddrPort, message *Message) (*Message, error) {
 	var reply Message
-	err := c.do(ctx, http.MethodPost, to, PeerPath, encode(message), maxMessageBytes, &reply)
+	err := c.do(ctx, http.MethodPost, to, PeerPath, encode(message), MaxMessageBytes, &reply)
 	return &reply, err
 }
 
--- a/fleet/largehttp.go
+++ b/fleet/largehttp.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"compress/gzip"
-	"context"
 	"encoding/json"
 	"net/http"
 
@@ -11,22 +10,19 @@
 	restful "github.com/emicklei/go-restful/v3"
 
 	"skylarkbeam/feed"
+	"skylarkbeam/memory"
 )
 
-const (
-	// minCompressBytes is the size from which on a response is compressed. A desired state with 1600 routes shrinks from
-	// 600 KB to 40 KB; uncompressed, the links of the readers would take seconds to pass it on.
-	minCompressBytes = 4 << 10
-	// minLargeMessage is the size in bytes from which on messages are decoded one at a time: decoded, they take many times their
-	// bytes.
-	minLargeMessage = 12 << 10
-	// fewRows is the number of rows up to which a batch is held while its response waits for its turn.
-	fewRows = 64
-)
+// minCompressBytes is the size from which on a response is compressed. A desired state with 1600 routes shrinks from
+// 600 KB to 40 KB; uncompressed, the links of the readers would take seconds to pass it on.
+const minCompressBytes = 4 << 10
 
-// bodyHolder is the writer of a response that tells whether memory is left for a body of n bytes that its client may not read.
-type bodyHolder interface {
-	HoldBody(n int64) bool
+// largeMessages decodes large messages and encodes large responses, one at a time: the decoder, the encoder and the compressor take many
+// times the bytes of a message. Create one with newLargeMessages.
+type largeMessages struct {
+	turn memory.Exclusive
+	// lastTable belongs to whose turn it is.
+	lastTable encodedTable
 }
 
 // encoded is the body of a response.
@@ -43,38 +39,54 @@
 	version  uint64
 }
 
+func newLargeMessages() *largeMessages {
+	return &largeMessages{
+		turn: memory.NewExclusive(),
+	}
+}
+
 // decode decodes the body of a request.
-func (f *Follower) decode(r *http.Request, into any) error {
-	data, err := readBody(r.Body, maxMessageBytes)
+func (l *largeMessages) decode(r *http.Request, into any) error {
+	data, err := readBody(r.Body, MaxMessageBytes)
 	if err != nil {
 		return err
 	}
-	if len(data) < minLargeMessage {
+	if len(data) <= memory.FreeMessage {
 		return errors.Wrap(json.Unmarshal(data, into), "decode a message")
 	}
 	var result error
-	err = f.large.Do(r.Context(), func() { result = json.Unmarshal(data, into) })
+	err = l.turn.Do(r.Context(), func() { result = json.Unmarshal(data, into) })
 	return errors.Wrap(errors.CombineErrors(err, result), "decode a large message")
 }
 
-// writeBatch responds with the changes of a table after a version. The batch, which has them too, is held only if it is small.
-func (f *Follower) writeBatch(req *restful.Request, resp *restful.Response, table *feed.Table, after uint64, b feed.Batch) {
-	if len(b.Rows) <= fewRows {
-		f.writeLarge(req.Request.Context(), resp, func() (encoded, bool) { return encodeCompressed(b), false })
-		return
-	}
-	f.writeLarge(req.Request.Context(), resp, func() (encoded, bool) { return f.encodeTable(table, after) })
+// writeTable responds with the changes of a table after a version. A whole table is encoded once while it does not change.
+func (l *largeMessages) writeTable(req *restful.Request, resp *restful.Response, table *feed.Table, after uint64) {
+	l.write(req, resp, func() (body encoded, shared bool) {
+		revision := table.Revision()
+		b := table.ChangesSince(after)
+		if !b.Whole {
+			return encodeCompressed(b), false
+		}
+		if last := &l.lastTable; last.table != table || last.revision != revision || last.version != b.Version {
+			*last = encodedTable{
+				encoded:  encodeCompressed(b),
+				table:    table,
+				revision: revision,
+				version:  b.Version,
+			}
+		}
+		return l.lastTable.encoded, true
+	})
 }
 
-// writeLarge responds with JSON. Responses are encoded one at a time: the encoder and the compressor take far more memory than the
-// result. encode also reports whether other responses use the same bytes.
-func (f *Follower) writeLarge(ctx context.Context, resp *restful.Response, encode func() (e encoded, shared bool)) {
+// write responds with JSON. encode also reports whether other responses use the same bytes, which then need no memory of their own.
+func (l *largeMessages) write(req *restful.Request, resp *restful.Response, encode func() (body encoded, shared bool)) {
 	var body encoded
 	var shared bool
-	if f.large.Do(ctx, func() { body, shared = encode() }) != nil {
+	if l.turn.Do(req.Request.Context(), func() { body, shared = encode() }) != nil {
 		return // The peer has gone.
 	}
-	if holder, ok := resp.ResponseWriter.(bodyHolder); ok && !shared && !holder.HoldBody(int64(len(body.data))) {
+	if !shared && !memory.HoldBody(resp.ResponseWriter, len(body.data)) {
 		resp.Header().Set("Retry-After", "1")
 		http.Error(resp, "no memory is free for the response", http.StatusServiceUnavailable)
 		return
@@ -85,25 +97,6 @@
 	writeEncoded(resp, body.data)
 }
 
-// encodeTable returns the changes of a table after a version. A whole table is encoded once while it does not change. The caller
-// must be the only one that encodes.
-func (f *Follower) encodeTable(table *feed.Table, after uint64) (e encoded, shared bool) {
-	revision := table.Revision()
-	b := table.ChangesSince(after)
-	if !b.Whole {
-		return encodeCompressed(b), false
-	}
-	if last := &f.lastTable; last.table != table || last.revision != revision || last.version != b.Version {
-		*last = encodedTable{
-			encoded:  encodeCompressed(b),
-			table:    table,
-			revision: revision,
-			version:  b.Version,
-		}
-	}
-	return f.lastTable.encoded, true
-}
-
 // encodeCompressed returns JSON, compressed if it is large.
 func encodeCompressed(value any) encoded {
 	data := encode(value)
--- a/fleet/post.go
+++ b/fleet/post.go
@@ -8,5 +8,5 @@
 
 // Post sends a message to a path at the control address of an entry and decodes the reply.
 func (c *Client) Post(ctx context.Context, to netip.AddrPort, path string, message, reply any) error {
-	return c.do(ctx, http.MethodPost, to, path, encode(message), maxMessageBytes, reply)
+	return c.do(ctx, http.MethodPost, to, path, encode(message), MaxMessageBytes, reply)
 }
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -33,12 +33,12 @@
 	detachWait = 50 * time.Millisecond
 )
 
-// watchRows answers the watch request of an entry that follows this one, which reads the store meanwhile. If this entry
-// loses the store or stops, the response comes at once and without a change, so that the other can follow another reader.
+// awaitRows waits for a change of a table for an entry that follows this one, which reads the store meanwhile. If this entry
+// loses the store or stops, it returns at once and without a change, so that the other can follow another reader.
 // Without a wait, the other entry does not follow this one.
-func (f *Follower) watchRows(ctx context.Context, table *feed.Table, after uint64, wait time.Duration) feed.Batch {
+func (f *Follower) awaitRows(ctx context.Context, table *feed.Table, after uint64, wait time.Duration) {
 	if wait <= 0 {
-		return table.ChangesSince(after)
+		return
 	}
 	f.mu.Lock()
 	attachment := f.attachment
@@ -61,7 +61,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(attachment, cancel)()
-	return table.Watch(ctx, after, min(wait, peerWatchTimeout))
+	table.Wait(ctx, after, min(wait, peerWatchTimeout))
 }
 
 // isFollowed reports whether another entry follows this one. The caller holds the lock.
--- a/fleet/rollout.go
+++ b/fleet/rollout.go
@@ -136,13 +136,13 @@
 // ReportRollout sends a report about a roll-out to a peer.
 func (c *Client) ReportRollout(ctx context.Context, to netip.AddrPort, r *rollout.Report) (*rollout.Reply, error) {
 	var reply rollout.Reply
-	err := c.do(ctx, http.MethodPost, to, PeerPath+rolloutPath, encode(r), maxMessageBytes, &reply)
+	err := c.do(ctx, http.MethodPost, to, PeerPath+rolloutPath, encode(r), MaxMessageBytes, &reply)
 	return &reply, err
 }
 
 func (f *Follower) serveRollout(req *restful.Request, resp *restful.Response) {
 	var r rollout.Report
-	if err := f.decode(req.Request, &r); err != nil || r.Entry == "" || r.Service == "" {
+	if err := f.large.decode(req.Request, &r); err != nil || r.Entry == "" || r.Service == "" {
 		http.Error(resp, "malformed report", http.StatusBadRequest)
 		return
 	}
