Count what the limit of connections to targets does, and keep to it without a machine's settings

memory.targets had a gauge and no counters: skylarkbeam_target_connections_closed_total and _refused_total say what it costs. The number of descriptors that the kernel allows was read by the translation of the settings file alone, so an entry that is started by flags had no limit; package memory reads it for both.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -113,7 +113,7 @@
 		opts.Protocol = NativeProtocol{}
 	}
 	if opts.Memory == nil {
-		opts.Memory = memory.NewBudget(memory.DeriveLimits(defaultMemory, 0))
+		opts.Memory = memory.NewBudget(memory.DeriveLimits(defaultMemory, memory.ProcessDescriptors()))
 	}
 	e := &Entry{
 		memory:       opts.Memory,
--- a/entry/memory.go
+++ b/entry/memory.go
@@ -22,6 +22,8 @@
 		return float64(n)
 	})
 	e.metrics.RegisterGauge("skylarkbeam_target_connections", func() float64 { return float64(e.sockets.Open()) })
+	e.metrics.RegisterGauge("skylarkbeam_target_connections_closed_total", func() float64 { return float64(e.sockets.Closed()) })
+	e.metrics.RegisterGauge("skylarkbeam_target_connections_refused_total", func() float64 { return float64(e.sockets.Refused()) })
 	e.metrics.RegisterGauge("skylarkbeam_connections_refused_total", func() float64 {
 		return float64(e.connections.ClosedFull())
 	})
--- a/target/sockets.go
+++ b/target/sockets.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -9,6 +10,8 @@
 // place of the one that has been idle for the longest time. It is safe for concurrent use.
 type Sockets struct {
 	most func() int
+	// closed counts the idle connections that were closed for others, refused the ones that were not opened.
+	closed, refused atomic.Uint64
 
 	mu    sync.Mutex
 	open  int
@@ -23,6 +26,12 @@
 	}
 }
 
+// Closed returns the number of idle connections that were closed for others.
+func (s *Sockets) Closed() uint64 { return s.closed.Load() }
+
+// Refused returns the number of connections that were not opened because all others were in use.
+func (s *Sockets) Refused() uint64 { return s.refused.Load() }
+
 // Open returns the number of open connections.
 func (s *Sockets) Open() int {
 	s.mu.Lock()
@@ -58,6 +67,7 @@
 			return true
 		}
 		if !s.closeIdlest() {
+			s.refused.Add(1)
 			return false
 		}
 	}
@@ -102,6 +112,7 @@
 		return false
 	}
 	idlest.closeOldestIdle()
+	s.closed.Add(1)
 	return true
 }
 
--- a/target/sockets_test.go
+++ b/target/sockets_test.go
@@ -61,6 +61,7 @@
 		assert.Assert(t, ok, "%+v", result)
 		assert.Assert(t, sockets.Open() <= most)
 	}
+	assert.Equal(t, sockets.Closed(), uint64(7))
 	slow := open(address)
 	done := make(chan outcome.Outcome, most)
 	for range most {
@@ -71,6 +72,7 @@
 	}
 	refused, ok := send(open(address), "/").(*outcome.NotRun)
 	assert.Assert(t, ok && refused.Reason == outcome.QueueFull)
+	assert.Equal(t, sockets.Refused(), uint64(1))
 	close(release)
 	for range most {
 		_, ok := (<-done).(*outcome.Answered)
