Let bodies of calls and of messages reserve memory in one way

From reading the change again: the wait for a reservation, the choice of its part by size, and the question whether it was granted stood twice or three times. Messages now start the collector when they wait, as bodies do, and end their wait when a stop answers the calls that are left. HoldBody asks once, where it asked in a loop with two ends.

--- a/caller/reading.go
+++ b/caller/reading.go
@@ -195,16 +195,10 @@
 	}
 	s := r.conn.server
 	holding := s.opts.Memory.Reserve(time.Now(), memory.Responses, n)
-	for holding != nil {
-		select {
-		case <-holding.Granted:
-			r.holding = holding
-			return true
-		default:
-		}
-		if !s.opts.Connections.reclaim() && s.opts.Memory.Withdraw(time.Now(), holding) {
-			return false
-		}
+	if holding == nil {
+		return false
+	}
+	for !holding.IsGranted() && s.opts.Connections.reclaim() {
 		pause := time.NewTimer(reclaimPause)
 		select {
 		case <-holding.Granted:
@@ -212,7 +206,11 @@
 		}
 		pause.Stop()
 	}
-	return false
+	if s.opts.Memory.Withdraw(time.Now(), holding) {
+		return false
+	}
+	r.holding = holding
+	return true
 }
 
 // releaseHeld returns the memory of what was held.
--- a/entry/body.go
+++ b/entry/body.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"os"
@@ -177,18 +178,12 @@
 	if n <= memory.FreeBytes {
 		return nil
 	}
-	part := memory.Large
-	if n <= memory.SmallBody {
-		part = memory.Small
-	}
-	e := b.entry
+	part, e := memory.BodyPart(n), b.entry
 	now := e.timers.Now()
-	r := e.memory.Reserve(now, part, n+b.receiveBuffer(expected))
+	limit := min(b.call.deadline.Sub(now)/memoryWaitDivisor, maxMemoryWait)
+	r := e.reserveMemory(b.call.request.Context(), part, n+b.receiveBuffer(expected), limit)
 	if r == nil {
-		return b.noMemory(part, n)
-	}
-	if !b.wait(r, now) && e.memory.Withdraw(e.timers.Now(), r) {
-		return b.noMemory(part, n)
+		return notRunRefusal(outcome.NoMemory, e.memory.RetryAfter(part, n), "no memory is free for the request body")
 	}
 	b.held = append(b.held, r)
 	if part == memory.Large {
@@ -208,28 +203,25 @@
 	return memory.ReceiveBufferBytes(n)
 }
 
-// wait waits until a reservation is granted. It returns false if the time for that is over.
-func (b *bodyReader) wait(r *memory.Reservation, now time.Time) bool {
-	select {
-	case <-r.Granted:
-		return true
-	default:
+// reserveMemory reserves n bytes, and waits for them until the time limit or the end of ctx. It returns nil if there are none.
+func (e *Entry) reserveMemory(ctx context.Context, part memory.Part, n int64, limit time.Duration) *memory.Reservation {
+	r := e.memory.Reserve(e.timers.Now(), part, n)
+	if r == nil || r.IsGranted() {
+		return r
 	}
-	b.entry.collect()
-	limit := time.NewTimer(min(b.call.deadline.Sub(now)/memoryWaitDivisor, maxMemoryWait))
-	defer limit.Stop()
+	e.collect()
+	end := time.NewTimer(limit)
+	defer end.Stop()
 	select {
 	case <-r.Granted:
-		return true
-	case <-limit.C:
-	case <-b.call.request.Context().Done():
-	case <-b.entry.ending.Done():
+	case <-end.C:
+	case <-ctx.Done():
+	case <-e.ending.Done():
 	}
-	return false
-}
-
-func (b *bodyReader) noMemory(part memory.Part, n int64) *Refusal {
-	return notRunRefusal(outcome.NoMemory, b.entry.memory.RetryAfter(part, n), "no memory is free for the request body")
+	if e.memory.Withdraw(e.timers.Now(), r) {
+		return nil
+	}
+	return r
 }
 
 // allocate allocates a piece of a body. The memory of large bodies counts until the collector has freed it.
--- a/entry/service.go
+++ b/entry/service.go
@@ -56,7 +56,7 @@
 	})
 }
 
-// recoverHandler ends the connection if a handler panics.
+// recoverHandler is called when a handler returns or panics.
 func (e *Entry) recoverHandler(r *http.Request) {
 	p := recover()
 	if p == nil {
@@ -91,24 +91,10 @@
 		return func() {}, true
 	}
 	n *= messageCopies
-	part := memory.Large
-	if n <= memory.SmallBody {
-		part = memory.Small
-	}
-	held := e.memory.Reserve(e.timers.Now(), part, n)
+	held := e.reserveMemory(r.Context(), memory.BodyPart(n), n, maxMessageWait)
 	if held == nil {
 		return func() {}, false
 	}
-	limit := time.NewTimer(maxMessageWait)
-	defer limit.Stop()
-	select {
-	case <-held.Granted:
-	case <-limit.C:
-	case <-r.Context().Done():
-	}
-	if e.memory.Withdraw(e.timers.Now(), held) {
-		return func() {}, false
-	}
 	return func() { e.memory.Release(e.timers.Now(), held, 0) }, true
 }
 
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -49,6 +49,16 @@
 	ended   bool
 }
 
+// IsGranted reports whether the bytes may be allocated.
+func (r *Reservation) IsGranted() bool {
+	select {
+	case <-r.Granted:
+		return true
+	default:
+		return false
+	}
+}
+
 // NewBudget returns a Budget with nothing reserved.
 func NewBudget(l Limits) *Budget {
 	b := &Budget{
--- a/memory/budget_test.go
+++ b/memory/budget_test.go
@@ -10,15 +10,6 @@
 
 var epoch = time.Unix(1000, 0)
 
-func granted(r *Reservation) bool {
-	select {
-	case <-r.Granted:
-		return true
-	default:
-		return false
-	}
-}
-
 // Guards against more than the limit in any order of events, except one body that is larger, and against reservations that
 // wait although there is room, are overtaken, or are lost. The load is that of bodies of all sizes whose senders leave.
 func TestBudget(t *testing.T) {
@@ -35,7 +26,7 @@
 		var waiting, held []*Reservation
 		var garbage []int64
 		settle := func() {
-			for len(waiting) > 0 && granted(waiting[0]) {
+			for len(waiting) > 0 && waiting[0].IsGranted() {
 				held = append(held, waiting[0])
 				waiting = waiting[1:]
 			}
@@ -51,7 +42,7 @@
 			assert.Equal(t, u.Waiting, len(waiting))
 			assert.Assert(t, sum <= limit || len(held)+len(garbage) == 1, "%d bytes", sum)
 			for _, r := range waiting {
-				assert.Assert(t, !granted(r), "overtakes another one")
+				assert.Assert(t, !r.IsGranted(), "overtakes another one")
 			}
 			if len(waiting) > 0 {
 				assert.Assert(t, sum > 0 && sum+waiting[0].bytes > limit, "waits although there is room")
@@ -106,7 +97,7 @@
 		assert.Assert(t, b.Reserve(epoch, Large, 64<<20) != nil)
 	}
 	assert.Equal(t, b.Usage(Large).Waiting, 4)
-	assert.Assert(t, granted(b.Reserve(epoch, Small, SmallBody)))
+	assert.Assert(t, b.Reserve(epoch, Small, SmallBody).IsGranted())
 }
 
 // Guards against a time to retry that does not follow what is held and how long it is held.
--- a/memory/limits.go
+++ b/memory/limits.go
@@ -21,6 +21,14 @@
 // Parts lists the parts in a fixed order.
 var Parts = []Part{Large, Small, Responses, Heads, Requests}
 
+// BodyPart returns the part for a body of n bytes.
+func BodyPart(n int64) Part {
+	if n <= SmallBody {
+		return Small
+	}
+	return Large
+}
+
 const (
 	// FreeBytes is the size up to which nothing is reserved: it is that of a connection's buffers, and the bytes for one
 	// connection include it.
