--- a/link/receivebuffer_test.go
+++ b/link/receivebuffer_test.go
@@ -10,23 +10,32 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against peers that stall until a timer of the kernel ends: because their segments are larger than the receive buffer, or after
-// it was made smaller. Each such stall takes 40 to 200 ms.
-func TestResizedBuffer(t *testing.T) {
-	const bodies, size, small, large = 50, 90_000, 8 << 10, 64 << 10
+// connect returns the ends of a connection, of which one has a receive buffer of n bytes.
+func connect(t *testing.T, n int) (sender, receiver net.Conn) {
+	t.Helper()
 	config := net.ListenConfig{
-		Control: ReceiveBuffer(small),
+		Control: ReceiveBuffer(n),
 	}
 	l, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer l.Close()
-	sender, err := net.Dial("tcp", l.Addr().String())
+	sender, err = net.Dial("tcp", l.Addr().String())
 	assert.NilError(t, err)
-	defer sender.Close()
-	receiver, err := l.Accept()
+	receiver, err = l.Accept()
 	assert.NilError(t, err)
-	defer receiver.Close()
+	t.Cleanup(func() {
+		sender.Close()
+		receiver.Close()
+	})
 	assert.NilError(t, receiver.SetDeadline(time.Now().Add(20*time.Second)))
+	return sender, receiver
+}
+
+// Guards against peers that stall until a timer of the kernel ends: because their segments are larger than the receive buffer, or after
+// it was made smaller. Each such stall takes 40 to 200 ms.
+func TestResizedBuffer(t *testing.T) {
+	const bodies, size, small, large = 50, 90_000, 8 << 10, 64 << 10
+	sender, receiver := connect(t, small)
 	buffer := NewReceiver(receiver, small)
 	start := time.Now()
 	for range bodies {
@@ -49,19 +58,7 @@
 // kilobytes, and against one that stays large.
 func TestReceiverWindow(t *testing.T) {
 	const small, large = 8 << 10, 64 << 10
-	config := net.ListenConfig{
-		Control: ReceiveBuffer(small),
-	}
-	l, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	sender, err := net.Dial("tcp", l.Addr().String())
-	assert.NilError(t, err)
-	defer sender.Close()
-	receiver, err := l.Accept()
-	assert.NilError(t, err)
-	defer receiver.Close()
-	assert.NilError(t, receiver.SetDeadline(time.Now().Add(20*time.Second)))
+	sender, receiver := connect(t, small)
 	go func() {
 		piece := make([]byte, 64<<10)
 		for {
