Let TestReceiverWindow look at the window more than once

It looked once, 200 ms after a read of 1 MB, and failed in 6 of 60 runs beside a load average of 8 to 11: 2 to 20 KB had arrived through the enlarged buffer. Traced with a program of its own: 240 connections beside the same load, with bodies of 20 KB, 90 KB and 1 MB, had no segment dropped (TCPRcvQDrop, PruneCalled and TCPTimeouts of the kernel did not change), and none of 1,200 bodies of each size took more than 19 ms. So nothing stalls, and what a single look sees depends on where the sender stands when the reader stops.

The test reads pieces now until 32 KiB have arrived behind one, which a buffer that stays small never shows: at 8 KiB the most is 16 KiB in ten looks each, before and after.

--- a/link/receivebuffer_test.go
+++ b/link/receivebuffer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net"
 	"syscall"
 	"testing"
@@ -77,18 +78,25 @@
 		}))
 		return n
 	}
-	read := func() {
-		_, err := io.CopyN(io.Discard, receiver, 1<<20)
-		assert.NilError(t, err)
-		time.Sleep(200 * time.Millisecond) // The sender has filled the window by then.
+	// most reads pieces until as many bytes as wanted arrive behind one, and returns the most that did.
+	most := func(pieces, want int) (n int) {
+		for range pieces {
+			_, err := io.CopyN(io.Discard, receiver, 256<<10)
+			assert.NilError(t, err)
+			time.Sleep(20 * time.Millisecond) // The sender has filled the window by then, unless it did not run.
+			if n = max(n, unread()); n >= want {
+				break
+			}
+		}
+		return n
 	}
 	buffer := NewReceiver(receiver, small)
-	read()
-	assert.Assert(t, unread() <= 2*small, "%d bytes before", unread())
+	assert.Assert(t, most(10, math.MaxInt) <= 2*small)
 	buffer.Enlarge(large)
-	read()
-	assert.Assert(t, unread() >= large/2 && unread() <= 2*large, "%d bytes in an enlarged buffer", unread())
+	n := most(200, large/2)
+	assert.Assert(t, n >= large/2 && n <= 2*large, "%d bytes in an enlarged buffer", n)
 	buffer.Shrink()
-	read()
-	assert.Assert(t, unread() <= 2*small, "%d bytes after", unread())
+	_, err = io.CopyN(io.Discard, receiver, 1<<20)
+	assert.NilError(t, err)
+	assert.Assert(t, most(10, math.MaxInt) <= 2*small)
 }
