Repeat a watch that may be lost until the store has answered it

Requests reached targets that had left the registry, up to 15 s later (DRAIN).

Cause: a watch of the registry that may be lost was sent again once. The second request could be lost as well, and the next answers of the store named no newer version, so nothing showed it before its timeout of 15.7 s.

Change: a long watch that is sent again does not wait, so that its answer shows that it has arrived; it is sent again until it is answered. One call more of each reader for each sign of a loss, none in calm.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -138,7 +138,9 @@
 	// watchRequests holds the watch requests in flight by ID.
 	watchRequests map[int]watchRequest
 	lastWatchID   int
-	rollouts      rolloutHandler
+	// doubts holds the tables whose last watch at the store may have been lost.
+	doubts   map[string]bool
+	rollouts rolloutHandler
 	// followers is the number of watches of other entries in progress, the last of which ended at followedAt.
 	followers  int
 	followedAt time.Time
@@ -212,6 +214,7 @@
 		random:        newRandom(opt.Seed, opt.Name),
 		fetching:      map[string]bool{},
 		watchRequests: map[int]watchRequest{},
+		doubts:        map[string]bool{},
 		ctx:           ctx,
 		cancel:        cancel,
 		done:          make(chan struct{}),
--- a/fleet/lostwatch_test.go
+++ b/fleet/lostwatch_test.go
@@ -15,6 +15,9 @@
 // for the calls that are on their way to a target that leaves.
 const learnTime = testDrainTime - 500*time.Millisecond
 
+// connectTime is the time after the end of an outage of the store from which on entries count as connected.
+const connectTime = 3 * time.Second
+
 // checkLearned changes the registry and checks that all entries learn of it within learnTime.
 func checkLearned(t *testing.T, store *outageStore, list []*Follower, key string) {
 	t.Helper()
@@ -41,8 +44,7 @@
 				store.begin(true)
 				time.Sleep(length)
 				store.end()
-				// Entries are connected 3 s after the end of the outage.
-				time.Sleep(3 * time.Second)
+				time.Sleep(connectTime)
 				checkLearned(t, store, list, "i-1")
 				checkLearned(t, store, list, "i-2")
 			})
@@ -66,3 +68,26 @@
 		})
 	}
 }
+
+// Guards against a watch that is lost again when it is sent again: without the answer of another call that shows it, the change
+// was unknown for as long as a watch may wait. The store does not answer calls for the registry for a second.
+func TestRepeatedWatchLost(t *testing.T) {
+	for after := time.Duration(0); after < 1500*time.Millisecond; after += 100 * time.Millisecond {
+		t.Run(fmt.Sprint(after), func(t *testing.T) {
+			simulation.Run(t, func(t *testing.T) {
+				store := newOutageStore(newMemoryStore("op", "servers", "entries"))
+				_, list := startFollowers(t, 6, func(int) Store { return store })
+				time.Sleep(5*time.Second + after)
+				store.mute("servers", true)
+				store.set("servers", "i-1", "x")
+				time.Sleep(1300 * time.Millisecond)
+				store.mute("servers", false)
+				time.Sleep(connectTime)
+				for _, f := range list {
+					known := slices.ContainsFunc(f.State().RegisteredTargets, func(r RegisteredTarget) bool { return r.Name == "i-1" })
+					assert.Check(t, known, "%s has not learned of the change", f.opt.Name)
+				}
+			})
+		})
+	}
+}
--- a/fleet/outagestore_test.go
+++ b/fleet/outagestore_test.go
@@ -18,8 +18,10 @@
 	silent  bool
 	begun   chan struct{} // closed when an outage begins
 	ongoing bool
-	// deaf makes the store never answer the calls in flight to a table, without an outage.
-	deaf map[string]chan struct{}
+	// deaf makes the store never answer the calls in flight to a table, without an outage. muted are the tables whose calls are
+	// never answered either.
+	deaf  map[string]chan struct{}
+	muted map[string]bool
 	// sent is the number of calls.
 	sent int
 }
@@ -29,6 +31,7 @@
 		memoryStore: store,
 		begun:       make(chan struct{}),
 		deaf:        map[string]chan struct{}{},
+		muted:       map[string]bool{},
 	}
 	for table := range store.rows {
 		s.deaf[table] = make(chan struct{})
@@ -64,14 +67,28 @@
 	s.deaf[table] = make(chan struct{})
 }
 
+// mute makes the store forget the calls to a table in flight, and those that are sent until the end of the mute.
+func (s *outageStore) mute(table string, muted bool) {
+	if muted {
+		s.lose(table)
+	}
+	s.state.Lock()
+	defer s.state.Unlock()
+	s.muted[table] = muted
+}
+
 // call makes a call as the client of the store does, with its timeout.
 func (s *outageStore) call(ctx context.Context, table string, timeout time.Duration, call func(ctx context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	s.state.Lock()
 	s.sent++
-	begun, deaf := s.begun, s.deaf[table]
+	begun, deaf, muted := s.begun, s.deaf[table], s.muted[table]
 	s.state.Unlock()
+	if muted {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	reached, stop := context.WithCancel(ctx)
 	defer stop()
 	lost := make(chan bool, 1)
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -20,6 +20,9 @@
 //     watch is sent again after watchGrace. The watch of the desired state is answered at least every stateWatchTimeout,
 //     also without a change, so the watches of all other tables can be long.
 //
+// A long watch that is sent again does not wait, so that its answer shows that it has arrived: it may be lost like the one before,
+// and nothing else would show that until the next change.
+//
 // In calm, none of them costs a call.
 
 const (
@@ -35,6 +38,7 @@
 
 // watchRequest is a watch request in flight. The reader is empty if it goes to the store.
 type watchRequest struct {
+	table  string
 	reader string
 	cancel context.CancelFunc
 	// version is the version of the store that was known when the request was sent, wait the time for which it waits for
@@ -115,7 +119,7 @@
 // checkWatches repeats the watches that should have returned the changes up to a version of the store and have not done so
 // within watchGrace. The caller holds the lock.
 func (f *Follower) checkWatches(version uint64) {
-	outdated := func(w watchRequest) bool { return w.wait > stateWatchTimeout && w.version < version }
+	outdated := func(w watchRequest) bool { return isLongWatch(w.wait) && w.version < version }
 	for _, w := range f.watchRequests {
 		if w.reader == "" && outdated(w) {
 			time.AfterFunc(watchGrace, func() {
@@ -128,24 +132,45 @@
 	}
 }
 
+// isLongWatch reports whether the loss of a watch with the given wait would go unnoticed for long.
+func isLongWatch(wait time.Duration) bool { return wait > stateWatchTimeout }
+
 // repeatWatches cancels watches at the store, which are then sent again. The caller holds the lock.
 func (f *Follower) repeatWatches(reason string, match func(watchRequest) bool) {
 	for _, w := range f.watchRequests {
 		if w.reader == "" && match(w) {
 			repeatedWatches(f.opt.Metrics, reason).Inc()
+			if isLongWatch(w.wait) {
+				f.doubts[w.table] = true
+			}
 			w.cancel()
 		}
 	}
 }
 
-// trackWatch records a watch request to the named reader, or to the store if the name is empty, so that it can be
+// isDoubted reports whether the last watch of a table at the store may have been lost.
+func (f *Follower) isDoubted(table string) bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.doubts[table]
+}
+
+// clearDoubt records that a call for a table has been answered.
+func (f *Follower) clearDoubt(table string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.doubts, table)
+}
+
+// trackWatch records a watch request for a table to the named reader, or to the store if the name is empty, so that it can be
 // canceled when another reader is to be used. The returned function removes the record.
-func (f *Follower) trackWatch(name string, wait time.Duration, cancel context.CancelFunc) func() {
+func (f *Follower) trackWatch(table, name string, wait time.Duration, cancel context.CancelFunc) func() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lastWatchID++
 	id := f.lastWatchID
 	f.watchRequests[id] = watchRequest{
+		table:   table,
 		reader:  name,
 		cancel:  cancel,
 		version: f.contact.version,
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -62,7 +62,11 @@
 	if ok {
 		return f.watchReader(ctx, watch, cancel, to, table, after), nil
 	}
-	defer f.trackWatch("", wait, cancel)()
+	doubted := f.isDoubted(table)
+	if doubted {
+		wait = 0
+	}
+	defer f.trackWatch(table, "", wait, cancel)()
 	sentAt := f.now()
 	batch, err := f.opt.Store.Watch(watch, table, after, wait)
 	if err != nil && ctx.Err() == nil && watch.Err() != nil {
@@ -72,6 +76,9 @@
 		}, nil
 	}
 	f.recordStoreResult(sentAt, batch, err)
+	if err == nil && doubted {
+		f.clearDoubt(table)
+	}
 	return batch, err
 }
 
@@ -80,7 +87,7 @@
 func (f *Follower) watchReader(
 	ctx, watch context.Context, cancel context.CancelFunc, to peerAddress, table string, after uint64,
 ) feed.Batch {
-	untrack := f.trackWatch(to.name, peerWatchTimeout, cancel)
+	untrack := f.trackWatch(table, to.name, peerWatchTimeout, cancel)
 	sentAt := f.now()
 	limited, cancelLimited := context.WithTimeout(watch, peerWatchTimeout+peerTimeout)
 	defer cancelLimited()
