Count the retention of vanished targets from their removal

Requests reached targets that had left together without a word up to 2.2 s after their removal, with a drain time of 2 s (DRAIN).

Cause: such targets are retained for half of the drain time, in case an outage of the store has made them lapse. The time counted from the moment at which an entry learned of the removal, so the delay before it was added: 1.2 s after a lost watch, as much after a loss of the readers. docs/design/store-outages.md had listed that.

Change: without an outage the time counts from the earliest moment of the removal, which is when the store, or the lost reader, last gave an answer. Batches say how late their deletions may be, so that followers know it too.

TestRetainLapsed and TestLateDeletions check the parts.

--- a/feed/message.go
+++ b/feed/message.go
@@ -4,6 +4,10 @@
 
 // Changes of a table, or all of its rows.
 type Batch struct {
+	// How long ago the oldest of the deletions may have been made, in units of 10 ms;
+	// absent if they are new.
+	Late int `json:"late,omitempty,omitzero"`
+
 	// Rows corresponds to the JSON schema field "rows".
 	Rows []Row `json:"rows"`
 
--- a/feed/table.go
+++ b/feed/table.go
@@ -11,13 +11,16 @@
 // deletions gets the whole table.
 const maxTombstones = 512
 
+// lateUnit is the unit of Batch.Late.
+const lateUnit = 10 * time.Millisecond
+
 // Table is a replica of one table. It is safe for concurrent use.
 type Table struct {
 	name string
 
 	mu         sync.RWMutex
 	rows       map[string]Row
-	tombstones map[string]Row
+	tombstones map[string]deletion
 	// completeVersion is the version up to which all changes are known. tombstonesSince is the version after which all
 	// deletions are known.
 	completeVersion uint64
@@ -32,12 +35,18 @@
 	changed chan struct{}
 }
 
+// deletion is a deleted row. deletedAt is the earliest time at which it can have been deleted.
+type deletion struct {
+	row       Row
+	deletedAt time.Time
+}
+
 // NewTable returns an empty replica of the named table.
 func NewTable(name string) *Table {
 	return &Table{
 		name:       name,
 		rows:       map[string]Row{},
-		tombstones: map[string]Row{},
+		tombstones: map[string]deletion{},
 		changed:    make(chan struct{}),
 	}
 }
@@ -101,15 +110,17 @@
 		return false
 	}
 	changed := false
+	now := time.Now()
+	deletedAt := now.Add(-b.Lateness())
 	for _, row := range b.Rows {
-		changed = t.applyRow(row) || changed
+		changed = t.applyRow(row, deletedAt) || changed
 	}
 	if b.Whole && b.Version >= t.completeVersion {
-		changed = t.deleteMissing(b) || changed
+		changed = t.deleteMissing(b, deletedAt) || changed
 		t.loaded = true
 	}
 	t.completeVersion = max(t.completeVersion, b.Version)
-	t.confirmedAt = time.Now()
+	t.confirmedAt = now
 	if changed {
 		t.revision++
 		close(t.changed)
@@ -147,14 +158,17 @@
 }
 
 // applyRow stores a row unless a newer version of it is known. The caller holds the lock.
-func (t *Table) applyRow(row Row) bool {
-	if row.Version <= t.rows[row.Key].Version || row.Version <= t.tombstones[row.Key].Version {
+func (t *Table) applyRow(row Row, deletedAt time.Time) bool {
+	if row.Version <= t.rows[row.Key].Version || row.Version <= t.tombstones[row.Key].row.Version {
 		return false
 	}
 	t.latestVersion = max(t.latestVersion, row.Version)
 	if row.Deleted {
 		delete(t.rows, row.Key)
-		t.tombstones[row.Key] = row
+		t.tombstones[row.Key] = deletion{
+			row:       row,
+			deletedAt: deletedAt,
+		}
 		t.pruneTombstones()
 		return true
 	}
@@ -164,7 +178,7 @@
 }
 
 // deleteMissing deletes the rows that are missing from a batch with the whole table. The caller holds the lock.
-func (t *Table) deleteMissing(b Batch) bool {
+func (t *Table) deleteMissing(b Batch, deletedAt time.Time) bool {
 	keys := make(map[string]bool, len(b.Rows))
 	for _, row := range b.Rows {
 		keys[row.Key] = true
@@ -178,7 +192,7 @@
 			Key:     key,
 			Version: b.Version,
 			Deleted: true,
-		}) || changed
+		}, deletedAt) || changed
 	}
 	if !t.loaded {
 		t.tombstonesSince = b.Version
@@ -193,13 +207,13 @@
 		return
 	}
 	versions := make([]uint64, 0, len(t.tombstones))
-	for _, row := range t.tombstones {
-		versions = append(versions, row.Version)
+	for _, deleted := range t.tombstones {
+		versions = append(versions, deleted.row.Version)
 	}
 	slices.Sort(versions)
 	t.tombstonesSince = max(t.tombstonesSince, versions[len(versions)/2])
-	for key, row := range t.tombstones {
-		if row.Version <= t.tombstonesSince {
+	for key, deleted := range t.tombstones {
+		if deleted.row.Version <= t.tombstonesSince {
 			delete(t.tombstones, key)
 		}
 	}
@@ -221,12 +235,29 @@
 			b.Rows = append(b.Rows, row)
 		}
 	}
-	if !b.Whole {
-		for _, row := range t.tombstones {
-			if row.Version > after {
-				b.Rows = append(b.Rows, row)
-			}
+	if b.Whole {
+		return b
+	}
+	now := time.Now()
+	for _, deleted := range t.tombstones {
+		if deleted.row.Version > after {
+			b.Rows = append(b.Rows, deleted.row)
+			b.SetLateness(max(b.Lateness(), now.Sub(deleted.deletedAt)))
 		}
 	}
 	return b
 }
+
+// DeletedAt returns the earliest time at which a row can have been deleted. ok is false if that is not known.
+func (t *Table) DeletedAt(key string) (at time.Time, ok bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	deleted, ok := t.tombstones[key]
+	return deleted.deletedAt, ok
+}
+
+// Lateness returns how long ago the oldest of the deletions may have been made.
+func (b Batch) Lateness() time.Duration { return time.Duration(b.Late) * lateUnit }
+
+// SetLateness sets what Lateness returns, rounded up.
+func (b *Batch) SetLateness(d time.Duration) { b.Late = int((d + lateUnit - 1) / lateUnit) }
--- a/feed/table_test.go
+++ b/feed/table_test.go
@@ -235,3 +235,27 @@
 		assert.Equal(t, time.Since(start), 6*time.Second)
 	})
 }
+
+// Guards against a deletion that looks newer with each entry that passes it on.
+func TestLateDeletions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader, replica := NewTable("t"), NewTable("t")
+		reader.Apply(wholeTable(7, row("a", 3), row("b", 4)))
+		replica.Apply(reader.ChangesSince(0))
+		b := changes(8, tombstone("a", 8))
+		b.SetLateness(500 * time.Millisecond)
+		reader.Apply(b)
+		deletedAt := time.Now().Add(-500 * time.Millisecond)
+		time.Sleep(200 * time.Millisecond)
+		passed := reader.ChangesSince(7)
+		assert.Equal(t, passed.Lateness(), 700*time.Millisecond)
+		replica.Apply(passed)
+		for _, table := range []*Table{reader, replica} {
+			at, ok := table.DeletedAt("a")
+			assert.Assert(t, ok && at.Equal(deletedAt), "%s", at)
+			_, ok = table.DeletedAt("b")
+			assert.Assert(t, !ok)
+		}
+		assert.Equal(t, reader.ChangesSince(8).Lateness(), time.Duration(0))
+	})
+}
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -138,8 +138,8 @@
 	// watchRequests holds the watch requests in flight by ID.
 	watchRequests map[int]watchRequest
 	lastWatchID   int
-	// doubts holds the tables whose last watch at the store may have been lost.
-	doubts   map[string]bool
+	// doubts holds, by table, whether changes of it may be unknown.
+	doubts   map[string]doubt
 	rollouts rolloutHandler
 	// followers is the number of watches of other entries in progress, the last of which ended at followedAt.
 	followers  int
@@ -214,7 +214,7 @@
 		random:        newRandom(opt.Seed, opt.Name),
 		fetching:      map[string]bool{},
 		watchRequests: map[int]watchRequest{},
-		doubts:        map[string]bool{},
+		doubts:        map[string]doubt{},
 		ctx:           ctx,
 		cancel:        cancel,
 		done:          make(chan struct{}),
@@ -308,7 +308,7 @@
 	next.BaseVersion = baseVersion
 	now := f.now()
 	outage := f.storeOutage(now)
-	if recheck := retainLapsed(now, former, next, retentionTime(outage, next.DrainTime)); recheck > 0 {
+	if recheck := retainLapsed(now, former, next, f.retentionOf(outage, next.DrainTime)); recheck > 0 {
 		f.log.Warn("many targets have vanished from the registry, keeping them for a while", zap.Duration("again", recheck),
 			zap.Bool("outage", outage))
 		f.rebuildAfter(now, recheck)
--- a/fleet/lapse.go
+++ b/fleet/lapse.go
@@ -22,21 +22,43 @@
 	minLapsedTargets  = 3
 )
 
-// retentionTime returns how long targets are retained that disappear now. Without an outage they may have left, and then
-// serve for drainTime: half of it is left for the delay with which entries learn of their removal, and for calls that are
-// on the way.
-func retentionTime(outage bool, drainTime time.Duration) time.Duration {
+// retentionOf returns how long targets are retained that disappear now. Without an outage they may have left, and then serve for
+// drainTime from their removal on: half of it is left for calls that are on the way.
+func (f *Follower) retentionOf(outage bool, drainTime time.Duration) retention {
 	if outage {
-		return renewalTime
+		return retention{
+			time: renewalTime,
+		}
+	}
+	return retention{
+		time:      min(drainTime/2, renewalTime),
+		removedAt: f.tables[f.opt.Tables[1]].DeletedAt,
+	}
+}
+
+// retention says how long targets that disappear are retained. Without an outage, it counts from the time at which they can
+// have been removed: entries that learn of it late would otherwise send to targets that have ended.
+type retention struct {
+	time time.Duration
+	// removedAt returns the earliest time at which a target can have been removed; ok is false if it is not known. The function
+	// is nil if the time counts from now on.
+	removedAt func(target string) (at time.Time, ok bool)
+}
+
+// until returns the time until which a target that has just disappeared is retained.
+func (r retention) until(now time.Time, target string) time.Time {
+	if r.removedAt != nil {
+		if at, ok := r.removedAt(target); ok {
+			now = at
+		}
 	}
-	return min(drainTime/2, renewalTime)
+	return now.Add(r.time)
 }
 
 // retainLapsed adds to the next state the targets that disappeared together with many others since the former state,
-// for as long as they may come back, which is retention for those that have just disappeared. Otherwise all calls would be
-// refused for two seconds after a registry outage in which registrations lapse. It returns the time until the next check,
-// or zero if no target is retained.
-func retainLapsed(now time.Time, former, next *State, retention time.Duration) time.Duration {
+// for as long as they may come back. Otherwise all calls would be refused for two seconds after a registry outage in which
+// registrations lapse. It returns the time until the next check, or zero if no target is retained.
+func retainLapsed(now time.Time, former, next *State, r retention) time.Duration {
 	var retained, vanished []RegisteredTarget
 	i := 0
 	for _, t := range former.RegisteredTargets {
@@ -55,10 +77,11 @@
 		}
 	}
 	n := len(vanished) + len(retained)
-	if retention > 0 && n >= minLapsedTargets && float64(n) >= minLapsedFraction*float64(len(former.RegisteredTargets)) {
+	if r.time > 0 && n >= minLapsedTargets && float64(n) >= minLapsedFraction*float64(len(former.RegisteredTargets)) {
 		for _, t := range vanished {
-			t.RetainedUntil = now.Add(retention)
-			retained = append(retained, t)
+			if t.RetainedUntil = r.until(now, t.Name); now.Before(t.RetainedUntil) {
+				retained = append(retained, t)
+			}
 		}
 	}
 	if len(retained) == 0 {
--- a/fleet/lapse_test.go
+++ b/fleet/lapse_test.go
@@ -22,6 +22,9 @@
 		}
 		return list
 	}
+	renewal := retention{
+		time: renewalTime,
+	}
 	now := time.Now()
 	former := &State{
 		RegisteredTargets: registered(0, 20),
@@ -29,24 +32,40 @@
 	single := &State{
 		RegisteredTargets: registered(2, 20),
 	}
-	assert.Equal(t, retainLapsed(now, former, single, renewalTime), time.Duration(0))
+	assert.Equal(t, retainLapsed(now, former, single, renewal), time.Duration(0))
 	assert.Equal(t, len(single.RegisteredTargets), 18)
 
 	lapsed := &State{}
-	assert.Equal(t, retainLapsed(now, former, lapsed, renewalTime), renewalTime)
+	assert.Equal(t, retainLapsed(now, former, lapsed, renewal), renewalTime)
 	assert.Equal(t, len(lapsed.RegisteredTargets), 20)
 
 	// Half of the targets come back. The rest is retained until the original time is over.
 	half := &State{
 		RegisteredTargets: registered(0, 10),
 	}
-	assert.Equal(t, retainLapsed(now.Add(time.Second), lapsed, half, renewalTime), renewalTime-time.Second)
+	assert.Equal(t, retainLapsed(now.Add(time.Second), lapsed, half, renewal), renewalTime-time.Second)
 	assert.Equal(t, len(half.RegisteredTargets), 20)
 	assert.Assert(t, half.RegisteredTargets[0].RetainedUntil.IsZero() && !half.RegisteredTargets[19].RetainedUntil.IsZero())
 	late := &State{
 		RegisteredTargets: registered(0, 10),
 	}
-	assert.Equal(t, retainLapsed(now.Add(renewalTime), half, late, renewalTime), time.Duration(0))
+	assert.Equal(t, retainLapsed(now.Add(renewalTime), half, late, renewal), time.Duration(0))
+	assert.Equal(t, len(late.RegisteredTargets), 10)
+
+	// The time counts from the removal, if that is known.
+	late = &State{}
+	removed := retention{
+		time: renewalTime,
+		removedAt: func(target string) (time.Time, bool) {
+			return now.Add(-time.Second), target < "t10"
+		},
+	}
+	assert.Equal(t, retainLapsed(now, former, late, removed), renewalTime-time.Second)
+	assert.Equal(t, late.RegisteredTargets[0].RetainedUntil, now.Add(renewalTime-time.Second))
+	assert.Equal(t, late.RegisteredTargets[19].RetainedUntil, now.Add(renewalTime))
+	removed.time = time.Second
+	late = &State{}
+	assert.Equal(t, retainLapsed(now, former, late, removed), time.Second)
 	assert.Equal(t, len(late.RegisteredTargets), 10)
 
 	// Targets that announced that they leave are not retained.
@@ -56,7 +75,7 @@
 	for i := range leaving.RegisteredTargets {
 		leaving.RegisteredTargets[i].Leaving = true
 	}
-	assert.Equal(t, retainLapsed(now, leaving, &State{}, renewalTime), time.Duration(0))
+	assert.Equal(t, retainLapsed(now, leaving, &State{}, renewal), time.Duration(0))
 }
 
 // Guards against targets that have left together without a word and are retained until they end, although the registry
--- a/fleet/lostwatch_test.go
+++ b/fleet/lostwatch_test.go
@@ -69,6 +69,37 @@
 	}
 }
 
+// checkDropped checks that no entry has a target any more.
+func checkDropped(t *testing.T, list []*Follower, key string) {
+	t.Helper()
+	for _, f := range list {
+		known := slices.ContainsFunc(f.State().RegisteredTargets, func(r RegisteredTarget) bool { return r.Name == key })
+		assert.Check(t, !known, "%s has not dropped %s", f.opt.Name, key)
+	}
+}
+
+// Guards against targets that have left together, of which entries learn late and which they then retain for half of the drain
+// time from that moment on: they get requests after they have ended. The store forgets the watches of the registry at any time
+// between two answers.
+func TestLateVanishedTargets(t *testing.T) {
+	for after := time.Duration(0); after < 1500*time.Millisecond; after += 100 * time.Millisecond {
+		t.Run(fmt.Sprint(after), func(t *testing.T) {
+			simulation.Run(t, func(t *testing.T) {
+				store := newOutageStore(newMemoryStore("op", "servers", "entries"))
+				for i := range 12 {
+					store.set("servers", fmt.Sprintf("s%02d", i), "x")
+				}
+				_, list := startFollowers(t, 6, func(int) Store { return store })
+				time.Sleep(5*time.Second + after)
+				store.lose("servers")
+				store.remove("servers", "s00", "s01", "s02", "s03")
+				time.Sleep(learnTime)
+				checkDropped(t, list, "s00")
+			})
+		})
+	}
+}
+
 // Guards against a watch that is lost again when it is sent again: without the answer of another call that shows it, the change
 // was unknown for as long as a watch may wait. The store does not answer calls for the registry for a second.
 func TestRepeatedWatchLost(t *testing.T) {
--- a/fleet/storecontact.go
+++ b/fleet/storecontact.go
@@ -33,8 +33,10 @@
 	detached    bool
 	detachedAt  time.Time
 	detachments int
-	// version is the latest version of the store that an answer has named.
-	version uint64
+	// version is the latest version of the store that an answer has named. completeAt is when the last call was sent whose
+	// answer named no version whose changes were unknown.
+	version    uint64
+	completeAt time.Time
 }
 
 // recordAnswer records an answer and reports whether calls had failed before it.
@@ -43,6 +45,7 @@
 	*c = storeContact{
 		answeredAt: now,
 		version:    c.version,
+		completeAt: c.completeAt,
 	}
 	return recovered
 }
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -21,7 +21,7 @@
 //     also without a change, so the watches of all other tables can be long.
 //
 // A long watch that is sent again does not wait, so that its answer shows that it has arrived: it may be lost like the one before,
-// and nothing else would show that until the next change.
+// and nothing else would show that until the next change. What it brings may be as old as the last answer before the sign.
 //
 // In calm, none of them costs a call.
 
@@ -87,14 +87,18 @@
 	case err == nil, errors.Is(err, feed.ErrCompacted):
 		// Without the history that a watch needs, the store answers nevertheless.
 		if f.contact.recordAnswer(now) {
-			f.repeatWatches("recovered", func(watchRequest) bool { return true })
+			f.repeatWatches("recovered", f.contact.completeAt, func(watchRequest) bool { return true })
 		}
-		if err == nil && f.contact.recordVersion(batch) {
+		switch {
+		case err != nil:
+		case f.contact.recordVersion(batch):
 			f.checkWatches(batch.Version)
+		default:
+			f.contact.completeAt = sentAt
 		}
 	default:
 		if f.contact.recordFailure(now, sentAt) {
-			f.repeatWatches("failure", func(watchRequest) bool { return true })
+			f.repeatWatches("failure", f.contact.completeAt, func(watchRequest) bool { return true })
 		}
 		if f.contact.gaveUp() {
 			f.recordStoreLoss(f.self.Domain, now)
@@ -120,12 +124,13 @@
 // within watchGrace. The caller holds the lock.
 func (f *Follower) checkWatches(version uint64) {
 	outdated := func(w watchRequest) bool { return isLongWatch(w.wait) && w.version < version }
+	since := f.contact.completeAt
 	for _, w := range f.watchRequests {
 		if w.reader == "" && outdated(w) {
 			time.AfterFunc(watchGrace, func() {
 				f.mu.Lock()
 				defer f.mu.Unlock()
-				f.repeatWatches("outdated", outdated)
+				f.repeatWatches("outdated", since, outdated)
 			})
 			return
 		}
@@ -135,33 +140,89 @@
 // isLongWatch reports whether the loss of a watch with the given wait would go unnoticed for long.
 func isLongWatch(wait time.Duration) bool { return wait > stateWatchTimeout }
 
-// repeatWatches cancels watches at the store, which are then sent again. The caller holds the lock.
-func (f *Follower) repeatWatches(reason string, match func(watchRequest) bool) {
+// repeatWatches cancels watches at the store, which are then sent again. They may have missed changes since a time. The caller holds
+// the lock.
+func (f *Follower) repeatWatches(reason string, since time.Time, match func(watchRequest) bool) {
 	for _, w := range f.watchRequests {
 		if w.reader == "" && match(w) {
 			repeatedWatches(f.opt.Metrics, reason).Inc()
 			if isLongWatch(w.wait) {
-				f.doubts[w.table] = true
+				f.raiseDoubt(w.table, doubt{
+					since: since,
+					lost:  true,
+				})
 			}
 			w.cancel()
 		}
 	}
 }
 
-// isDoubted reports whether the last watch of a table at the store may have been lost.
-func (f *Follower) isDoubted(table string) bool {
+// doubt is the possibility that changes of a table are unknown.
+type doubt struct {
+	// since is when they may have been made.
+	since time.Time
+	// lost is set if the watch may have been lost. Otherwise this entry has not watched the table for a moment.
+	lost bool
+}
+
+// raiseDoubt records a doubt of a table, which lasts until the store or a reader has answered a call for it. The caller holds the
+// lock.
+func (f *Follower) raiseDoubt(table string, d doubt) {
+	if known, ok := f.doubts[table]; ok {
+		d.lost = d.lost || known.lost
+		if known.since.Before(d.since) {
+			d.since = known.since
+		}
+	}
+	f.doubts[table] = d
+}
+
+// doubtOf returns the doubt of a table. ok is false if there is none.
+func (f *Follower) doubtOf(table string) (d doubt, ok bool) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	return f.doubts[table]
+	d, ok = f.doubts[table]
+	return d, ok
+}
+
+// settleDoubt ends the doubt of a table after a call to the store that was sent at a time, unless there is another doubt since. It
+// sets how late the changes in the batch may be.
+func (f *Follower) settleDoubt(table string, d doubt, sentAt time.Time, batch *feed.Batch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.doubts[table] != d {
+		return
+	}
+	delete(f.doubts, table)
+	if now := f.now(); now.Sub(sentAt) < stateWatchTimeout {
+		// A watch that was answered later has waited for a change.
+		batch.SetLateness(now.Sub(d.since))
+	}
 }
 
-// clearDoubt records that a call for a table has been answered.
+// clearDoubt ends the doubt of a table after an entry that reads the store has told its changes.
 func (f *Follower) clearDoubt(table string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.doubts, table)
 }
 
+// doubtReader records that a watch of a table at a reader, which was sent at a time and has ended without a change, may have missed
+// changes since the reader last answered.
+func (f *Follower) doubtReader(name, table string, sentAt time.Time, wait time.Duration) {
+	if !isLongWatch(wait) {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.members[name]; m != nil {
+		sentAt = laterTime(sentAt, m.repliedAt)
+	}
+	f.raiseDoubt(table, doubt{
+		since: sentAt,
+	})
+}
+
 // trackWatch records a watch request for a table to the named reader, or to the store if the name is empty, so that it can be
 // canceled when another reader is to be used. The returned function removes the record.
 func (f *Follower) trackWatch(table, name string, wait time.Duration, cancel context.CancelFunc) func() {
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"skylarkbeam/feed"
@@ -38,13 +39,18 @@
 		batch, err := f.opt.Transport.Rows(ctx, to.control, table, 0, 0)
 		if err == nil {
 			f.recordContact(nil)
+			f.clearDoubt(table)
 			return *batch, nil
 		}
 		f.recordPeerFailure(to, err)
 	}
+	d, doubted := f.doubtOf(table)
 	sentAt := f.now()
 	batch, err := f.opt.Store.Read(ctx, table)
 	f.recordStoreResult(sentAt, batch, err)
+	if err == nil && doubted {
+		f.settleDoubt(table, d, sentAt, &batch)
+	}
 	return batch, err
 }
 
@@ -60,10 +66,10 @@
 		to, ok = f.reader()
 	}
 	if ok {
-		return f.watchReader(ctx, watch, cancel, to, table, after), nil
+		return f.watchReader(ctx, watch, cancel, to, table, after, wait), nil
 	}
-	doubted := f.isDoubted(table)
-	if doubted {
+	d, doubted := f.doubtOf(table)
+	if d.lost {
 		wait = 0
 	}
 	defer f.trackWatch(table, "", wait, cancel)()
@@ -76,8 +82,15 @@
 		}, nil
 	}
 	f.recordStoreResult(sentAt, batch, err)
-	if err == nil && doubted {
-		f.clearDoubt(table)
+	switch {
+	case err == nil && doubted:
+		f.settleDoubt(table, d, sentAt, &batch)
+	case errors.Is(err, feed.ErrCompacted):
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.raiseDoubt(table, doubt{
+			since: f.contact.completeAt,
+		})
 	}
 	return batch, err
 }
@@ -85,7 +98,7 @@
 // watchReader watches a table of a reader. It reports no change instead of an error, because the reader may just have had
 // none for the whole wait. Nothing is lost: the next request asks another reader for the changes after the same version.
 func (f *Follower) watchReader(
-	ctx, watch context.Context, cancel context.CancelFunc, to peerAddress, table string, after uint64,
+	ctx, watch context.Context, cancel context.CancelFunc, to peerAddress, table string, after uint64, wait time.Duration,
 ) feed.Batch {
 	untrack := f.trackWatch(table, to.name, peerWatchTimeout, cancel)
 	sentAt := f.now()
@@ -97,9 +110,11 @@
 	case err != nil && watch.Err() == nil:
 		f.recordPeerFailure(to, err)
 	case err == nil && (len(batch.Rows) > 0 || f.now().Sub(sentAt) >= peerWatchTimeout):
+		f.clearDoubt(table)
 		return *batch
 	}
 	// The reader is lost, has lost the store, or is no longer the one to follow.
+	f.doubtReader(to.name, table, sentAt, wait)
 	f.confirmReaders(ctx)
 	if err != nil {
 		return feed.Batch{
