Find a reader among all candidates at once after a loss

Cause: the readers that replace lost ones were greeted three at a time, with 0.4 s or more for those that were lost as well.

Change: the other readers are greeted when the followed one has not answered for 0.2 s; if one of them does not answer either, all twelve candidates are greeted at once, and one that answers within 0.2 s is followed. A member that failed is a candidate again only if somebody has heard it since.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -144,8 +144,11 @@
 	// followers is the number of watches of other entries in progress, the last of which ended at followedAt.
 	followers  int
 	followedAt time.Time
-	confirm    confirmations
-	large      *largeMessages
+	// readerLostAt is when this entry last left a reader. search is its search for another one; nil if there is none.
+	readerLostAt time.Time
+	search       *readerSearch
+	confirm      confirmations
+	large        *largeMessages
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/fleet/greeting.go
+++ b/fleet/greeting.go
@@ -111,6 +111,11 @@
 	defer f.finishGreeting(to.name)
 	ctx, cancel := context.WithTimeout(f.ctx, f.greetingTimeout(to.name))
 	defer cancel()
+	if f.follows(to.name) {
+		answered := make(chan struct{})
+		defer close(answered)
+		f.tasks.Go(func() { f.hedgeReader(answered) })
+	}
 	if err := f.greet(ctx, to); err != nil {
 		f.log.Debug("greeting a peer failed", zap.String("peer", to.name), zap.Error(err))
 		f.abandonReader(to, err)
--- a/fleet/readerchoice.go
+++ b/fleet/readerchoice.go
@@ -45,6 +45,15 @@
 	return names
 }
 
+// takeoverNames returns the names of the candidates among which the readers are chosen.
+func takeoverNames(candidates []readerCandidate) []string {
+	var names []string
+	for _, c := range spreadDomains(candidates)[:min(len(candidates), maxReaderCandidates)] {
+		names = append(names, c.name)
+	}
+	return names
+}
+
 // spreadDomains sorts the candidates by rank, the first of each failure domain before all others.
 func spreadDomains(candidates []readerCandidate) []readerCandidate {
 	slices.SortFunc(candidates, func(a, b readerCandidate) int {
--- a/fleet/storecalls_test.go
+++ b/fleet/storecalls_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"testing"
@@ -117,3 +118,49 @@
 		}
 	}
 }
+
+// Guards against a takeover that takes longer the more entries are lost together with the readers, because those that are to replace
+// the readers are found to be lost one after the other.
+func TestTakeoverHerd(t *testing.T) {
+	const entries = 48
+	tests := []struct {
+		name string
+		lost func(list []*Follower, random *rand.Rand) []string
+	}{
+		{
+			name: "first candidates",
+			lost: func(list []*Follower, _ *rand.Rand) []string {
+				f := list[0]
+				f.mu.RLock()
+				defer f.mu.RUnlock()
+				return takeoverNames(f.readerCandidates(f.now()))[:3*readerCount]
+			},
+		},
+		{
+			name: "six in ten",
+			lost: func(list []*Follower, random *rand.Rand) []string {
+				names := readersOf(list[0])
+				for _, i := range random.Perm(entries)[:entries*6/10] {
+					names = append(names, list[i].opt.Name)
+				}
+				return names
+			},
+		},
+	}
+	for _, tt := range tests {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprint(tt.name, ", seed ", seed), func(t *testing.T) {
+				simulation.Run(t, func(t *testing.T) {
+					store := newOutageStore(newMemoryStore("op", "servers", "entries"))
+					transport, list := startFollowers(t, entries, func(int) Store { return store })
+					time.Sleep(10*time.Second + time.Duration(seed)*100*time.Millisecond)
+					rest := transport.lose(list, tt.lost(list, rand.New(rand.NewPCG(seed, 1))))
+					store.set("op", "config", "new")
+					took := learned(rest, "new", 2*applyTime)
+					t.Logf("the change is in force %s after the loss", took)
+					assert.Check(t, took <= applyTime)
+				})
+			})
+		}
+	}
+}
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -207,14 +207,15 @@
 	delete(f.doubts, table)
 }
 
-// doubtReader records that a watch of a table at a reader, which was sent at a time and has ended without a change, may have missed
-// changes since the reader last answered.
-func (f *Follower) doubtReader(name, table string, sentAt time.Time, wait time.Duration) {
+// recordLostReader records that a watch of a table at a reader, which was sent at a time, has ended without a change. It may have
+// missed changes since the reader last answered.
+func (f *Follower) recordLostReader(name, table string, sentAt time.Time, wait time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.readerLostAt = f.now()
 	if !isLongWatch(wait) {
 		return
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	if m := f.members[name]; m != nil {
 		sentAt = laterTime(sentAt, m.repliedAt)
 	}
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -62,11 +62,10 @@
 	defer cancel()
 	to, ok := f.reader()
 	if ok && !f.isConfirmed(to.name) {
-		f.confirmReaders(ctx)
-		to, ok = f.reader()
+		to, ok = f.confirmReaders(ctx)
 	}
 	if ok {
-		return f.watchReader(ctx, watch, cancel, to, table, after, wait), nil
+		return f.watchReader(watch, cancel, to, table, after, wait), nil
 	}
 	d, doubted := f.doubtOf(table)
 	if d.lost {
@@ -98,7 +97,7 @@
 // watchReader watches a table of a reader. It reports no change instead of an error, because the reader may just have had
 // none for the whole wait. Nothing is lost: the next request asks another reader for the changes after the same version.
 func (f *Follower) watchReader(
-	ctx, watch context.Context, cancel context.CancelFunc, to peerAddress, table string, after uint64, wait time.Duration,
+	watch context.Context, cancel context.CancelFunc, to peerAddress, table string, after uint64, wait time.Duration,
 ) feed.Batch {
 	untrack := f.trackWatch(table, to.name, peerWatchTimeout, cancel)
 	sentAt := f.now()
@@ -114,8 +113,7 @@
 		return *batch
 	}
 	// The reader is lost, has lost the store, or is no longer the one to follow.
-	f.doubtReader(to.name, table, sentAt, wait)
-	f.confirmReaders(ctx)
+	f.recordLostReader(to.name, table, sentAt, wait)
 	if err != nil {
 		return feed.Batch{
 			Version: after,
@@ -129,10 +127,15 @@
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	now := f.now()
+	return f.nearestReader(now, f.readerNames(now))
+}
+
+// nearestReader returns the one of the readers to follow; ok is false if this entry must call the store itself. The caller holds the
+// lock.
+func (f *Follower) nearestReader(now time.Time, names []string) (to peerAddress, ok bool) {
 	if !f.settled(now) || f.isFollowed(now) {
 		return peerAddress{}, false
 	}
-	names := f.readerNames(now)
 	if len(names) == 0 || slices.Contains(names, f.opt.Name) {
 		return peerAddress{}, false
 	}
@@ -157,9 +160,11 @@
 	return slices.Contains(f.readerNames(now), f.opt.Name)
 }
 
-// readerNames returns the entries that follow the store, from the point of view of this entry, which are chosen among the
-// entries that are heard. The caller holds the lock.
-func (f *Follower) readerNames(now time.Time) []string {
+// readerNames returns the entries that follow the store, from the point of view of this entry. The caller holds the lock.
+func (f *Follower) readerNames(now time.Time) []string { return chooseReaders(f.readerCandidates(now)) }
+
+// readerCandidates returns the entries among which the readers are chosen: those that are heard. The caller holds the lock.
+func (f *Follower) readerCandidates(now time.Time) []readerCandidate {
 	var candidates []readerCandidate
 	if !f.leaving {
 		candidates = append(candidates, readerCandidate{
@@ -170,7 +175,7 @@
 		})
 	}
 	for name, m := range f.members {
-		if m.record.State == RecordStateActive && now.Sub(m.heardAt) < readerTimeout && now.Sub(m.rowsFailedAt) >= peerRetryDelay {
+		if m.record.State == RecordStateActive && now.Sub(m.heardAt) < readerTimeout && m.mayBeReader(now) {
 			candidates = append(candidates, readerCandidate{
 				name:     name,
 				domain:   m.record.Domain,
@@ -179,7 +184,12 @@
 			})
 		}
 	}
-	return chooseReaders(candidates)
+	return candidates
+}
+
+// mayBeReader reports whether a member that has failed to answer is a candidate for a reader again. It is if it was heard since.
+func (m *member) mayBeReader(now time.Time) bool {
+	return now.Sub(m.rowsFailedAt) >= peerRetryDelay && !m.heardAt.Before(m.rowsFailedAt)
 }
 
 // recordPeerFailure records that a peer did not answer.
