Let all entries probe a store that none of the usual readers reaches

Proper requests got 404 (DENIED), requests were handled by an older desired state (CONFIG) and reached targets that had left (DRAIN), on all entries for up to 6 s, while the store served two thirds of them.

Cause: once all twelve candidates for readers are detached, as after an outage, the first three called the store and nobody else did. If the store refuses these three, no entry learns that it serves the others.

Change: the others probe the store by turns, three a second in all, until it is known to answer three entries. Who gets an answer tells the candidates, and greetings pass it on.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -176,6 +176,8 @@
 	// greetedAt is when this entry last sent a greeting to the member, repliedAt when it last got one from it.
 	greetedAt time.Time
 	repliedAt time.Time
+	// answeredAt is when the store last answered the member.
+	answeredAt time.Time
 	// detachedAt is when the member last said whether it reaches the store, detachments how often it did not, each time
 	// after it had been taken for a candidate for a reader.
 	detachedAt  time.Time
--- a/fleet/greeting.go
+++ b/fleet/greeting.go
@@ -50,8 +50,11 @@
 	// neighbors are the members of the own failure domain that are greeted in this round, one at each step.
 	neighbors []string
 	step      int
-	// readers are the entries that follow the store, as of the beginning of this round or later.
-	readers []string
+	// readers are the entries that follow the store, as of the beginning of this round or later. unreached is set if none is
+	// taken to reach it, and probe if this entry is to probe it in this round.
+	readers   []string
+	unreached bool
+	probe     bool
 	// remoteAt is when the next member of another domain is due. remoteTurn counts those greeted before, from a random
 	// number, because entries that start together would otherwise all greet the same domain.
 	remoteAt   time.Time
@@ -82,6 +85,7 @@
 		if newRound {
 			f.cancelStaleWatches()
 			f.publishIfReader()
+			f.probeIfDue()
 		}
 		select {
 		case <-ticks.C:
@@ -140,7 +144,10 @@
 	if newRound {
 		f.updateLosses(now)
 		f.plan.neighbors = f.nearestMembers(now, f.self.Domain, maxNeighbors)
-		f.plan.readers = f.readerNames(now)
+		candidates := f.readerCandidates(now)
+		f.plan.readers = chooseReaders(candidates)
+		f.plan.unreached = len(readingCandidates(candidates)) == 0
+		f.plan.probe = f.probeDue(now, candidates)
 		names = append(names, f.silentMember(now))
 	}
 	if i := f.plan.step % maxNeighbors; i < len(f.plan.neighbors) {
@@ -354,6 +361,7 @@
 		Ages:     map[string]DomainAges{},
 		Lost:     f.recentStoreLosses(now),
 		Answered: f.storeAnswerAge(now),
+		Reached:  f.latestReached(now),
 	}
 	if f.leaving {
 		g.Record.State = RecordStateLeaving
@@ -465,6 +473,7 @@
 	}
 	f.recordReader(m, g, at)
 	m.record = g.Record
+	f.recordAnswers(m, g, at)
 	m.heardAt = laterTime(m.heardAt, at)
 	m.rolls = g.rolls()
 	rolls := f.currentRolls()
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -102,6 +102,10 @@
 	// failure domain; only where that was a moment ago.
 	Lost map[string]int `json:"lost,omitempty,omitzero"`
 
+	// Time since the store last answered other members, in tenths of a second; only
+	// of the last few, and only where that was a moment ago.
+	Reached map[string]int `json:"reached,omitempty,omitzero"`
+
 	// Record corresponds to the JSON schema field "record".
 	Record Record `json:"record"`
 
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -303,14 +303,6 @@
 		m.detachments++
 	}
 	m.detachedAt = at
-	if g.Answered == 0 {
-		return
-	}
-	answeredAt := at.Add(-time.Duration(g.Answered) * silenceUnit)
-	f.storeAnsweredAt = laterTime(f.storeAnsweredAt, answeredAt)
-	if f.contact.forgive(f.now(), answeredAt) {
-		f.reportContact()
-	}
 }
 
 // cancelWatchesTo cancels the watches at a member, or at the store if the name is empty. The caller holds the lock.
@@ -326,7 +318,7 @@
 // once the store has answered another entry later: an entry hears most others rarely, and with what they said during an
 // outage, entries would not agree on the readers after it. The caller holds the lock.
 func (f *Follower) isDetached(m *member, now time.Time) bool {
-	return m.record.Detached &&
+	return m.detachedAfter(m.answeredAt) &&
 		(!f.storeAnsweredAt.After(m.detachedAt) || now.Sub(m.detachedAt) < retryDelay(m.detachments))
 }
 
--- a/fleet/readerchoice.go
+++ b/fleet/readerchoice.go
@@ -12,8 +12,8 @@
 	// are charged, and three readers survive the loss of any two.
 	readerCount = 3
 	// maxReaderCandidates is the number of entries among which the readers are chosen. If all of these are detached, the
-	// store is taken to be down, and the others do not call it: in an outage, all entries would otherwise try it in turn,
-	// 541 calls in 4 s of 56 entries. An entry that the store refuses is one of many, so twelve rarely are.
+	// store is taken to be down, and the others only probe it now and then: in an outage, all entries would otherwise try it
+	// in turn, 541 calls in 4 s of 56 entries.
 	maxReaderCandidates = 4 * readerCount
 )
 
@@ -23,32 +23,53 @@
 	domain   string
 	rank     uint64
 	detached bool
+	// reached is set if the store has just answered the entry.
+	reached bool
 }
 
 // readerRank orders the entries as readers of the store, alike at all entries.
 func readerRank(name string) uint64 { return xxhash.Sum64String("reader\x00" + name) }
 
-// chooseReaders returns the names of the readers: those with the lowest ranks among the entries that reach the store, or
-// among all if none does. The first of each failure domain comes first, because the others in the domain follow it and
-// traffic between domains is charged.
+// chooseReaders returns the names of the readers: those with the lowest ranks among the first candidates that reach the store, or
+// else among all entries that the store has just answered. If there are none either, they are the first candidates. The first of each
+// failure domain comes first, because the others in the domain follow it and traffic between domains is charged.
 func chooseReaders(candidates []readerCandidate) []string {
-	candidates = spreadDomains(candidates)
-	candidates = candidates[:min(len(candidates), maxReaderCandidates)]
-	attached := slices.DeleteFunc(slices.Clone(candidates), func(c readerCandidate) bool { return c.detached })
-	if len(attached) > 0 {
-		candidates = spreadDomains(attached)
+	chosen := readingCandidates(candidates)
+	if len(chosen) == 0 {
+		chosen = firstCandidates(candidates)
 	}
 	var names []string
-	for _, c := range candidates[:min(len(candidates), readerCount)] {
+	for _, c := range spreadDomains(chosen)[:min(len(chosen), readerCount)] {
 		names = append(names, c.name)
 	}
 	return names
 }
 
+// readingCandidates returns the candidates that are taken to reach the store.
+func readingCandidates(candidates []readerCandidate) []readerCandidate {
+	attached := slices.DeleteFunc(firstCandidates(candidates), func(c readerCandidate) bool { return c.detached })
+	if len(attached) > 0 {
+		return attached
+	}
+	return slices.DeleteFunc(slices.Clone(candidates), func(c readerCandidate) bool { return !c.reached })
+}
+
+// probesNeeded reports whether entries that are no readers have to probe the store: none of the first candidates reaches it, and it is
+// not known to answer as many others as there are to be readers.
+func probesNeeded(candidates []readerCandidate) bool {
+	return len(readingCandidates(candidates)) < readerCount &&
+		!slices.ContainsFunc(firstCandidates(candidates), func(c readerCandidate) bool { return !c.detached })
+}
+
+// firstCandidates returns the candidates with the lowest ranks.
+func firstCandidates(candidates []readerCandidate) []readerCandidate {
+	return slices.Clone(spreadDomains(candidates)[:min(len(candidates), maxReaderCandidates)])
+}
+
 // takeoverNames returns the names of the candidates among which the readers are chosen.
 func takeoverNames(candidates []readerCandidate) []string {
 	var names []string
-	for _, c := range spreadDomains(candidates)[:min(len(candidates), maxReaderCandidates)] {
+	for _, c := range firstCandidates(candidates) {
 		names = append(names, c.name)
 	}
 	return names
--- a/fleet/storecontact.go
+++ b/fleet/storecontact.go
@@ -17,7 +17,7 @@
 	// minRetryDelay and maxRetryDelay bound how long after its last failed call a detached entry is no candidate for a
 	// reader although others reach the store. The delay doubles with each detachment without an answer in between, so
 	// that an entry that the store refuses makes a few calls a minute.
-	minRetryDelay = 2 * time.Second
+	minRetryDelay = 4 * time.Second
 	maxRetryDelay = time.Minute
 )
 
@@ -66,6 +66,11 @@
 // gaveUp reports whether the entry leaves the reading to others that reach the store, if there are any.
 func (c *storeContact) gaveUp() bool { return c.failures >= detachAfterFailures }
 
+// reaches reports whether the store has just answered.
+func (c *storeContact) reaches(now time.Time) bool {
+	return !c.gaveUp() && !c.answeredAt.IsZero() && now.Sub(c.answeredAt) < reachedTime
+}
+
 // retryDelay returns how long after its last failed call an entry is no candidate for a reader.
 func retryDelay(detachments int) time.Duration {
 	return min(minRetryDelay<<min(max(detachments-1, 0), 8), maxRetryDelay)
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -114,8 +114,7 @@
 	}
 	f.self.Detached = f.contact.detached
 	if f.self.Detached {
-		f.cancelAttachment()
-		f.attachment, f.cancelAttachment = context.WithCancel(f.ctx)
+		f.releaseFollowers()
 	}
 	f.log.Info("contact with the store changed", zap.Bool("detached", f.self.Detached))
 }
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -172,6 +172,7 @@
 			domain:   f.self.Domain,
 			rank:     readerRank(f.opt.Name),
 			detached: f.contact.gaveUp(),
+			reached:  f.contact.reaches(now),
 		})
 	}
 	for name, m := range f.members {
@@ -181,6 +182,7 @@
 				domain:   m.record.Domain,
 				rank:     m.readerRank,
 				detached: f.isDetached(m, now),
+				reached:  m.reaches(now),
 			})
 		}
 	}
