Give up answers without a length when the request could not be written

Callers saw: a worker answers a long upload at once with a 200 that has no length, sends part of its body and resets the connection while the upload is being written.

Cause: the kernel reports a reset to one call only. The write of the upload took the error, so the read that followed ended like a connection that is closed in order, which is the end of a body without a length.

Change: once a write has failed, a body that ends with its connection counts as truncated. The check is where heads are read, so it covers calls, relayed calls and load reads. Refusals with "not run", answers without a body and answers with a length or in chunks stand. Why it works: after a failed write no read can tell an end in order from a reset, and nothing else marks the end of such a body.

--- a/target/conn.go
+++ b/target/conn.go
@@ -261,8 +261,8 @@
 // discardBody reads a short body to its end, so that the connection can be reused. It reports whether it got there
 // within discardTimeout.
 func (c *conn) discardBody(resp *http.Response) bool {
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		return resp.Body == http.NoBody
+	if endsWithConnection(resp) {
+		return false
 	}
 	limit := c.timers.Now().Add(discardTimeout)
 	if limit.Before(c.deadline) {
--- a/target/pool.go
+++ b/target/pool.go
@@ -74,6 +74,7 @@
 		refusedCheck        bool // send a call again on a connection on which it was refused
 		requestIDMatch      bool // accept responses with any request ID
 		knownLength         bool // accept responses of unknown length
+		writeFailure        bool // accept responses of unknown length after a failed write
 		closedConnCheck     bool // do not detect closed idle connections
 		freshnessCheck      bool // send non-idempotent calls on connections of any age
 		firstByteTimeout    bool // wait for the first byte until the deadline
--- a/target/send.go
+++ b/target/send.go
@@ -354,7 +354,7 @@
 			Report:     report,
 		}
 	}
-	closeDelimited := resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	closeDelimited := endsWithConnection(resp)
 	if closeDelimited && !p.opts.capabilities.CloseDelimitedBodies && !p.disabled.knownLength {
 		p.finish(c, stopWatch, false)
 		return &outcome.Unknown{
@@ -462,10 +462,20 @@
 	}
 	if writeErr != nil {
 		resp.Close = true
+		// The failed write has taken the pending error of the connection, so a read after a reset reports an end in order.
+		if endsWithConnection(resp) && !head.Refused && !p.disabled.writeFailure {
+			return fail(outcome.Truncated)
+		}
 	}
 	return resp, head, stopWatch, nil
 }
 
+// endsWithConnection reports whether a response has a body without a length, which is complete when the target closes the
+// connection in order (RFC 9112, 6.3).
+func endsWithConnection(resp *http.Response) bool {
+	return resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // readHead reads the head of the next response. It skips a second response to the previous attempt, which a target can
 // send late.
 func (p *Pool) readHead(c *conn, id string) (*http.Response, ResponseHead, error) {
