Check the heads of answers while they are read

Callers saw, by the users on other systems and by our test here: a worker in trouble sends a head in which the name of a field holds a blank. Control bytes in names were refused before, and so were those in values.

Cause: http.ReadResponse takes names with blanks, any byte in a reason phrase, other major versions, a transfer coding in HTTP/1.0, and a length beside a transfer coding. It is made for clients; a proxy that passes such an answer on gives it one reading of several.

Change: the bytes of a head are checked as they are read (headCheck), in place of the wait for the beginning of a status line. Why it works: all answers of targets pass this one place, and the check reads the bytes themselves, not what the parser has made of them.

--- a/target/conn.go
+++ b/target/conn.go
@@ -22,12 +22,8 @@
 var (
 	errHeadTooLarge = errors.New("response head is too large")
 	errWriteRefused = errors.New("request may no longer be written")
-	errNoResponse   = errors.New("target sends bytes that are no response")
 )
 
-// statusLinePrefix begins each response.
-const statusLinePrefix = "HTTP/"
-
 // maxRefusals bounds the refused calls that a connection remembers. It is closed when it has as many.
 const maxRefusals = 32
 
@@ -54,7 +50,8 @@
 	beforeWrite   func(time.Time) outcome.Reason
 	reserve       func(time.Time) outcome.Reason
 	sentAt        time.Time
-	headBytesLeft int64 // bytes that may still be read for the response head; negative if unlimited
+	headBytesLeft int64     // bytes that may still be read for the response head; negative if unlimited
+	headCheck     headCheck // of the response head that is being read
 	req           http.Request
 	url           url.URL
 	path          string // of the request, with its query, as the caller sent it
@@ -215,27 +212,26 @@
 	return c.nc.SetReadDeadline(c.deadline)
 }
 
-// validStatus reports whether a response has a status that can be its last or an informational one: three digits from 100
-// to 599 (RFC 9110, 15). http.ReadResponse takes any three bytes that are a number, such as "+20". 101 would end the
-// protocol that the pool speaks.
-func validStatus(resp *http.Response) bool {
-	return resp.StatusCode >= 100 && resp.StatusCode <= 599 && resp.StatusCode != http.StatusSwitchingProtocols
-}
-
 // readResponse reads the head of the response to the prepared request. It skips informational responses.
 func (c *conn) readResponse() (*http.Response, error) {
 	c.headBytesLeft = maxHeadBytes
 	defer func() { c.headBytesLeft = -1 }()
 	for {
-		if err := c.awaitStatusLine(); err != nil {
+		c.headCheck = headCheck{}
+		buffered, _ := c.br.Peek(c.br.Buffered()) // What is buffered can be peeked at.
+		if err := c.headCheck.scan(buffered); err != nil {
 			return nil, err
 		}
 		resp, err := http.ReadResponse(c.br, &c.req)
+		if c.headCheck.err != nil {
+			// The parser may report a line that ends with the failed read instead.
+			return nil, c.headCheck.err
+		}
 		if err != nil {
 			return nil, err
 		}
-		if !validStatus(resp) {
-			return nil, errNoResponse
+		if err := c.headCheck.checkResponse(resp); err != nil {
+			return nil, err
 		}
 		if resp.StatusCode >= 200 {
 			return resp, nil
@@ -243,21 +239,6 @@
 	}
 }
 
-// awaitStatusLine waits for the beginning of a response. It fails at the first byte that does not belong to one, because
-// a target in trouble may send such bytes slowly and without an end of the line.
-func (c *conn) awaitStatusLine() error {
-	for n := 1; n <= len(statusLinePrefix); n++ {
-		b, err := c.br.Peek(n)
-		if err != nil {
-			return err
-		}
-		if string(b) != statusLinePrefix[:n] {
-			return errNoResponse
-		}
-	}
-	return nil
-}
-
 // discardBody reads a short body to its end, so that the connection can be reused. It reports whether it got there
 // within discardTimeout.
 func (c *conn) discardBody(resp *http.Response) bool {
@@ -305,6 +286,9 @@
 	}
 	n, err := r.nc.Read(p)
 	r.headBytesLeft -= int64(n)
+	if err := r.headCheck.scan(p[:n]); err != nil {
+		return 0, err
+	}
 	return n, err
 }
 
--- a/target/reset_test.go
+++ b/target/reset_test.go
@@ -1,62 +1,15 @@
 package target
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
-	"net/http"
-	"net/netip"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 )
 
-// connectionProtocol is the native protocol with bodies that end with their connections.
-type connectionProtocol struct{ NativeProtocol }
-
-// Capabilities implements Protocol.
-func (connectionProtocol) Capabilities() Capabilities {
-	return Capabilities{
-		CloseDelimitedBodies: true,
-	}
-}
-
-// startResettingTarget starts a target that answers each request when it has read the head, and then resets the connection. It
-// returns a pool of connections to the target.
-func startResettingTarget(t *testing.T, status, rest string) *Pool {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	served := make(chan struct{})
-	t.Cleanup(func() {
-		_ = l.Close()
-		<-served
-	})
-	go func() {
-		defer close(served)
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if req, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
-				_, _ = fmt.Fprintf(nc, "HTTP/1.1 %s\r\n%s: %s\r\n%s: i\r\n%s", status, HeaderRequest, req.Header.Get(HeaderRequest),
-					HeaderInstance, rest)
-			}
-			_ = nc.(*net.TCPConn).SetLinger(0)
-			_ = nc.Close()
-		}
-	}()
-	p := New(Options{
-		Address:  netip.MustParseAddrPort(l.Addr().String()),
-		Protocol: connectionProtocol{},
-	})
-	t.Cleanup(p.Close)
-	return p
-}
-
 // Guards against a body without a length that passes for complete although its connection was reset while the request was being
 // written. The control trusts the end of the connection after the failed write.
 func TestResetDuringWrite(t *testing.T) {
@@ -116,7 +69,10 @@
 		for _, trusted := range []bool{false, true} {
 			for _, stream := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s, trusted %t, stream %t", name, trusted, stream), func(t *testing.T) {
-					p := startResettingTarget(t, test.status, test.rest)
+					p := startRawTarget(t, func(nc *net.TCPConn, id string) {
+						_, _ = fmt.Fprintf(nc, "HTTP/1.1 %s\r\n%s: %s\r\n%s: i\r\n%s", test.status, HeaderRequest, id, HeaderInstance, test.rest)
+						_ = nc.SetLinger(0)
+					})
 					p.disabled.writeFailure = trusted
 					call := newCall("POST", "/", "key", upload)
 					if stream {
