Reset connections whose body is cut if its end is theirs

Callers saw, in a test of ours and in no report: a caller of HTTP/1.0 asks for a large answer, which the worker sends in chunks or without a length and breaks off. The caller got the part as a whole answer.

Cause: the entry passes such an answer on to HTTP/1.0 without a length, so that it ends with the connection, and closed the connection of a cut answer in order.

Change: while such a response is written, closing its connection resets it (linger time 0), until its last byte was written. A response whose write failed is aborted at once. Why it works: the kernel applies it to every close, whoever closes, and a reset is not an end of the body. Connections at the control address pass SetLinger on.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -154,6 +154,20 @@
 	c.nc.Close()
 }
 
+// resetOnClose chooses whether the end of the connection resets it, whatever closes it: this server or the end of the process. A reset
+// loses what has not been sent yet, also of the responses before.
+func (c *conn) resetOnClose(reset bool) {
+	lingerer, ok := c.nc.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return
+	}
+	seconds := -1 // The default: closing sends the rest in the background.
+	if reset {
+		seconds = 0
+	}
+	_ = lingerer.SetLinger(seconds) // It fails only on a connection that is closed.
+}
+
 // finish makes the connection end as soon as the requests that were read are answered.
 func (c *conn) finish() {
 	c.mu.Lock()
--- a/caller/response.go
+++ b/caller/response.go
@@ -163,11 +163,14 @@
 	if r.length < 0 && r.chunked() {
 		r.header.Set("Transfer-Encoding", "chunked")
 	}
-	wanted := r.request != nil && r.request.endsConnection() || r.req.Close || strings.EqualFold(r.header.Get("Connection"), "close") || r.length < 0 && r.bodyAllowed() && !r.chunked()
+	wanted := r.request != nil && r.request.endsConnection() || r.req.Close || strings.EqualFold(r.header.Get("Connection"), "close") || r.endsWithConnection()
 	r.header.Del("Connection")
 	if r.conn.endsWith(r, wanted) {
 		r.header.Set("Connection", "close")
 	}
+	if r.endsWithConnection() {
+		r.conn.resetOnClose(true)
+	}
 	_ = r.header.Write(bw) // The buffer keeps the error for the flush.
 	bw.WriteString("\r\n")
 }
@@ -176,6 +179,9 @@
 // connection.
 func (r *response) chunked() bool { return r.bodyAllowed() && r.req.ProtoAtLeast(1, 1) }
 
+// endsWithConnection tells whether the body ends with the connection. Its caller takes it for whole if the connection ends in order.
+func (r *response) endsWithConnection() bool { return r.length < 0 && r.bodyAllowed() && !r.chunked() }
+
 // proceed tells a caller that waits for it to send the body of its request.
 func (r *response) proceed() {
 	if r.awaitTurn() != nil {
@@ -220,6 +226,9 @@
 		r.header.Set("Content-Length", strconv.Itoa(len(r.held)))
 	}
 	if r.start() != nil {
+		if r.headed {
+			r.conn.abort() // A write of the body failed.
+		}
 		return
 	}
 	bw := r.conn.bw
@@ -231,6 +240,10 @@
 	if err := bw.Flush(); err != nil || short {
 		// A response that is shorter than its length must not look complete.
 		r.conn.abort()
+		return
+	}
+	if r.endsWithConnection() {
+		r.conn.resetOnClose(false)
 	}
 }
 
--- a/fleet/http.go
+++ b/fleet/http.go
@@ -192,6 +192,15 @@
 	return half.CloseWrite()
 }
 
+// SetLinger sets what happens to unsent bytes when the connection is closed, like net.TCPConn.SetLinger.
+func (c *countedConn) SetLinger(seconds int) error {
+	lingerer, ok := c.Conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return errors.New("the connection cannot be reset")
+	}
+	return lingerer.SetLinger(seconds)
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *countedConn) SyscallConn() (syscall.RawConn, error) {
 	sc, ok := c.Conn.(syscall.Conn)
