Test that cut answers of the store do not decode

The clients of the store use net/http, which takes the end of a connection that was reset during a write for the end of a body.

--- a/store/client_test.go
+++ b/store/client_test.go
@@ -82,6 +82,8 @@
 	tests := []test{
 		newTest("closed after the request", Ambiguous),
 		newTest("truncated body", Ambiguous, whole[:len(whole)-3]),
+		newTest("truncated body without a length", Ambiguous, "HTTP/1.1 200 x\r\n\r\n"+`{"versions":{"k":1}`),
+		newTest("truncated body with a malformed length", Ambiguous, "HTTP/1.1 200 x\r\nContent-Length : 9\r\n\r\n"+`{"versions":{"k":1}`),
 		newTest("truncated header", Ambiguous, whole[:20]),
 		newTest("no JSON", Ambiguous, response(200, "hello")),
 		newTest("no response", Ambiguous, ""),
--- a/target/protocol.go
+++ b/target/protocol.go
@@ -30,7 +30,7 @@
 	// check.
 	VerifiesInstance bool
 	// CloseDelimitedBodies means that a response without a length is complete if the target closes the connection in
-	// order.
+	// order, and the whole request could be written.
 	CloseDelimitedBodies bool
 	// LoadReadsWithoutID means that load reads and their responses carry no ID.
 	LoadReadsWithoutID bool
