Let downloads of TestLeaving reach no target that is made slow

The test makes one target of documents answer after 7 s, and its downloads were of documents. One of those at entry-2 was placed at that target (documents-01, 20:03:13.562) while the other two were answered within 6 ms. The test waits until all downloads have begun, so the stop and the kill came 6.7 s later (20:03:20.241), when callers had read nearly all of the others.

The test is wrong where it lets chance choose: downloads are of reservations now, which it does not slow down. Number, size, pace and checks are the same.

--- a/cmd/skylarkbeam/leave_test.go
+++ b/cmd/skylarkbeam/leave_test.go
@@ -18,7 +18,8 @@
 )
 
 // downloads starts downloads of 24 MB each from an entry, whose callers take about 7 s to read them. The function
-// returned waits for them and returns how many were whole.
+// returned waits for them and returns how many were whole. All have begun when downloads returns, so they must not reach a target
+// that is made slow.
 func (p *processes) downloads(e *entryProcess, n int) func() (whole int) {
 	const size = 24 << 20
 	var group sync.WaitGroup
@@ -27,7 +28,7 @@
 	started := make(chan struct{}, n)
 	for i := range n {
 		group.Go(func() {
-			path := fmt.Sprintf("/documents/%s-%d?size=%d", e.name, i, size)
+			path := fmt.Sprintf("/reservations/%s-%d?size=%d", e.name, i, size)
 			req, err := http.NewRequest(http.MethodGet, "http://"+e.caller+path, nil)
 			if !assert.Check(p.t, err) {
 				return
