Let TestSockets wait for the requests that take all sockets

Cause, in the test: it took three open connections of a pool as three taken sockets. A pool counts a connection as open before it takes its socket, so the request that was to be refused could take the third socket first and be answered. The failure then left the slow requests unanswered, and the server's Close, which is deferred, waited for them.

The test waits until all slow requests have arrived at the target, which they do only with a socket, and checks that the pool has that many connections open. The slow requests are answered after a failure too. What is refused, and why, is checked as before, in two checks that tell which one failed.

With one socket more than allowed, the test fails as before; with a wrong count of refusals it fails at once instead of holding up the package.

--- a/target/sockets_test.go
+++ b/target/sockets_test.go
@@ -7,10 +7,13 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"skylarkbeam/outcome"
 	"skylarkbeam/timer"
@@ -23,14 +26,19 @@
 	sockets := NewSockets(func() int { return most })
 	var pools []*Pool
 	release := make(chan struct{})
+	var slowRequests atomic.Int64
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/slow" {
+			slowRequests.Add(1)
 			<-release
 		}
 		w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
 		_, _ = io.WriteString(w, "whole")
 	}))
 	defer server.Close()
+	// Close waits for the requests, also after a failure.
+	answerSlow := sync.OnceFunc(func() { close(release) })
+	defer answerSlow()
 	timers := timer.New()
 	open := func(address netip.AddrPort) *Pool {
 		p := New(Options{
@@ -67,13 +75,19 @@
 	for range most {
 		go func() { done <- send(slow, "/slow") }()
 	}
-	for slow.OpenConnections() < most {
-		time.Sleep(time.Millisecond)
-	}
+	// A connection is counted as open before it has its socket.
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := slowRequests.Load(); n < most {
+			return poll.Continue("%d of %d slow requests have arrived", n, most)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+	assert.Equal(t, slow.OpenConnections(), most)
 	refused, ok := send(open(address), "/").(*outcome.NotRun)
-	assert.Assert(t, ok && refused.Reason == outcome.QueueFull)
+	assert.Assert(t, ok, "with all sockets in use")
+	assert.Equal(t, refused.Reason, outcome.QueueFull)
 	assert.Equal(t, sockets.Refused(), uint64(1))
-	close(release)
+	answerSlow()
 	for range most {
 		_, ok := (<-done).(*outcome.Answered)
 		assert.Assert(t, ok)
