Test load reads with broken responses

A raw stand-in now sends each response to a load read and to a probe: parts cut by a reset, by a length or in chunks, status 000, blanks and control bytes in names. None may become a report of the target, and its connection has to end. Two whole responses are the control.

--- a/target/probe_test.go
+++ b/target/probe_test.go
@@ -58,3 +58,82 @@
 		})
 	}
 }
+
+// Guards against a load read that takes part of a response, or one with a malformed head, for a report of the target.
+func TestLoadReadBroken(t *testing.T) {
+	const load = `{"instance":"i1"}`
+	tests := map[string]struct {
+		status, fields string
+		reset, whole   bool
+	}{
+		"whole": {
+			status: "200 OK",
+			whole:  true,
+		},
+		"whole with a length": {
+			status: "200 OK",
+			fields: "Content-Length: 17\r\n",
+			whole:  true,
+		},
+		"reset": {
+			status: "200 OK",
+			reset:  true,
+		},
+		"short": {
+			status: "200 OK",
+			fields: "Content-Length: 18\r\n",
+		},
+		"chunks": {
+			status: "200 OK",
+			fields: "Transfer-Encoding: chunked\r\n",
+		},
+		"status 000": {
+			status: "000 OK",
+		},
+		"blank in a name": {
+			status: "200 OK",
+			fields: "Server Load: 5\r\n",
+		},
+		"blank after a name": {
+			status: "200 OK",
+			fields: "Content-Length : 17\r\n",
+		},
+		"control byte in a name": {
+			status: "200 OK",
+			fields: "Server\x01Load: 5\r\n",
+		},
+	}
+	for name, test := range tests {
+		for _, read := range []string{"load read", "probe"} {
+			t.Run(name+", "+read, func(t *testing.T) {
+				p := startRawTarget(t, func(nc *net.TCPConn, id string) {
+					_, _ = fmt.Fprintf(nc, "HTTP/1.1 %s\r\n%s: %s\r\n%s\r\n%s", test.status, HeaderRequest, id, test.fields, load)
+					if test.reset {
+						_ = nc.SetLinger(0)
+					}
+				})
+				p.opts.ProbeBudget = NewProbeBudget(1000, time.Now().Add(-time.Minute))
+				get := p.ReadLoad
+				if read == "probe" {
+					get = p.Probe
+				}
+				report, err := get(t.Context())
+				last, _ := p.LastReport()
+				assert.Equal(t, last.Instance, report.Instance)
+				if test.whole {
+					assert.NilError(t, err)
+					assert.Equal(t, report.Instance, "i1")
+					return
+				}
+				assert.Assert(t, err != nil)
+				assert.Equal(t, report.Instance, "")
+				poll.WaitOn(t, func(poll.LogT) poll.Result {
+					if n := p.OpenConnections(); n != 0 {
+						return poll.Continue("%d connections are open", n)
+					}
+					return poll.Success()
+				})
+			})
+		}
+	}
+}
